Add the listener and client for calls between nodes

Cause: forwarding, membership and bundle distribution all need authenticated calls between nodes.

Conclusion: the parts that talk to other nodes can be written separately.

--- a/org.cranberrystand.bench/src/main/java/org/cranberrystand/bench/fleet/EmbeddedFleet.java
+++ b/org.cranberrystand.bench/src/main/java/org/cranberrystand/bench/fleet/EmbeddedFleet.java
@@ -132,7 +132,7 @@
             VmEntry.ROLE_ENTRY,
             "",
             node.callerAddress().toString(),
-            "",
+            node.peerAddress().toString(),
             domain,
             VmEntry.STATE_LIVE));
     return node;
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/Node.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/Node.java
@@ -7,6 +7,8 @@
 import org.cranberrystand.daemon.internal.BundleIntake;
 import org.cranberrystand.daemon.internal.EventLog;
 import org.cranberrystand.daemon.internal.NodeState;
+import org.cranberrystand.daemon.internal.PeerClient;
+import org.cranberrystand.daemon.internal.PeerServer;
 import org.cranberrystand.daemon.internal.PlatformWatcher;
 import org.cranberrystand.daemon.internal.RequestHandler;
 import org.cranberrystand.daemon.internal.RequestRunner;
@@ -33,6 +35,8 @@
   private final RequestRunner runner;
   private final PlatformWatcher watcher;
   private final RatpackServer callerServer;
+  private final PeerServer peerServer;
+  private final PeerClient peerClient;
 
   private Node(NodeSettings settings, MonotonicClock clock) throws Exception {
     this.state =
@@ -41,6 +45,8 @@
     SchedulerLoop scheduler = new SchedulerLoop(new Scheduler(), log);
     BundleIntake intake = new BundleIntake(state, scheduler, log);
     this.runner = new RequestRunner(state, scheduler, log);
+    this.peerClient = new PeerClient(state);
+    this.peerServer = new PeerServer(state, chain -> {});
     this.callerServer = startCallerServer(settings.callers());
     this.watcher =
         new PlatformWatcher(
@@ -76,10 +82,21 @@
     return HostAndPort.fromParts(state.settings().callers().getHost(), callerServer.getBindPort());
   }
 
+  /**
+   * Returns the address of the listener for other nodes.
+   *
+   * @return host and port
+   */
+  public HostAndPort peerAddress() {
+    return peerServer.address();
+  }
+
   @Override
   public void close() throws Exception {
     watcher.close();
     callerServer.stop();
+    peerServer.close();
+    peerClient.close();
     runner.close();
     log.write(LogEvent.NODE_STOPPED, "");
   }
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/NodeState.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/NodeState.java
@@ -8,6 +8,7 @@
 import org.cranberrystand.identity.Incarnation;
 import org.cranberrystand.identity.RequestIdCodec;
 import org.cranberrystand.identity.RequestLedger;
+import org.cranberrystand.membership.MembershipView;
 import org.cranberrystand.upstream.UpstreamDirectory;
 import org.cranberrystand.util.MonotonicClock;
 import org.cranberrystand.wire.platform.VmEntry;
@@ -35,6 +36,8 @@
       new AtomicReference<>(UpstreamDirectory.empty());
   private final AtomicReference<ImmutableList<VmEntry>> entryVms =
       new AtomicReference<>(ImmutableList.of());
+  private final AtomicReference<MembershipView> membership =
+      new AtomicReference<>(MembershipView.empty());
   private final AtomicBoolean leaving = new AtomicBoolean();
 
   /**
@@ -96,6 +99,10 @@
     return entryVms;
   }
 
+  public AtomicReference<MembershipView> membership() {
+    return membership;
+  }
+
   public AtomicBoolean leaving() {
     return leaving;
   }
