--- a/org.cranberrystand.wire/src/main/java/org/cranberrystand/wire/bundle/BundleParser.java
+++ b/org.cranberrystand.wire/src/main/java/org/cranberrystand/wire/bundle/BundleParser.java
@@ -1,12 +1,17 @@
 package org.cranberrystand.wire.bundle;
 
 import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.ImmutableSortedSet;
 import com.google.common.hash.Hashing;
 import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import org.cranberrystand.bundle.Bundle;
+import org.cranberrystand.bundle.EngineRole;
+import org.cranberrystand.bundle.ModelDeployment;
 import org.cranberrystand.bundle.PoolType;
 import org.cranberrystand.bundle.Shop;
 import org.cranberrystand.bundle.Team;
@@ -26,10 +31,12 @@
   private static final int DEFAULT_OUTPUT_TOKENS = 128;
   private static final long DEFAULT_DEADLINE_MILLIS = 60_000;
   private static final double MAX_WEIGHT = 1e6;
+  private static final double MIN_SHARE = 0.001;
 
   private final Findings findings;
   private final String text;
   private final Set<String> poolNames = new HashSet<>();
+  private final Map<String, Double> deployedShares = new HashMap<>();
   private final Set<String> kindNames = new HashSet<>();
   private final Set<String> teamNames = new HashSet<>();
   private final Set<String> shopNames = new HashSet<>();
@@ -75,6 +82,7 @@
     readShares(root.table("tiers"), builder);
     root.tables("pools").forEach(table -> readPool(table, builder));
     root.tables("kinds").forEach(table -> readKind(table, builder));
+    root.tables("deployments").forEach(table -> readDeployment(table, builder));
     root.tables("teams").forEach(table -> readTeam(table, builder));
     root.tables("shops").forEach(table -> readShop(table, builder));
     root.rejectUnknownKeys();
@@ -145,6 +153,33 @@
     table.rejectUnknownKeys();
   }
 
+  private void readDeployment(TomlReader table, Bundle.Builder builder) {
+    String pool = table.requiredText("pool");
+    if (!pool.isEmpty() && !poolNames.contains(pool)) {
+      table.report("pool", "names \"" + pool + "\", which is not declared under [[pools]]");
+    }
+    String roleLabel = table.text("role", EngineRole.MIXED.label());
+    Optional<EngineRole> role = EngineRole.fromLabel(roleLabel);
+    if (role.isEmpty()) {
+      table.report(
+          "role", "is \"" + roleLabel + "\" but must be \"mixed\", \"prefill\" or \"decode\"");
+    }
+    ModelDeployment deployment =
+        new ModelDeployment(
+            pool,
+            table.requiredText("model"),
+            table.requiredText("version"),
+            ImmutableSortedSet.copyOf(table.textSet("adapters")),
+            role.orElse(EngineRole.MIXED),
+            table.number("share", 1, MIN_SHARE, 1));
+    double sum = deployedShares.merge(pool, deployment.share(), Double::sum);
+    if (sum > 1) {
+      table.report("share", "shares of the pool add up to " + sum + " but must not exceed 1");
+    }
+    table.rejectUnknownKeys();
+    builder.addDeployment(deployment);
+  }
+
   private void readTeam(TomlReader table, Bundle.Builder builder) {
     String name = uniqueName(table, teamNames);
     double weight = table.number("weight", 1, 1 / MAX_WEIGHT, MAX_WEIGHT);
--- a/org.cranberrystand/src/main/java/org/cranberrystand/bundle/Bundle.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/bundle/Bundle.java
@@ -1,8 +1,13 @@
 package org.cranberrystand.bundle;
 
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableListMultimap;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.Multimaps;
+import java.util.ArrayList;
 import java.util.EnumMap;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 
@@ -21,6 +26,7 @@
   private final ImmutableMap<String, Shop> shops;
   private final ImmutableMap<String, Team> teams;
   private final ImmutableMap<Tier, Double> guaranteedShares;
+  private final ImmutableListMultimap<String, ModelDeployment> deployments;
 
   private Bundle(Builder builder) {
     this.version = builder.version;
@@ -31,6 +37,7 @@
     this.shops = ImmutableMap.copyOf(builder.shops);
     this.teams = ImmutableMap.copyOf(builder.teams);
     this.guaranteedShares = ImmutableMap.copyOf(builder.guaranteedShares);
+    this.deployments = Multimaps.index(builder.deployments, ModelDeployment::pool);
   }
 
   /**
@@ -76,6 +83,16 @@
     return teams;
   }
 
+  /**
+   * Returns the model versions that the engines of a pool should serve.
+   *
+   * @param pool the name of the pool
+   * @return the deployments in the order of the bundle; empty if the engines are left as they are
+   */
+  public ImmutableList<ModelDeployment> deployments(String pool) {
+    return deployments.get(pool);
+  }
+
   public Optional<WorkKind> kind(String name) {
     return Optional.ofNullable(kinds.get(name));
   }
@@ -115,6 +132,7 @@
     private final Map<String, Shop> shops = new LinkedHashMap<>();
     private final Map<String, Team> teams = new LinkedHashMap<>();
     private final Map<Tier, Double> guaranteedShares = new EnumMap<>(Tier.class);
+    private final List<ModelDeployment> deployments = new ArrayList<>();
 
     private Builder(long version) {
       this.version = version;
@@ -198,6 +216,17 @@
       return this;
     }
 
+    /**
+     * Adds a model version that part of a pool should serve.
+     *
+     * @param value the deployment
+     * @return this builder
+     */
+    public Builder addDeployment(ModelDeployment value) {
+      deployments.add(value);
+      return this;
+    }
+
     /**
      * Builds the bundle.
      *
