--- /dev/null
+++ b/org.cranberrystand.wire/src/main/java/org/cranberrystand/wire/engine/package-info.java
@@ -0,0 +1,2 @@
+/** Messages exchanged with engines besides requests. */
+package org.cranberrystand.wire.engine;
--- a/org.cranberrystand/src/main/java/org/cranberrystand/event/LogEvent.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/event/LogEvent.java
@@ -25,7 +25,11 @@
   /** A connection to an upstream broke. */
   UPSTREAM_BROKEN(3002, Severity.WARNING, "connection to upstream broke"),
   /** A stream event was out of sequence or belonged to another request. */
-  STREAM_MISMATCH(3003, Severity.WARNING, "stream event does not belong to the answer");
+  STREAM_MISMATCH(3003, Severity.WARNING, "stream event does not belong to the answer"),
+  /** An engine was ordered to serve a model. */
+  ENGINE_ORDERED(4001, Severity.INFO, "engine ordered"),
+  /** The rollout of a model version stopped because goodput fell. */
+  MODEL_ROLLOUT_HALTED(4002, Severity.ERROR, "model rollout halted");
 
   private final int number;
   private final Severity severity;
