--- a/org.cranberrystand.bench/src/main/java/org/cranberrystand/bench/demo/Demo.java
+++ b/org.cranberrystand.bench/src/main/java/org/cranberrystand/bench/demo/Demo.java
@@ -36,11 +36,21 @@
    * @throws Exception if the fleet cannot be started
    */
   public static void main(String[] args) throws Exception {
-    boolean passed = new Demo(System.out).run();
-    System.exit(passed ? 0 : 1);
+    System.exit(run(System.out) ? 0 : 1);
   }
 
-  private boolean run() throws Exception {
+  /**
+   * Starts the fleet, sends the requests and prints the answers.
+   *
+   * @param out receives the answers
+   * @return true if every request was answered and the reservation that was sent twice ran once
+   * @throws Exception if the fleet cannot be started
+   */
+  public static boolean run(PrintStream out) throws Exception {
+    return new Demo(out).runFleet();
+  }
+
+  private boolean runFleet() throws Exception {
     String bundle =
         Resources.toString(
             Resources.getResource(Demo.class, "bundle.toml"), StandardCharsets.UTF_8);
