Split teams and shops of a bundle into parts by digest

Change: a bundle may list the digests of parts with teams and shops; the signature covers the digests.

--- a/org.cranberrystand.wire/src/main/java/org/cranberrystand/wire/bundle/BundleParser.java
+++ b/org.cranberrystand.wire/src/main/java/org/cranberrystand/wire/bundle/BundleParser.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Function;
 import org.cranberrystand.bundle.Bundle;
 import org.cranberrystand.bundle.EngineRole;
 import org.cranberrystand.bundle.ModelDeployment;
@@ -30,20 +31,22 @@
   private static final int MAX_RETRIES = 10;
   private static final int DEFAULT_OUTPUT_TOKENS = 128;
   private static final long DEFAULT_DEADLINE_MILLIS = 60_000;
-  private static final double MAX_WEIGHT = 1e6;
   private static final double MIN_SHARE = 0.001;
 
   private final Findings findings;
   private final String text;
+  private final Function<String, Optional<BundlePart>> partByDigest;
   private final Set<String> poolNames = new HashSet<>();
   private final Map<String, Double> deployedShares = new HashMap<>();
   private final Set<String> kindNames = new HashSet<>();
   private final Set<String> teamNames = new HashSet<>();
   private final Set<String> shopNames = new HashSet<>();
 
-  private BundleParser(String file, String text) {
+  private BundleParser(
+      String file, String text, Function<String, Optional<BundlePart>> partByDigest) {
     this.findings = new Findings(file);
     this.text = text;
+    this.partByDigest = partByDigest;
   }
 
   /**
@@ -57,18 +60,44 @@
   }
 
   /**
-   * Reads a bundle.
+   * Reads a bundle without parts.
    *
    * @param file the name of the file for findings
    * @param text the TOML text
    * @return the bundle, or everything that is wrong with it
    */
   public static Checked<Bundle> parse(String file, String text) {
+    return parse(file, text, digest -> Optional.empty());
+  }
+
+  /**
+   * Reads a bundle with its parts.
+   *
+   * @param file the name of the file for findings
+   * @param text the TOML text
+   * @param partByDigest finds the parts that the text lists
+   * @return the bundle, or everything that is wrong with it; a missing part is a finding
+   */
+  public static Checked<Bundle> parse(
+      String file, String text, Function<String, Optional<BundlePart>> partByDigest) {
     Checked<TomlDocument> document = TomlDocument.parse(file, text);
     if (document instanceof Checked.Invalid<TomlDocument> invalid) {
       return new Checked.Invalid<>(invalid.findings());
     }
-    return new BundleParser(file, text).read(document.orElseThrow());
+    return new BundleParser(file, text, partByDigest).read(document.orElseThrow());
+  }
+
+  /**
+   * Returns the digests of the parts that a text lists.
+   *
+   * @param text the TOML text
+   * @return the digests in order; empty if there are none or the text is not valid TOML
+   */
+  public static ImmutableSet<String> partDigests(String text) {
+    Checked<TomlDocument> document = TomlDocument.parse("bundle", text);
+    return document instanceof Checked.Valid<TomlDocument> valid
+        ? TomlReader.ofRoot(valid.value(), new Findings("bundle")).textSet("parts")
+        : ImmutableSet.of();
   }
 
   private Checked<Bundle> read(TomlDocument document) {
@@ -85,6 +114,7 @@
     root.tables("deployments").forEach(table -> readDeployment(table, builder));
     root.tables("teams").forEach(table -> readTeam(table, builder));
     root.tables("shops").forEach(table -> readShop(table, builder));
+    root.textSet("parts").forEach(digest -> addPart(root, digest, builder));
     root.rejectUnknownKeys();
     return findings.toChecked(builder::build);
   }
@@ -181,26 +211,43 @@
   }
 
   private void readTeam(TomlReader table, Bundle.Builder builder) {
-    String name = uniqueName(table, teamNames);
-    double weight = table.number("weight", 1, 1 / MAX_WEIGHT, MAX_WEIGHT);
-    table.rejectUnknownKeys();
-    builder.addTeam(new Team(name, weight));
+    addTeam(table, "name", BundlePart.readTeam(table), builder);
   }
 
   private void readShop(TomlReader table, Bundle.Builder builder) {
-    String name = uniqueName(table, shopNames);
-    String team = table.requiredText("team");
-    if (!team.isEmpty() && !teamNames.contains(team)) {
-      table.report("team", "names \"" + team + "\", which is not declared under [[teams]]");
+    addShop(table, BundlePart.readShop(table), builder);
+  }
+
+  private void addPart(TomlReader root, String digest, Bundle.Builder builder) {
+    Optional<BundlePart> part = partByDigest.apply(digest);
+    if (part.isEmpty()) {
+      root.report("parts", "the part " + digest + " is missing");
+      return;
+    }
+    part.get().teams().forEach(team -> addTeam(root, "parts", team, builder));
+    part.get().shops().forEach(shop -> addShop(root, shop, builder));
+  }
+
+  private void addTeam(TomlReader table, String key, Team team, Bundle.Builder builder) {
+    if (!team.name().isEmpty() && !teamNames.add(team.name())) {
+      table.report(key, "\"" + team.name() + "\" is declared twice");
+    }
+    builder.addTeam(team);
+  }
+
+  private void addShop(TomlReader table, Shop shop, Bundle.Builder builder) {
+    if (!shop.name().isEmpty() && !shopNames.add(shop.name())) {
+      table.report("name", "\"" + shop.name() + "\" is declared twice");
+    }
+    if (!shop.team().isEmpty() && !teamNames.contains(shop.team())) {
+      table.report("team", "names \"" + shop.team() + "\", which is not declared under [[teams]]");
     }
-    ImmutableSet<String> kinds = table.textSet("kinds");
-    for (String kind : kinds) {
+    for (String kind : shop.kinds()) {
       if (!kindNames.contains(kind)) {
         table.report("kinds", "names \"" + kind + "\", which is not declared under [[kinds]]");
       }
     }
-    table.rejectUnknownKeys();
-    builder.addShop(new Shop(name, team, kinds));
+    builder.addShop(shop);
   }
 
   private static String uniqueName(TomlReader table, Set<String> names) {
--- a/org.cranberrystand.wire/src/main/java/org/cranberrystand/wire/bundle/BundleSignatures.java
+++ b/org.cranberrystand.wire/src/main/java/org/cranberrystand/wire/bundle/BundleSignatures.java
@@ -13,6 +13,8 @@
 import java.util.Base64;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.function.Function;
 import org.cranberrystand.bundle.Bundle;
 import org.cranberrystand.util.Checked;
 import org.cranberrystand.util.Findings;
@@ -69,23 +71,46 @@
   }
 
   /**
-   * Verifies and reads a bundle.
+   * Verifies and reads a bundle without parts.
    *
    * @param source where the bundle came from, for findings
    * @param signed the signed bundle
    * @return the bundle, or why it is refused
    */
   public Checked<Bundle> verify(String source, SignedBundle signed) {
-    for (SignedBundle.Signature signature : signed.signatures()) {
-      if (isValid(signed.bundle(), signature)) {
-        return BundleParser.parse(source, signed.bundle());
-      }
+    return verify(source, signed, digest -> Optional.empty());
+  }
+
+  /**
+   * Verifies and reads a bundle with its parts.
+   *
+   * <p>The signature covers the digests of the parts, so it vouches for them too.
+   *
+   * @param source where the bundle came from, for findings
+   * @param signed the signed bundle
+   * @param partByDigest finds the parts that the bundle lists
+   * @return the bundle, or why it is refused
+   */
+  public Checked<Bundle> verify(
+      String source, SignedBundle signed, Function<String, Optional<BundlePart>> partByDigest) {
+    if (isTrusted(signed)) {
+      return BundleParser.parse(source, signed.bundle(), partByDigest);
     }
     Findings findings = new Findings(source);
     findings.add(0, "", "is not signed by a trusted key");
     return new Checked.Invalid<>(findings.toList());
   }
 
+  /**
+   * Tells whether a trusted key signed a bundle, without reading it.
+   *
+   * @param signed the signed bundle
+   * @return true if at least one signature is valid
+   */
+  public boolean isTrusted(SignedBundle signed) {
+    return signed.signatures().stream().anyMatch(s -> isValid(signed.bundle(), s));
+  }
+
   private boolean isValid(String text, SignedBundle.Signature signature) {
     PublicKey key = signature.keyId() == null ? null : trustedKeys.get(signature.keyId());
     if (key == null || signature.signature() == null) {
