Offer rendezvous hashing by precomputed hashes

Cause: the scheduler scores the same engines for each request and was about to get a hash function of its own.

Change: one class scores names and precomputed hashes alike.

--- a/org.cranberrystand/src/main/java/org/cranberrystand/placement/RendezvousHash.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/placement/RendezvousHash.java
@@ -4,6 +4,7 @@
 import com.google.common.hash.HashFunction;
 import com.google.common.hash.Hashing;
 import com.google.common.primitives.UnsignedLongs;
+import java.nio.charset.StandardCharsets;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.Optional;
@@ -20,23 +21,43 @@
 
   private RendezvousHash() {}
 
+  /**
+   * Returns the hash of a name, for callers that score the same names many times.
+   *
+   * @param name any text
+   * @return a 64-bit hash
+   */
+  public static long hash(String name) {
+    return FUNCTION.hashString(name, StandardCharsets.UTF_8).asLong();
+  }
+
   /**
    * Returns the weight of a candidate for a key.
    *
-   * @param key what is placed
-   * @param candidate a name to place it on
+   * @param keyHash the hash of what is placed
+   * @param candidateHash the hash of the name to place it on
    * @return 64 bits, to be compared as an unsigned number
    */
-  public static long score(String key, String candidate) {
+  public static long score(long keyHash, long candidateHash) {
     return FUNCTION
-        .newHasher()
-        .putUnencodedChars(key)
-        .putChar('\n')
-        .putUnencodedChars(candidate)
+        .newHasher(2 * Long.BYTES)
+        .putLong(keyHash)
+        .putLong(candidateHash)
         .hash()
         .asLong();
   }
 
+  /**
+   * Returns the weight of a candidate for a key.
+   *
+   * @param key what is placed
+   * @param candidate a name to place it on
+   * @return 64 bits, to be compared as an unsigned number
+   */
+  public static long score(String key, String candidate) {
+    return score(hash(key), hash(candidate));
+  }
+
   /**
    * Chooses one candidate.
    *
@@ -57,11 +78,8 @@
    * @return the candidates with the highest weights, the highest first
    */
   public static ImmutableList<String> top(String key, Collection<String> candidates, int count) {
-    return candidates.stream()
-        .map(candidate -> new Scored(candidate, score(key, candidate)))
-        .sorted(Scored.DESCENDING)
+    return rank(hash(key), candidates).stream()
         .limit(count)
-        .map(Scored::candidate)
         .collect(ImmutableList.toImmutableList());
   }
 
@@ -73,7 +91,22 @@
    * @return all candidates, the highest weight first
    */
   public static ImmutableList<String> rank(String key, Collection<String> candidates) {
-    return top(key, candidates, candidates.size());
+    return rank(hash(key), candidates);
+  }
+
+  /**
+   * Orders candidates by their weight for a key.
+   *
+   * @param keyHash the hash of what is placed
+   * @param candidates the names to order; must be unique
+   * @return all candidates, the highest weight first
+   */
+  public static ImmutableList<String> rank(long keyHash, Collection<String> candidates) {
+    return candidates.stream()
+        .map(candidate -> new Scored(candidate, score(keyHash, hash(candidate))))
+        .sorted(Scored.DESCENDING)
+        .map(Scored::candidate)
+        .collect(ImmutableList.toImmutableList());
   }
 
   private static Comparator<String> ascending(String key) {
