Add a deterministic benchmark of the dispatch policy

The scheduler is tuned against measures, and nothing measured them. The command 'bench policy' runs the real DispatchPolicy of one node in a discrete-event loop with simulated engines, two workloads and three baselines. The engine model has not been checked against its capacity yet.

--- /dev/null
+++ b/org.cranberrystand.bench/src/main/java/org/cranberrystand/bench/plot/package-info.java
@@ -0,0 +1,2 @@
+/** Charts of benchmark results. */
+package org.cranberrystand.bench.plot;
--- /dev/null
+++ b/org.cranberrystand.bench/src/main/java/org/cranberrystand/bench/policy/PolicyReport.java
@@ -0,0 +1,80 @@
+package org.cranberrystand.bench.policy;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.cranberrystand.bench.policy.PolicyBenchmark.CellResult;
+import org.cranberrystand.bench.report.Measure;
+import org.cranberrystand.bench.report.MeasureReport;
+import org.cranberrystand.wire.Json;
+
+/** Report of the policy benchmark. */
+final class PolicyReport {
+  private final List<CellResult> results;
+  private final Map<String, List<Measure>> worst;
+  private final String mainPolicy;
+
+  PolicyReport(List<CellResult> results, String mainPolicy) {
+    this.results = results;
+    this.worst = PolicyBenchmark.worstByPolicy(results);
+    this.mainPolicy = mainPolicy;
+  }
+
+  /** Returns the measures of the policy of the product. */
+  List<Measure> measures() {
+    return worst.get(mainPolicy);
+  }
+
+  /** Returns one table for each policy. */
+  String tables() {
+    StringBuilder text = new StringBuilder();
+    worst.forEach(
+        (name, measures) -> text.append(MeasureReport.toTable(name, measures)).append('\n'));
+    return text.toString();
+  }
+
+  /** Returns the report as JSON that depends on the seeds only. */
+  byte[] toJson() {
+    ObjectNode root = Json.MAPPER.createObjectNode();
+    root.set("measures", MeasureReport.toJson(measures()));
+    ObjectNode others = root.putObject("otherPolicies");
+    worst.forEach(
+        (name, measures) -> {
+          if (!name.equals(mainPolicy)) {
+            others.set(name, MeasureReport.toJson(measures));
+          }
+        });
+    addCells(root.putArray("cells"));
+    addTimelines(root.putArray("timelines"));
+    try {
+      String text = Json.MAPPER.writerWithDefaultPrettyPrinter().writeValueAsString(root);
+      return (text + "\n").getBytes(StandardCharsets.UTF_8);
+    } catch (JsonProcessingException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  private void addCells(ArrayNode cells) {
+    for (CellResult result : results) {
+      ObjectNode cell = cells.addObject();
+      cell.put("policy", result.cell().policy().name());
+      cell.put("workload", result.cell().workload().name());
+      cell.put("seed", result.cell().seed());
+      List<Measure> measures = new ArrayList<>();
+      result.values().forEach((measure, value) -> measures.add(measure.withValue(value)));
+      measures.forEach(measure -> cell.put(measure.name(), measure.value()));
+    }
+  }
+
+  private void addTimelines(ArrayNode timelines) {
+    results.stream()
+        .filter(r -> r.cell().policy().name().equals(mainPolicy))
+        .flatMap(r -> r.timelines().stream())
+        .forEach(timeline -> timelines.add(timeline.toJson()));
+  }
+}
--- /dev/null
+++ b/org.cranberrystand.bench/src/main/java/org/cranberrystand/bench/policy/Scenario.java
@@ -0,0 +1,122 @@
+package org.cranberrystand.bench.policy;
+
+import com.google.common.collect.ImmutableMap;
+import java.time.Duration;
+import org.cranberrystand.bench.policy.Workload.TeamSpec;
+import org.cranberrystand.bundle.Tier;
+
+/**
+ * Load of one run.
+ *
+ * @param name the name in reports
+ * @param teamLoads load of each team as a multiple of the share of capacity its weight stands for
+ * @param flood the tier that floods, or null for none
+ * @param floodLoad load of the flood as a multiple of the capacity of all engines
+ * @param disturbance what happens to upstreams or peers at the start of the flood window
+ * @param times the times of the run
+ */
+record Scenario(
+    String name,
+    ImmutableMap<String, Double> teamLoads,
+    Tier flood,
+    double floodLoad,
+    Disturbance disturbance,
+    Times times) {
+
+  /** Planned load as a share of capacity. */
+  static final double PLANNED_LOAD = 0.7;
+
+  private static final double LOW_FLOOD_LOAD = 5;
+  private static final double URGENT_FLOOD_LOAD = 3;
+  private static final double SMALL_TEAM_LOAD = 0.4;
+  private static final double LARGE_TEAM_LOAD = 20;
+
+  /** Event other than arrivals. */
+  enum Disturbance {
+    NONE,
+    /** One engine becomes ten times slower. */
+    SLOW_ENGINE,
+    /** Seven other nodes send the same load, and one of them is lost. */
+    PEER_LOST
+  }
+
+  /**
+   * Times of a run in seconds.
+   *
+   * @param warm the start of all measurements
+   * @param start the start of the flood or disturbance
+   * @param stop the end of the flood or disturbance
+   * @param end the end of arrivals
+   */
+  record Times(int warm, int start, int stop, int end) {
+    /** Times of the full benchmark. */
+    static final Times FULL = new Times(10, 20, 60, 90);
+
+    /** Times of the benchmark that runs as a test. */
+    static final Times COMPACT = new Times(6, 10, 25, 45);
+
+    static long nanos(double seconds) {
+      return (long) (seconds * Duration.ofSeconds(1).toNanos());
+    }
+  }
+
+  static Scenario planned(Workload workload, Times times) {
+    return even("planned", workload, PLANNED_LOAD, times, Disturbance.NONE);
+  }
+
+  static Scenario lowFlood(Workload workload, Times times) {
+    return flood("low-flood", workload, Tier.DEFERRABLE, LOW_FLOOD_LOAD, times);
+  }
+
+  static Scenario urgentFlood(Workload workload, Times times) {
+    double others = PLANNED_LOAD * workload.modelKind(Tier.URGENT).loadShare();
+    return flood("urgent-flood", workload, Tier.URGENT, URGENT_FLOOD_LOAD - others, times);
+  }
+
+  static Scenario slowEngine(Workload workload, Times times) {
+    return even("slow-engine", workload, PLANNED_LOAD, times, Disturbance.SLOW_ENGINE);
+  }
+
+  static Scenario smallAlone(Workload workload, Times times) {
+    return teams("small-alone", workload, 0, times);
+  }
+
+  static Scenario smallBesideLarge(Workload workload, Times times) {
+    return teams("small-beside-large", workload, LARGE_TEAM_LOAD, times);
+  }
+
+  /** Returns a load at which every team is backlogged, each by another multiple of its share. */
+  static Scenario backlogged(Workload workload, Times times, Disturbance disturbance) {
+    ImmutableMap.Builder<String, Double> loads = ImmutableMap.builder();
+    double load = 3;
+    for (TeamSpec team : workload.teams()) {
+      loads.put(team.name(), load);
+      load += 2;
+    }
+    String name = disturbance == Disturbance.NONE ? "backlogged" : "backlogged-peer-lost";
+    return new Scenario(name, loads.buildOrThrow(), null, 0, disturbance, times);
+  }
+
+  private static Scenario teams(String name, Workload workload, double largeLoad, Times times) {
+    ImmutableMap.Builder<String, Double> loads = ImmutableMap.builder();
+    for (TeamSpec team : workload.teams()) {
+      loads.put(team.name(), team.isLarge() ? largeLoad : SMALL_TEAM_LOAD);
+    }
+    return new Scenario(name, loads.buildOrThrow(), null, 0, Disturbance.NONE, times);
+  }
+
+  private static Scenario flood(
+      String name, Workload workload, Tier tier, double load, Times times) {
+    Scenario base = even(name, workload, PLANNED_LOAD, times, Disturbance.NONE);
+    return new Scenario(name, base.teamLoads(), tier, load, Disturbance.NONE, times);
+  }
+
+  private static Scenario even(
+      String name, Workload workload, double load, Times times, Disturbance disturbance) {
+    ImmutableMap.Builder<String, Double> loads = ImmutableMap.builder();
+    for (TeamSpec team : workload.teams()) {
+      loads.put(team.name(), load);
+    }
+    return new Scenario(name, loads.buildOrThrow(), null, 0, disturbance, times);
+  }
+}
--- /dev/null
+++ b/org.cranberrystand.bench/src/main/java/org/cranberrystand/bench/policy/Timeline.java
@@ -0,0 +1,83 @@
+package org.cranberrystand.bench.policy;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.TreeMap;
+import org.cranberrystand.bench.policy.Scenario.Times;
+import org.cranberrystand.bundle.Tier;
+import org.cranberrystand.wire.Json;
+
+/**
+ * What happened in one run, per second of arrival.
+ *
+ * @param workload the workload
+ * @param scenario the scenario
+ * @param seed the seed
+ * @param times the times of the run
+ * @param tiers seconds of each tier
+ * @param teamTokens dispatched tokens by team over its weight, after the warm-up
+ */
+record Timeline(
+    String workload,
+    String scenario,
+    long seed,
+    Times times,
+    ImmutableMap<Tier, ImmutableList<Second>> tiers,
+    ImmutableMap<String, Double> teamTokens) {
+
+  /** Model requests that arrived in one second and how many of them ended which way. */
+  record Second(int arrived, int inTime, int late, int rejected, double firstTokenP95) {}
+
+  static Timeline of(Run run, long seed) {
+    Times times = run.scenario().times();
+    Map<Tier, ImmutableList<Second>> tiers = new EnumMap<>(Tier.class);
+    for (Tier tier : Tier.values()) {
+      ImmutableList.Builder<Second> seconds = ImmutableList.builder();
+      for (int second = 0; second < times.end(); second++) {
+        seconds.add(second(run, tier, second));
+      }
+      tiers.put(tier, seconds.build());
+    }
+    Map<String, Double> teams = new TreeMap<>();
+    Map<String, Long> tokens = RunFigures.tokensByTeam(run, times.warm(), times.end());
+    run.workload()
+        .teams()
+        .forEach(t -> teams.put(t.name(), tokens.getOrDefault(t.name(), 0L) / t.weight()));
+    return new Timeline(
+        run.workload().name(),
+        run.scenario().name(),
+        seed,
+        times,
+        ImmutableMap.copyOf(tiers),
+        ImmutableMap.copyOf(teams));
+  }
+
+  private static Second second(Run run, Tier tier, int second) {
+    var requests =
+        RunFigures.arrivedIn(run, second, second + 1).filter(RunFigures.ofTier(tier)).toList();
+    int inTime = (int) RunFigures.inTime(requests.stream());
+    int rejected = (int) requests.stream().filter(r -> r.rejectNanos >= 0).count();
+    int finished = (int) requests.stream().filter(SimRequest::isFinished).count();
+    double p95 = RunFigures.firstTokenP95(requests.stream().filter(r -> r.firstTokenNanos >= 0));
+    return new Second(requests.size(), inTime, finished - inTime, rejected, p95);
+  }
+
+  ObjectNode toJson() {
+    ObjectNode node = Json.MAPPER.createObjectNode();
+    node.put("workload", workload).put("scenario", scenario).put("seed", seed);
+    node.put("warmSeconds", times.warm()).put("startSeconds", times.start());
+    node.put("stopSeconds", times.stop()).put("endSeconds", times.end());
+    tiers.forEach(
+        (tier, seconds) -> {
+          ArrayNode rows = node.putArray(tier.label());
+          seconds.forEach(s -> rows.addPOJO(s));
+        });
+    ObjectNode teams = node.putObject("teamTokensPerWeight");
+    teamTokens.forEach(teams::put);
+    return node;
+  }
+}
--- /dev/null
+++ b/org.cranberrystand.bench/src/main/java/org/cranberrystand/bench/policy/package-info.java
@@ -0,0 +1,2 @@
+/** Deterministic benchmark of the dispatch policy of one node. */
+package org.cranberrystand.bench.policy;
--- /dev/null
+++ b/org.cranberrystand.bench/src/main/java/org/cranberrystand/bench/report/package-info.java
@@ -0,0 +1,2 @@
+/** Measures with bounds, written as a table and as JSON. */
+package org.cranberrystand.bench.report;
