--- a/org.cranberrystand.bench/src/main/java/org/cranberrystand/bench/policy/RunFigures.java
+++ b/org.cranberrystand.bench/src/main/java/org/cranberrystand/bench/policy/RunFigures.java
@@ -21,11 +21,24 @@
 
   /** Returns the model requests that arrived in a window. */
   static Stream<SimRequest> arrivedIn(Run run, double from, double to) {
-    long fromNanos = Times.nanos(from);
-    long toNanos = Times.nanos(to);
-    return run.requests().stream()
-        .filter(r -> r.spec.isModel())
-        .filter(r -> r.item.arrivalNanos() >= fromNanos && r.item.arrivalNanos() < toNanos);
+    return run.requests().subList(firstFrom(run, from), firstFrom(run, to)).stream()
+        .filter(r -> r.spec.isModel());
+  }
+
+  /** Returns the position of the first request that arrived at a time or later. */
+  private static int firstFrom(Run run, double seconds) {
+    long nanos = Times.nanos(seconds);
+    int low = 0;
+    int high = run.requests().size();
+    while (low < high) {
+      int middle = (low + high) >>> 1;
+      if (run.requests().get(middle).item.arrivalNanos() < nanos) {
+        low = middle + 1;
+      } else {
+        high = middle;
+      }
+    }
+    return low;
   }
 
   /** Returns the model requests that were dispatched in a window. */
