--- a/org.cranberrystand/src/main/java/org/cranberrystand/schedule/SchedulerEvent.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/schedule/SchedulerEvent.java
@@ -167,10 +167,36 @@
    * @param backlogTokens cost of queued work by tier, in tokens
    * @param roomTokens cost of urgent work the node can take now, in tokens
    * @param teamTokensPerSecond recent service of the largest teams
+   * @param demandTokensPerSecond cost of all requests that arrived recently, in tokens per second
    */
   record PeerLoad(
       String node,
       ImmutableMap<Tier, Long> backlogTokens,
       long roomTokens,
-      ImmutableMap<String, Long> teamTokensPerSecond) {}
+      ImmutableMap<String, Long> teamTokensPerSecond,
+      long demandTokensPerSecond) {
+
+    /**
+     * Creates the load of a node that does not state its demand.
+     *
+     * <p>The service of its largest teams stands for the demand.
+     *
+     * @param node the name of the node
+     * @param backlogTokens cost of queued work by tier, in tokens
+     * @param roomTokens cost of urgent work the node can take now, in tokens
+     * @param teamTokensPerSecond recent service of the largest teams
+     */
+    public PeerLoad(
+        String node,
+        ImmutableMap<Tier, Long> backlogTokens,
+        long roomTokens,
+        ImmutableMap<String, Long> teamTokensPerSecond) {
+      this(
+          node,
+          backlogTokens,
+          roomTokens,
+          teamTokensPerSecond,
+          teamTokensPerSecond.values().stream().mapToLong(rate -> rate).sum());
+    }
+  }
 }
