Derive the demand of a node from its service and backlog

Cause: own demand was measured by arrivals and that of peers by service, so a node under overload saw its own share too large.

Change: both come from the same figures of PeerLoad; the guaranteed shares are corrected by the output produced; a prefix block has 128 tokens by default.

Conclusion: shares are comparable between nodes.

--- a/org.cranberrystand/src/main/java/org/cranberrystand/schedule/PoolDispatcher.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/schedule/PoolDispatcher.java
@@ -444,6 +444,7 @@
   /** Corrects what a running or finished request was charged. */
   void charge(RunningRequest request, double tokens) {
     queues.get(tier(request.queued())).charge(request.item().team(), tokens);
+    guarantee.dispatched(tier(request.queued()), tokens);
     request.addCharge(tokens);
   }
 
--- a/org.cranberrystand/src/main/java/org/cranberrystand/schedule/Scheduler.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/schedule/Scheduler.java
@@ -38,6 +38,9 @@
   /** Output beyond the estimate is charged in steps, to keep the cost per token event small. */
   private static final double CHARGE_STEP_TOKENS = 64;
 
+  /** Part of the backlog that counts as demand, so that a node with a queue gains share. */
+  private static final double BACKLOG_PER_SECOND = 0.1;
+
   private static final int GOSSIPED_TEAMS = 16;
   private static final int REPORTED_TEAMS = 1_000;
 
@@ -49,7 +52,6 @@
   private final Map<String, PoolDispatcher> pools = new LinkedHashMap<>();
   private final RequestTable requests = new RequestTable();
   private final OutputEstimator outputs = new OutputEstimator();
-  private final TeamUsage offered = new TeamUsage();
   private final PoisonRegister poison = new PoisonRegister();
   private final SubsetSelector subsets;
   private UpstreamDirectory directory = UpstreamDirectory.empty();
@@ -128,7 +130,6 @@
             isService(item.kind().pool()) ? 0 : outputs.estimate(item),
             item.promptTokens() >= options.longPrefillTokens(),
             nowNanos);
-    offered.served("", entry.cost(), nowNanos);
     if (draining) {
       requests.reject(entry, NotRunReason.LEAVING, LEAVING_RETRY_MILLIS, "node is leaving");
       return;
@@ -217,8 +218,8 @@
       pools.values().forEach(pool -> pool.setSelf(self));
     }
     Map<String, Double> demand = new HashMap<>();
-    event.peers().forEach(peer -> demand.put(peer.node(), (double) peer.demandTokensPerSecond()));
-    demand.put(self, offered.totalPerSecond(nowNanos));
+    event.peers().forEach(peer -> demand.put(peer.node(), demand(peer)));
+    demand.put(self, demand(ownLoad(nowNanos)));
     shares.observe(demand, nowNanos);
     boolean membersChanged = !known.equals(nodes);
     nodes = known;
@@ -229,6 +230,11 @@
     }
   }
 
+  private static double demand(SchedulerEvent.PeerLoad load) {
+    long backlog = load.backlogTokens().values().stream().mapToLong(tokens -> tokens).sum();
+    return load.demandTokensPerSecond() + backlog * BACKLOG_PER_SECOND;
+  }
+
   private void chargeRemoteService(SchedulerEvent.PeersChanged event) {
     double seconds = Math.min(2.0, (double) (nowNanos - peersNanos) / NANOS_PER_SECOND);
     peersNanos = nowNanos;
@@ -451,7 +457,7 @@
         backlog.buildOrThrow(),
         room,
         requests.usage().largest(GOSSIPED_TEAMS, atNanos),
-        Math.round(offered.totalPerSecond(atNanos)));
+        Math.round(requests.usage().totalPerSecond(atNanos)));
   }
 
   private Map<Tier, SchedulerStatistics.QueueFigures> queueFigures() {
--- a/org.cranberrystand/src/main/java/org/cranberrystand/schedule/SchedulerEvent.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/schedule/SchedulerEvent.java
@@ -167,7 +167,7 @@
    * @param backlogTokens cost of queued work by tier, in tokens
    * @param roomTokens cost of urgent work the node can take now, in tokens
    * @param teamTokensPerSecond recent service of the largest teams
-   * @param demandTokensPerSecond cost of all requests that arrived recently, in tokens per second
+   * @param demandTokensPerSecond cost of all requests dispatched recently, in tokens per second
    */
   record PeerLoad(
       String node,
@@ -177,9 +177,9 @@
       long demandTokensPerSecond) {
 
     /**
-     * Creates the load of a node that does not state its demand.
+     * Creates the load of a node that does not state its whole service.
      *
-     * <p>The service of its largest teams stands for the demand.
+     * <p>The service of its largest teams stands for it.
      *
      * @param node the name of the node
      * @param backlogTokens cost of queued work by tier, in tokens
--- a/org.cranberrystand/src/main/java/org/cranberrystand/schedule/SchedulerOptions.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/schedule/SchedulerOptions.java
@@ -16,7 +16,7 @@
   private static final long DEFAULT_QUEUE_TOKENS = 8_000_000;
   private static final int DEFAULT_LONG_PREFILL_TOKENS = 4_096;
   private static final int DEFAULT_NODES_PER_ENGINE = 8;
-  private static final int DEFAULT_BLOCK_TOKENS = 256;
+  private static final int DEFAULT_BLOCK_TOKENS = 128;
   private static final int DEFAULT_BLOCKS_PER_ENGINE = 2_048;
 
   private final ImmutableSet<SchedulerFeature> features;
--- a/org.cranberrystand/src/main/java/org/cranberrystand/upstream/WindowSettings.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/upstream/WindowSettings.java
@@ -22,5 +22,5 @@
 
   /** Settings for the planned latency of 74 ms between tokens and 1.7 s to the first token. */
   public static final WindowSettings DEFAULT =
-      new WindowSettings(true, 32, 400_000, 60, 4, 600, 600);
+      new WindowSettings(true, 32, 200_000, 62, 7, 600, 600);
 }
