Measure over-commitment with short requests and ablate the policy

Over-commitment was measured with long requests, where one request exceeds the share of a node, so the value followed the size of requests and not the shares. It now uses a lasting overload of urgent work, with the requests of other nodes spread over the second by which their views differ.

--- a/org.cranberrystand.bench/src/main/java/org/cranberrystand/bench/policy/ArrivalGenerator.java
+++ b/org.cranberrystand.bench/src/main/java/org/cranberrystand/bench/policy/ArrivalGenerator.java
@@ -44,6 +44,9 @@
 
   private void addStreams(TeamSpec team, KindSpec kind) {
     Times times = scenario.times();
+    if (scenario.onlyTier() != null && kind.kind().tier() != scenario.onlyTier()) {
+      return;
+    }
     double capacity = workload.capacityPerSecond(kind) * workload.shareOf(team);
     double base = capacity * kind.loadShare() * scenario.teamLoads().get(team.name());
     addStream(team, kind, base, 0, times.end());
--- a/org.cranberrystand.bench/src/main/java/org/cranberrystand/bench/policy/MirroredPeers.java
+++ b/org.cranberrystand.bench/src/main/java/org/cranberrystand/bench/policy/MirroredPeers.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 import org.cranberrystand.bundle.Tier;
 import org.cranberrystand.schedule.SchedulerEvent;
 import org.cranberrystand.schedule.SchedulerEvent.PeerLoad;
@@ -26,6 +27,7 @@
     this.simulation = simulation;
     this.requests = requests;
     simulation.ghostsPerDispatch(PEERS);
+    feed(ImmutableMap.of(), ImmutableMap.of());
   }
 
   /** Ends one node. Its running work stays, and the views learn of the loss with their lag. */
@@ -38,16 +40,16 @@
   void publish() {
     ImmutableMap<Tier, Long> backlog = ImmutableMap.copyOf(simulation.queued().tokensByTier());
     ImmutableMap<String, Long> teams = recentTeamTokens();
-    simulation.after(
-        Run.VIEW_LAG_NANOS,
-        () -> {
-          ImmutableList.Builder<PeerLoad> loads = ImmutableList.builder();
-          for (int i = 0; i < peers; i++) {
-            loads.add(new PeerLoad("node-" + (i + 2), backlog, 0, teams));
-          }
-          simulation.feed(
-              new SchedulerEvent.PeersChanged(Run.NODE, loads.build(), simulation.nowNanos()));
-        });
+    simulation.after(Run.VIEW_LAG_NANOS, () -> feed(backlog, teams));
+  }
+
+  private void feed(ImmutableMap<Tier, Long> backlog, ImmutableMap<String, Long> teams) {
+    ImmutableList.Builder<PeerLoad> loads = ImmutableList.builder();
+    for (int i = 0; i < peers; i++) {
+      loads.add(new PeerLoad("node-" + (i + 2), backlog, 0, teams));
+    }
+    simulation.feed(
+        new SchedulerEvent.PeersChanged(Run.NODE, loads.build(), simulation.nowNanos()));
   }
 
   private ImmutableMap<String, Long> recentTeamTokens() {
@@ -61,6 +63,6 @@
         tokens.merge(request.item.team(), request.costTokens(), Long::sum);
       }
     }
-    return ImmutableMap.copyOf(new java.util.TreeMap<>(tokens));
+    return ImmutableMap.copyOf(new TreeMap<>(tokens));
   }
 }
--- a/org.cranberrystand.bench/src/main/java/org/cranberrystand/bench/policy/PolicyCommand.java
+++ b/org.cranberrystand.bench/src/main/java/org/cranberrystand/bench/policy/PolicyCommand.java
@@ -38,6 +38,9 @@
   @Option(names = "--no-baselines", description = "measure the product's policy only")
   private boolean withoutBaselines;
 
+  @Option(names = "--ablate", description = "also measure the policy without each of its parts")
+  private boolean ablate;
+
   @Override
   public Integer call() throws IOException {
     NamedPolicy scheduler = NamedPolicy.scheduler();
@@ -45,6 +48,9 @@
     if (!withoutBaselines) {
       policies.addAll(NamedPolicy.baselines());
     }
+    if (ablate) {
+      policies.addAll(NamedPolicy.ablations());
+    }
     List<Long> seedList = LongStream.range(seed, seed + seeds).boxed().toList();
     PolicyBenchmark benchmark = new PolicyBenchmark(compact ? Times.COMPACT : Times.FULL, seedList);
     PolicyReport report = new PolicyReport(benchmark.evaluate(policies), scheduler.name());
--- a/org.cranberrystand.bench/src/main/java/org/cranberrystand/bench/policy/PolicyReport.java
+++ b/org.cranberrystand.bench/src/main/java/org/cranberrystand/bench/policy/PolicyReport.java
@@ -30,6 +30,14 @@
     return worst.get(mainPolicy);
   }
 
+  /** Returns one measure of one policy. */
+  Measure measure(String policy, PolicyMeasure measure) {
+    return worst.get(policy).stream()
+        .filter(m -> m.name().equals(measure.label()))
+        .findFirst()
+        .orElseThrow();
+  }
+
   /** Returns one table for each policy. */
   String tables() {
     StringBuilder text = new StringBuilder();
--- a/org.cranberrystand.bench/src/main/java/org/cranberrystand/bench/policy/Run.java
+++ b/org.cranberrystand.bench/src/main/java/org/cranberrystand/bench/policy/Run.java
@@ -9,6 +9,9 @@
 import java.util.SplittableRandom;
 import org.cranberrystand.bench.policy.Scenario.Disturbance;
 import org.cranberrystand.bench.policy.Scenario.Times;
+import org.cranberrystand.bench.report.Measure;
+import org.cranberrystand.schedule.DispatchPolicy;
+import org.cranberrystand.schedule.Scheduler;
 import org.cranberrystand.schedule.SchedulerEvent;
 import org.cranberrystand.upstream.LoadReport;
 
@@ -23,6 +26,7 @@
   /** Time by which load reports and the views of other nodes lag. */
   static final long VIEW_LAG_NANOS = Duration.ofSeconds(1).toNanos();
 
+  private static final long SECOND_NANOS = Duration.ofSeconds(1).toNanos();
   private static final long TICK_NANOS = Duration.ofMillis(100).toNanos();
   private static final long REPORT_NANOS = Duration.ofMillis(250).toNanos();
   private static final long CACHE_EVENT_NANOS = Duration.ofMillis(500).toNanos();
@@ -41,6 +45,17 @@
   private final Map<String, Boolean> gaps = new HashMap<>();
   private final Map<String, Long> nextCacheDelivery = new HashMap<>();
   private final Map<String, Long> maxAdmitted = new HashMap<>();
+  private final List<EngineSecond> engineSeconds = new ArrayList<>();
+  private DispatchPolicy policy;
+
+  /**
+   * State of all engines at one time.
+   *
+   * @param sequences requests at the engines
+   * @param admittedTokens their cost
+   * @param windowSequences the sum of the windows of the product's policy, or 0 for others
+   */
+  record EngineSecond(int sequences, long admittedTokens, double windowSequences) {}
 
   private Run(Workload workload, Scenario scenario, long seed) {
     this.workload = workload;
@@ -72,6 +87,11 @@
     return simulation;
   }
 
+  /** Returns the state of the engines at the end of each second. */
+  List<EngineSecond> engineSeconds() {
+    return engineSeconds;
+  }
+
   /** Returns the largest cost in tokens admitted by an engine at once after the warm-up. */
   long maxAdmittedTokens(String engine) {
     return maxAdmitted.getOrDefault(engine, 0L);
@@ -79,10 +99,13 @@
 
   private void execute(PolicyFactory factory) {
     var directory = workload.createUpstreams(simulation);
-    simulation.policy(factory.create(simulation));
+    policy = factory.create(simulation);
+    simulation.policy(policy);
     simulation.feed(new SchedulerEvent.BundleChanged(workload.bundle(), 0));
     simulation.feed(new SchedulerEvent.DirectoryChanged(directory, 0));
-    simulation.feed(new SchedulerEvent.PeersChanged(NODE, ImmutableList.of(), 0));
+    if (scenario.disturbance() != Disturbance.PEER_LOST) {
+      simulation.feed(new SchedulerEvent.PeersChanged(NODE, ImmutableList.of(), 0));
+    }
     for (SimRequest request : requests) {
       simulation.at(request.item.arrivalNanos(), () -> simulation.submit(request));
     }
@@ -91,6 +114,7 @@
       every(REPORT_NANOS, () -> reportLoad(upstream));
       every(CACHE_EVENT_NANOS, () -> reportCache(upstream));
     }
+    every(SECOND_NANOS, this::sampleEngines);
     long warm = Times.nanos(scenario.times().warm());
     simulation.at(warm, () -> every(SAMPLE_NANOS, this::sampleAdmitted));
     simulation.at(warm, simulation.tokenGaps()::reset);
@@ -158,6 +182,26 @@
     }
   }
 
+  private void sampleEngines() {
+    int sequences = 0;
+    long tokens = 0;
+    for (SimUpstream upstream : simulation.upstreams()) {
+      if (upstream instanceof SimEngine engine) {
+        sequences += engine.sequences();
+        tokens += engine.admittedTokens();
+      }
+    }
+    double window = 0;
+    if (policy instanceof Scheduler scheduler) {
+      window =
+          scheduler.statistics(simulation.nowNanos()).upstreams().stream()
+              .filter(u -> u.pool().equals(Workload.MODEL_POOL))
+              .mapToDouble(u -> u.windowSequences())
+              .sum();
+    }
+    engineSeconds.add(new EngineSecond(sequences, tokens, Measure.round(window)));
+  }
+
   private void scheduleDisturbance() {
     Times times = scenario.times();
     if (scenario.disturbance() == Disturbance.SLOW_ENGINE) {
@@ -165,7 +209,7 @@
       simulation.at(Times.nanos(times.start()), () -> engine.slowDown(SLOW_FACTOR));
       simulation.at(Times.nanos(times.stop()), () -> engine.slowDown(1));
     } else if (scenario.disturbance() == Disturbance.PEER_LOST) {
-      MirroredPeers peers = new MirroredPeers(simulation, new ArrayList<>(requests));
+      MirroredPeers peers = new MirroredPeers(simulation, requests);
       every(REPORT_NANOS, peers::publish);
       peers.publish();
       simulation.at(Times.nanos(times.start()), peers::loseOne);
--- a/org.cranberrystand.bench/src/main/java/org/cranberrystand/bench/policy/Simulation.java
+++ b/org.cranberrystand.bench/src/main/java/org/cranberrystand/bench/policy/Simulation.java
@@ -19,6 +19,9 @@
 final class Simulation {
   private static final long NETWORK_NANOS = Duration.ofMillis(1).toNanos();
 
+  /** Spreads the requests of other nodes over the second by which their views differ. */
+  private static final long GHOST_DELAY_NANOS = Duration.ofMillis(125).toNanos();
+
   private record Scheduled(long atNanos, long order, Runnable task)
       implements Comparable<Scheduled> {
     @Override
@@ -165,7 +168,7 @@
         });
     for (int i = 0; i < ghostsPerDispatch; i++) {
       SimRequest ghost = request.copyAsGhost();
-      after(NETWORK_NANOS, () -> target.accept(ghost));
+      after((i + 1) * GHOST_DELAY_NANOS, () -> target.accept(ghost));
     }
   }
 
--- a/org.cranberrystand.bench/src/main/java/org/cranberrystand/bench/policy/Timeline.java
+++ b/org.cranberrystand.bench/src/main/java/org/cranberrystand/bench/policy/Timeline.java
@@ -19,6 +19,7 @@
  * @param seed the seed
  * @param times the times of the run
  * @param tiers seconds of each tier
+ * @param engines the state of the engines at the end of each second
  * @param teamTokens dispatched tokens by team over its weight, after the warm-up
  */
 record Timeline(
@@ -27,6 +28,7 @@
     long seed,
     Times times,
     ImmutableMap<Tier, ImmutableList<Second>> tiers,
+    ImmutableList<Run.EngineSecond> engines,
     ImmutableMap<String, Double> teamTokens) {
 
   /** Model requests that arrived in one second and how many of them ended which way. */
@@ -53,6 +55,7 @@
         seed,
         times,
         ImmutableMap.copyOf(tiers),
+        ImmutableList.copyOf(run.engineSeconds()),
         ImmutableMap.copyOf(teams));
   }
 
@@ -73,9 +76,11 @@
     node.put("stopSeconds", times.stop()).put("endSeconds", times.end());
     tiers.forEach(
         (tier, seconds) -> {
-          ArrayNode rows = node.putArray(tier.label());
-          seconds.forEach(s -> rows.addPOJO(s));
+          ArrayNode array = node.putArray(tier.label());
+          seconds.forEach(array::addPOJO);
         });
+    ArrayNode rows = node.putArray("engines");
+    engines.forEach(rows::addPOJO);
     ObjectNode teams = node.putObject("teamTokensPerWeight");
     teamTokens.forEach(teams::put);
     return node;
--- a/org.cranberrystand/src/main/java/org/cranberrystand/upstream/EngineWindow.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/upstream/EngineWindow.java
@@ -52,7 +52,6 @@
   private long reportNanos = Long.MIN_VALUE;
   private int reportedRunning;
 
-
   private int ownSequences;
   private int ownDecoding;
   private double ownTokens;
@@ -160,8 +159,7 @@
   public void reported(LoadReport report) {
     reportNanos = report.observedAtNanos();
     reportedRunning = report.runningSequences();
-    if (report.waitingSequences() > 0 && report.runningTokens() > MIN_TOKENS) {
-    }
+    if (report.waitingSequences() > 0 && report.runningTokens() > MIN_TOKENS) {}
     draining = report.draining();
     waitingReported =
         report.waitingSequences()
