Keep windows from collapsing and place prefixes by a bounded preference

Cause: signals from before a shrink shrank the window again, so the windows of fast engines fell to one sequence in a flood and stayed there; a prefix was preferred by a few milliseconds of work only; all but one engine were kept clear of long prefill.

Change: a window does not shrink while work from before the last shrink is left, and recovers fast to its former size; waiting requests in a load report limit the window to what the engine runs. Among engines within 0.3 s of the least work the one with most of the prompt cached is chosen. Demand for long prefill is counted at dispatch, at most 3 in 4 engines are kept clear.

--- a/org.cranberrystand/src/main/java/org/cranberrystand/schedule/EnginePool.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/schedule/EnginePool.java
@@ -23,6 +23,9 @@
   /** Work by which the preferred engine of a prefix may exceed the least loaded one. */
   private static final double MAX_IMBALANCE_SECONDS = 0.3;
 
+  /** Long work must keep more than one engine, or its guaranteed share cannot be served. */
+  private static final double MAX_CLEAR_FRACTION = 0.75;
+
   private static final int MAX_RANKED_PREFIXES = 4_096;
   private static final int MAX_LONG_PER_ENGINE = 1;
   private static final double LONG_PER_ENGINE_FLEETWIDE = 2;
@@ -35,12 +38,15 @@
       double workSeconds,
       double leastWorkSeconds) {}
 
+  private record Candidate(EngineState engine, double cached, double work) {}
+
   private final SchedulerOptions options;
   private final WindowSettings settings;
   private final PrefixIndex prefixes;
   private final EjectionPolicy ejections;
   private final Map<String, EngineState> engines = new LinkedHashMap<>();
   private final List<EngineState> usable = new ArrayList<>();
+  private final List<Candidate> candidates = new ArrayList<>();
   private final Map<Long, EngineState> preferred =
       new LinkedHashMap<>() {
         private static final long serialVersionUID = 1;
@@ -130,10 +136,14 @@
     meanShare = usable.isEmpty() ? 1 : shares / usable.size();
     clearEngines =
         options.has(SchedulerFeature.CLEAR_ENGINES)
-            ? Math.min(engines.size() - 1, (int) (engines.size() * shortFraction))
+            ? Math.min(engines.size() - 1, (int) (engines.size() * clearFraction()))
             : 0;
   }
 
+  private double clearFraction() {
+    return Math.min(MAX_CLEAR_FRACTION, shortFraction);
+  }
+
   /** Lets all windows follow their observations; returns whether one grew. */
   boolean adjust(long nowNanos) {
     boolean grew = false;
@@ -176,40 +186,57 @@
     longPrefills = Math.max(0, longPrefills + change);
   }
 
-  /** Chooses an upstream with room for a request, or returns null. */
-  Choice choose(QueuedItem queued, long nowNanos) {
-    WorkItem item = queued.item();
+  /**
+   * Chooses an upstream with room for a request, or returns null.
+   *
+   * <p>Among the upstreams whose work exceeds the least by a bounded amount, the one with the most
+   * of the prompt in its cache is chosen; if there is none, the one that all nodes prefer for the
+   * prefix.
+   *
+   * @param overdraft the factor by which the share may be exceeded; 1 for most requests
+   */
+  Choice choose(QueuedItem queued, double overdraft, long nowNanos) {
     if (queued.isLongPrefill() && !isLongPrefillAllowed()) {
       return null;
     }
-    EngineState favourite = preferred(item.prefixBlocks());
-    EngineState best = null;
-    double bestScore = Double.MAX_VALUE;
-    double bestCached = 0;
-    double bestWork = 0;
+    candidates.clear();
     double leastWork = Double.MAX_VALUE;
-    int candidates = 0;
     for (EngineState engine : usable) {
       if (!isAllowed(engine, queued)) {
         continue;
       }
-      double cached = cachedTokens(engine, item);
-      double prefill = item.promptTokens() - cached;
-      if (!engine.window().admits(engine.usableShare(), prefill, queued.cost(), nowNanos)) {
+      double cached = cachedTokens(engine, queued.item());
+      double prefill = queued.item().promptTokens() - cached;
+      double share = engine.usableShare() * overdraft;
+      if (engine.window().admits(share, prefill, queued.cost(), nowNanos)) {
+        double work = work(engine, prefill, queued.outputTokens());
+        candidates.add(new Candidate(engine, cached, work));
+        leastWork = Math.min(leastWork, work);
+      }
+    }
+    Candidate best = best(queued.item(), leastWork);
+    return best == null
+        ? null
+        : new Choice(best.engine(), candidates.size(), best.cached(), best.work(), leastWork);
+  }
+
+  private Candidate best(WorkItem item, double leastWork) {
+    EngineState favourite = preferred(item.prefixBlocks());
+    Candidate best = null;
+    double bestValue = 0;
+    for (Candidate candidate : candidates) {
+      if (favourite != null && candidate.work() > leastWork + MAX_IMBALANCE_SECONDS) {
         continue;
       }
-      candidates++;
-      double work = work(engine, prefill, queued.outputTokens());
-      leastWork = Math.min(leastWork, work);
-      double score = engine == favourite ? work - bonus(item, engine) : work;
-      if (score < bestScore) {
-        best = engine;
-        bestScore = score;
-        bestCached = cached;
-        bestWork = work;
+      double value = candidate.cached() + (candidate.engine() == favourite ? 1 : 0);
+      if (best == null
+          || value > bestValue
+          || (value >= bestValue && candidate.work() < best.work())) {
+        best = candidate;
+        bestValue = value;
       }
     }
-    return best == null ? null : new Choice(best, candidates, bestCached, bestWork, leastWork);
+    return best;
   }
 
   private double work(EngineState engine, double prefill, double output) {
@@ -219,13 +246,6 @@
     return engine.window().workSeconds(engine.usableShare(), prefill, output);
   }
 
-  /** The engine on which all nodes place a prefix is worth the time that its cache will save. */
-  private double bonus(WorkItem item, EngineState engine) {
-    double blocks = Math.min(PLACEMENT_BLOCKS, item.prefixBlocks().length());
-    double tokens = Math.min(item.promptTokens(), blocks * options.blockTokens());
-    return Math.min(MAX_IMBALANCE_SECONDS, tokens / engine.window().prefillRate());
-  }
-
   private double cachedTokens(EngineState engine, WorkItem item) {
     if (item.prefixBlocks().isEmpty() || !options.has(SchedulerFeature.PREFIX_PLACEMENT)) {
       return 0;
--- a/org.cranberrystand/src/main/java/org/cranberrystand/schedule/PoolDispatcher.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/schedule/PoolDispatcher.java
@@ -34,6 +34,13 @@
   private static final long MIN_RETRY_MILLIS = 200;
   private static final long MAX_RETRY_MILLIS = 30_000;
   private static final long DEFAULT_RETRY_MILLIS = 1_000;
+
+  /**
+   * Part of the window that a tier below its guaranteed share may use on top. So its requests find
+   * a slot although more urgent work has filled the window.
+   */
+  private static final double GUARANTEE_OVERDRAFT = 1.2;
+
   private static final double RETRY_JITTER = 0.25;
   private static final double DEMAND_DECAY = 0.995;
 
@@ -133,15 +140,6 @@
     if (tier == Tier.URGENT) {
       headroom.arrived(nowNanos);
     }
-    shortDemand *= DEMAND_DECAY;
-    longDemand *= DEMAND_DECAY;
-    if (queued.isLongPrefill()) {
-      longDemand += queued.item().promptTokens();
-    } else {
-      shortDemand += queued.item().promptTokens();
-    }
-    double all = shortDemand + longDemand;
-    engines.setShortFraction(all <= 0 ? 1 : shortDemand / all);
   }
 
   private void admit(QueuedItem queued, Tier tier, long nowNanos) {
@@ -307,6 +305,11 @@
     changed = false;
     dispatchIsolated(nowNanos);
     EnumSet<Tier> blocked = EnumSet.noneOf(Tier.class);
+    boolean progress = true;
+    while (progress) {
+      progress = dispatchEntitled(blocked, nowNanos);
+    }
+    blocked.clear();
     int free = engines.freeSlots();
     while (free > 0 && dispatchOne(free, blocked, nowNanos)) {
       free = engines.freeSlots();
@@ -330,19 +333,21 @@
     }
   }
 
-  private boolean dispatchOne(int free, EnumSet<Tier> blocked, long nowNanos) {
-    if (options.has(SchedulerFeature.GUARANTEED_SHARES)) {
-      for (Tier tier : Tier.values()) {
-        if (tier != Tier.URGENT
-            && guarantee.isEntitled(tier)
-            && dispatchFrom(tier, "guaranteed share", blocked, nowNanos)) {
-          return true;
-        }
+  private boolean dispatchEntitled(EnumSet<Tier> blocked, long nowNanos) {
+    for (Tier tier : Tier.values()) {
+      if (tier != Tier.URGENT
+          && options.has(SchedulerFeature.GUARANTEED_SHARES)
+          && guarantee.isEntitled(tier)
+          && dispatchFrom(tier, true, blocked, nowNanos)) {
+        return true;
       }
     }
+    return false;
+  }
+
+  private boolean dispatchOne(int free, EnumSet<Tier> blocked, long nowNanos) {
     for (Tier tier : Tier.values()) {
-      if (free > keptFree(tier, free, nowNanos)
-          && dispatchFrom(tier, "least work", blocked, nowNanos)) {
+      if (free > keptFree(tier, free, nowNanos) && dispatchFrom(tier, false, blocked, nowNanos)) {
         return true;
       }
     }
@@ -367,23 +372,25 @@
     return result;
   }
 
-  private boolean dispatchFrom(Tier tier, String detail, EnumSet<Tier> blocked, long nowNanos) {
+  private boolean dispatchFrom(Tier tier, boolean entitled, EnumSet<Tier> blocked, long nowNanos) {
     FairQueue queue = queues.get(tier);
     if (queue.isEmpty() || blocked.contains(tier)) {
       return false;
     }
     boolean longFirst = queue.isLongFirst();
-    if (dispatchHead(queue, longFirst, detail, nowNanos)
-        || dispatchHead(queue, !longFirst, detail, nowNanos)) {
+    if (dispatchHead(queue, longFirst, entitled, nowNanos)
+        || dispatchHead(queue, !longFirst, entitled, nowNanos)) {
       return true;
     }
     blocked.add(tier);
     return false;
   }
 
-  private boolean dispatchHead(FairQueue queue, boolean longPrefill, String detail, long nowNanos) {
+  private boolean dispatchHead(
+      FairQueue queue, boolean longPrefill, boolean entitled, long nowNanos) {
     QueuedItem queued = queue.peek(longPrefill);
-    EnginePool.Choice choice = queued == null ? null : engines.choose(queued, nowNanos);
+    double overdraft = entitled ? GUARANTEE_OVERDRAFT : 1;
+    EnginePool.Choice choice = queued == null ? null : engines.choose(queued, overdraft, nowNanos);
     if (choice == null) {
       return false;
     }
@@ -395,7 +402,7 @@
       return true;
     }
     queue.dispatched(queued);
-    start(queued, choice, prefill, false, detail, nowNanos);
+    start(queued, choice, prefill, false, entitled ? "guaranteed share" : "least work", nowNanos);
     return true;
   }
 
@@ -416,6 +423,7 @@
     if (options.has(SchedulerFeature.PREFIX_PLACEMENT)) {
       engines.prefixes().stored(engine.name(), queued.item().prefixBlocks());
     }
+    noteDemand(queued);
     running.merge(tier, 1, Integer::sum);
     guarantee.dispatched(tier, queued.cost());
     rates.dispatched(tier, queued.cost(), !queues.get(tier).isEmpty());
@@ -423,6 +431,19 @@
         new RunningRequest(queued, engine, this, prefill, nowNanos, alone), choice, detail);
   }
 
+  /** Measures demand by dispatches, since a flood that is rejected needs no engines. */
+  private void noteDemand(QueuedItem queued) {
+    shortDemand *= DEMAND_DECAY;
+    longDemand *= DEMAND_DECAY;
+    if (queued.isLongPrefill()) {
+      longDemand += queued.item().promptTokens();
+    } else {
+      shortDemand += queued.item().promptTokens();
+    }
+    double all = shortDemand + longDemand;
+    engines.setShortFraction(all <= 0 ? 1 : shortDemand / all);
+  }
+
   /** Notes output of a running request. */
   void produced(RunningRequest request, int tokens, long nowNanos) {
     boolean first = !request.isDecoding();
--- a/org.cranberrystand/src/main/java/org/cranberrystand/upstream/EngineSpeedEstimate.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/upstream/EngineSpeedEstimate.java
@@ -13,7 +13,7 @@
   private static final double NANOS_PER_SECOND = 1e9;
 
   /** Shorter prompts are dominated by the fixed cost of a step and say nothing about the rate. */
-  private static final long MIN_SAMPLE_TOKENS = 64;
+  private static final long MIN_SAMPLE_TOKENS = 384;
 
   private static final double MAX_GAP_WEIGHT = 0.25;
   private static final double ALONE_WEIGHT = 0.2;
@@ -72,11 +72,10 @@
 
   /** Takes the delay of a first token into account. */
   void firstToken(double pendingTokens, boolean alone, double delayNanos) {
-    double work = delayNanos - gapNanos;
-    if (pendingTokens < MIN_SAMPLE_TOKENS || work <= 0) {
+    if (pendingTokens < MIN_SAMPLE_TOKENS || delayNanos <= 0) {
       return;
     }
-    double sample = pendingTokens / work * NANOS_PER_SECOND;
+    double sample = pendingTokens / delayNanos * NANOS_PER_SECOND;
     if (!prefillKnown) {
       prefillKnown = true;
       prefillRate = sample;
--- a/org.cranberrystand/src/main/java/org/cranberrystand/upstream/EngineWindow.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/upstream/EngineWindow.java
@@ -13,7 +13,7 @@
   private static final double NANOS_PER_SECOND = 1e9;
   private static final double MILLIS_PER_SECOND = 1e3;
   private static final long ADJUST_INTERVAL_NANOS = 200_000_000;
-  private static final double MIN_SEQUENCES = 1;
+  private static final double MIN_SEQUENCES = 2;
   private static final double MAX_SEQUENCES = 1_024;
   private static final double MIN_TOKENS = 4_096;
 
@@ -25,7 +25,7 @@
   /** Growth per second before the first congestion, back to half the last good size, and above. */
   private static final double START_GROWTH = 1.0;
 
-  private static final double RECOVERY_GROWTH = 0.3;
+  private static final double RECOVERY_GROWTH = 0.5;
   private static final double PROBING_GROWTH = 0.06;
   private static final double GROW_BELOW_PRESSURE = 0.85;
   private static final double DELAY_WEIGHT = 0.2;
@@ -33,9 +33,12 @@
   /** Some sequences wait at any moment for their first step; only more means a full engine. */
   private static final int TOLERATED_WAITING = 2;
 
-  private static final double TOLERATED_WAITING_FRACTION = 0.25;
-  private static final double WAITING_PRESSURE = 1.2;
-  private static final long REPORT_LIFETIME_NANOS = 3_000_000_000L;
+  private static final double TOLERATED_WAITING_FRACTION = 0.05;
+
+  /** The size to which a window recovers fast is forgotten slowly, for lasting changes. */
+  private static final double RECOVERY_DECAY_PER_SECOND = 0.01;
+
+  private static final double RECOVERY_FRACTION = 0.8;
 
   private final WindowSettings settings;
   private final EngineSpeedEstimate speed = new EngineSpeedEstimate();
@@ -47,12 +50,10 @@
   private long lastAdjustNanos;
   private long lastTokenNanos;
   private long blockedUntilNanos = Long.MIN_VALUE;
-  private boolean waitingReported;
+  private long lastShrinkNanos = Long.MIN_VALUE;
   private boolean draining;
-  private long reportNanos = Long.MIN_VALUE;
   private int reportedRunning;
 
-
   private int ownSequences;
   private int ownDecoding;
   private double ownTokens;
@@ -101,7 +102,10 @@
     ownDecoding++;
     lastTokenNanos = nowNanos;
     double excess = Math.max(0, delayNanos - speed.unloadedDelayNanos(pendingAtDispatch));
-    excessDelayNanos += DELAY_WEIGHT * (excess - excessDelayNanos);
+    if (nowNanos - delayNanos >= lastShrinkNanos) {
+      // Earlier dispatches say nothing about the window after it shrank.
+      excessDelayNanos += DELAY_WEIGHT * (excess - excessDelayNanos);
+    }
     speed.firstToken(pendingAtDispatch, pendingAtDispatch <= prefillTokens, (double) delayNanos);
   }
 
@@ -158,14 +162,24 @@
    * @param report the figures, true at an earlier time
    */
   public void reported(LoadReport report) {
-    reportNanos = report.observedAtNanos();
     reportedRunning = report.runningSequences();
-    if (report.waitingSequences() > 0 && report.runningTokens() > MIN_TOKENS) {
-    }
     draining = report.draining();
-    waitingReported =
-        report.waitingSequences()
-            > TOLERATED_WAITING + TOLERATED_WAITING_FRACTION * report.runningSequences();
+    double tolerated = TOLERATED_WAITING + TOLERATED_WAITING_FRACTION * report.runningSequences();
+    boolean fresh = report.observedAtNanos() >= lastShrinkNanos;
+    if (settings.adaptive() && fresh && report.waitingSequences() > tolerated) {
+      // Requests wait inside the engine, so what it runs is all that it can run.
+      limitTo(report.runningSequences() + TOLERATED_WAITING);
+    }
+  }
+
+  private void limitTo(double limit) {
+    if (limit < sequences) {
+      tokens =
+          Math.max(MIN_TOKENS, tokens * Math.max(limit / sequences, MAX_SHRINK_PER_ADJUSTMENT));
+      sequences = Math.max(MIN_SEQUENCES, limit);
+      recoverySequences = Math.min(recoverySequences, sequences);
+      congestedBefore = true;
+    }
   }
 
   /**
@@ -176,7 +190,7 @@
    */
   public void refused(long retryAfterMillis, long nowNanos) {
     if (settings.adaptive()) {
-      shrink(1 / MAX_SHRINK_PER_ADJUSTMENT);
+      shrink(1 / MAX_SHRINK_PER_ADJUSTMENT, nowNanos);
     }
     long delay = Math.max(ADJUST_INTERVAL_NANOS, (long) (retryAfterMillis * NANOS_PER_MILLI));
     blockedUntilNanos = nowNanos + delay;
@@ -203,23 +217,24 @@
       speed.stalled((double) (nowNanos - lastTokenNanos));
     }
     speed.drift(seconds);
-    double pressure = pressure(nowNanos);
+    recoverySequences *= 1 - Math.min(1, seconds * RECOVERY_DECAY_PER_SECOND);
+    double pressure = pressure();
     if (pressure > 1) {
-      shrink(pressure);
+      // While work is left from before the last shrink, nothing new is known about the window.
+      if (ownSequences <= share * sequences + 1) {
+        shrink(pressure, nowNanos);
+      }
       return false;
     }
     excessDelayNanos *= 1 - Math.min(1, seconds * DELAY_WEIGHT);
     return pressure < GROW_BELOW_PRESSURE && grow(share, Math.min(1, seconds));
   }
 
-  private double pressure(long nowNanos) {
+  private double pressure() {
     double result = excessDelayNanos / (settings.maxQueueMillis() * NANOS_PER_MILLI);
     if (speed.isGapKnown() && ownDecoding > 0) {
       result = Math.max(result, speed.gapNanos() / targetGapNanos());
     }
-    if (waitingReported && nowNanos - reportNanos < REPORT_LIFETIME_NANOS) {
-      result = Math.max(result, WAITING_PRESSURE);
-    }
     return result;
   }
 
@@ -230,9 +245,10 @@
     return Math.max(Math.min(relative, absolute), 1.5 * unloaded);
   }
 
-  private void shrink(double pressure) {
+  private void shrink(double pressure, long nowNanos) {
     double factor = Math.max(MAX_SHRINK_PER_ADJUSTMENT, 1 / pressure);
-    recoverySequences = Math.max(recoverySequences * factor, sequences / 2);
+    recoverySequences = Math.max(recoverySequences, sequences * RECOVERY_FRACTION);
+    lastShrinkNanos = nowNanos;
     sequences = Math.max(MIN_SEQUENCES, sequences * factor);
     tokens = Math.max(MIN_TOKENS, tokens * factor);
     congestedBefore = true;
