Measure guaranteed shares with tiers that offer more than their share

In the urgent flood the other tiers offered less than their guaranteed share, so the measure compared a handful of requests. A separate lasting flood now offers at least three times the share of each tier. The bound on urgent goodput subtracts what the others are due.

--- a/org.cranberrystand.bench/src/main/java/org/cranberrystand/bench/policy/Evaluation.java
+++ b/org.cranberrystand.bench/src/main/java/org/cranberrystand/bench/policy/Evaluation.java
@@ -80,7 +80,9 @@
         PolicyMeasure.URGENT_GOODPUT_LOW_FLOOD, (double) urgentInTime(low) / urgentInTime(planned));
     Run urgent = run(Scenario.urgentFlood(workload, times));
     values.put(PolicyMeasure.URGENT_GOODPUT_URGENT_FLOOD, urgentFloodGoodput(urgent));
-    values.put(PolicyMeasure.OTHER_WORK_KEPT, otherWorkKept(urgent));
+    values.put(
+        PolicyMeasure.OTHER_WORK_KEPT,
+        otherWorkKept(run(Scenario.lastingUrgentFlood(workload, times))));
     values.put(
         PolicyMeasure.RECOVERY_S,
         Math.max(recoverySeconds(low, planned), recoverySeconds(urgent, planned)));
@@ -117,20 +119,31 @@
 
   /**
    * Returns the share of engine time left for urgent work when every other tier gets its guaranteed
-   * share of tokens.
+   * share of tokens, or all that it offers if that is less.
    */
   private double urgentEngineShare() {
+    Map<Tier, Double> secondsPerToken = new EnumMap<>(Tier.class);
     double urgentShare = 1;
-    double others = 0;
+    for (KindSpec kind : workload.modelKinds()) {
+      Tier tier = kind.kind().tier();
+      urgentShare -= tier == Tier.URGENT ? 0 : workload.guaranteedShare(tier);
+      secondsPerToken.put(tier, 1 / workload.capacityTokensPerSecond(kind));
+    }
+    double sum = 0;
+    for (KindSpec kind : workload.modelKinds()) {
+      Tier tier = kind.kind().tier();
+      double share = tier == Tier.URGENT ? urgentShare : workload.guaranteedShare(tier);
+      sum += share * secondsPerToken.get(tier);
+    }
+    double left = 1;
     for (KindSpec kind : workload.modelKinds()) {
       Tier tier = kind.kind().tier();
       if (tier != Tier.URGENT) {
-        urgentShare -= workload.guaranteedShare(tier);
-        others += workload.guaranteedShare(tier) / workload.capacityTokensPerSecond(kind);
+        double guaranteed = workload.guaranteedShare(tier) * secondsPerToken.get(tier) / sum;
+        left -= Math.min(guaranteed, Scenario.PLANNED_LOAD * kind.loadShare());
       }
     }
-    double urgent = urgentShare / workload.capacityTokensPerSecond(workload.modelKind(Tier.URGENT));
-    return urgent / (urgent + others);
+    return left;
   }
 
   private double otherWorkKept(Run run) {
@@ -140,8 +153,7 @@
       Tier tier = kind.kind().tier();
       if (tier != Tier.URGENT) {
         double served = tokens(dispatchedIn(run, times.start(), times.stop()).filter(ofTier(tier)));
-        double offered = tokens(arrivedIn(run, times.start(), times.stop()).filter(ofTier(tier)));
-        double due = Math.min(offered, workload.guaranteedShare(tier) * all);
+        double due = workload.guaranteedShare(tier) * all;
         worst = Math.min(worst, served / due);
       }
     }
--- a/org.cranberrystand.bench/src/main/java/org/cranberrystand/bench/policy/MirroredPeers.java
+++ b/org.cranberrystand.bench/src/main/java/org/cranberrystand/bench/policy/MirroredPeers.java
@@ -23,11 +23,17 @@
   private final List<SimRequest> requests;
   private int peers = PEERS;
 
-  MirroredPeers(Simulation simulation, List<SimRequest> requests) {
+  /** The node joins peers that share the whole capacity already. */
+  MirroredPeers(Workload workload, Simulation simulation, List<SimRequest> requests) {
     this.simulation = simulation;
     this.requests = requests;
     simulation.ghostsPerDispatch(PEERS);
-    feed(ImmutableMap.of(), ImmutableMap.of());
+    double capacity = workload.capacityTokensPerSecond(workload.modelKind(Tier.URGENT));
+    ImmutableMap.Builder<String, Long> teams = ImmutableMap.builder();
+    workload
+        .teams()
+        .forEach(t -> teams.put(t.name(), (long) (capacity * workload.shareOf(t) / (PEERS + 1))));
+    feed(ImmutableMap.of(), teams.buildOrThrow());
   }
 
   /** Ends one node. Its running work stays, and the views learn of the loss with their lag. */
--- a/org.cranberrystand.bench/src/main/java/org/cranberrystand/bench/policy/Run.java
+++ b/org.cranberrystand.bench/src/main/java/org/cranberrystand/bench/policy/Run.java
@@ -209,7 +209,7 @@
       simulation.at(Times.nanos(times.start()), () -> engine.slowDown(SLOW_FACTOR));
       simulation.at(Times.nanos(times.stop()), () -> engine.slowDown(1));
     } else if (scenario.disturbance() == Disturbance.PEER_LOST) {
-      MirroredPeers peers = new MirroredPeers(simulation, requests);
+      MirroredPeers peers = new MirroredPeers(workload, simulation, requests);
       every(REPORT_NANOS, peers::publish);
       peers.publish();
       simulation.at(Times.nanos(times.start()), peers::loseOne);
--- a/org.cranberrystand.bench/src/main/java/org/cranberrystand/bench/policy/Scenario.java
+++ b/org.cranberrystand.bench/src/main/java/org/cranberrystand/bench/policy/Scenario.java
@@ -30,6 +30,9 @@
 
   private static final double LOW_FLOOD_LOAD = 5;
   private static final double URGENT_FLOOD_LOAD = 3;
+  /** Load at which each tier of each workload offers at least 3 times its guaranteed share. */
+  private static final double BACKLOG_LOAD = 3;
+
   private static final double SMALL_TEAM_LOAD = 0.4;
   private static final double LARGE_TEAM_LOAD = 20;
 
@@ -80,6 +83,16 @@
     return flood("urgent-flood", workload, Tier.URGENT, URGENT_FLOOD_LOAD - others, times);
   }
 
+  /** Returns an urgent flood in which every other tier offers more than its guaranteed share. */
+  static Scenario lastingUrgentFlood(Workload workload, Times times) {
+    double urgent = BACKLOG_LOAD * workload.modelKind(Tier.URGENT).loadShare();
+    Scenario even =
+        even("lasting-flood", workload, BACKLOG_LOAD, times.withoutTail(), Disturbance.NONE);
+    double flood = URGENT_FLOOD_LOAD - urgent;
+    return new Scenario(
+        even.name(), even.teamLoads(), null, Tier.URGENT, flood, Disturbance.NONE, even.times());
+  }
+
   static Scenario slowEngine(Workload workload, Times times) {
     return even(
         "slow-engine", workload, PLANNED_LOAD, times.withoutTail(), Disturbance.SLOW_ENGINE);
@@ -96,7 +109,7 @@
   /** Returns a load at which every team is backlogged, each by another multiple of its share. */
   static Scenario backlogged(Workload workload, Times times) {
     ImmutableMap.Builder<String, Double> loads = ImmutableMap.builder();
-    double load = 3;
+    double load = BACKLOG_LOAD;
     for (TeamSpec team : workload.teams()) {
       loads.put(team.name(), load);
       load += 2;
