Let tiers and teams below their share into reserved slots on arrival

Cause: while urgent work is shed, lower tiers have no queue, and arrivals found no slot: debt from times without contention counted, a long prefill needed an engine without any pending prefill, and large teams took all free slots.

--- a/org.cranberrystand/src/main/java/org/cranberrystand/schedule/EnginePool.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/schedule/EnginePool.java
@@ -27,7 +27,6 @@
   private static final double MAX_CLEAR_FRACTION = 0.75;
 
   private static final int MAX_RANKED_PREFIXES = 4_096;
-  private static final int MAX_LONG_PER_ENGINE = 1;
   private static final double LONG_PER_ENGINE_FLEETWIDE = 2;
 
   /** An upstream for a request, with the figures that led to it. */
@@ -194,15 +193,16 @@
    * prefix.
    *
    * @param overdraft the factor by which the share may be exceeded; 1 for most requests
+   * @param maxLong the number of concurrent long prefills per upstream
    */
-  Choice choose(QueuedItem queued, double overdraft, long nowNanos) {
-    if (queued.isLongPrefill() && !isLongPrefillAllowed()) {
+  Choice choose(QueuedItem queued, double overdraft, int maxLong, long nowNanos) {
+    if (queued.isLongPrefill() && !isLongPrefillAllowed(maxLong)) {
       return null;
     }
     candidates.clear();
     double leastWork = Double.MAX_VALUE;
     for (EngineState engine : usable) {
-      if (!isAllowed(engine, queued)) {
+      if (!isAllowed(engine, queued, maxLong)) {
         continue;
       }
       double cached = cachedTokens(engine, queued.item());
@@ -277,16 +277,16 @@
     return best;
   }
 
-  private boolean isLongPrefillAllowed() {
+  private boolean isLongPrefillAllowed(int maxLong) {
     if (!options.has(SchedulerFeature.LONG_PREFILL_LIMIT)) {
       return true;
     }
     double engineCount = Math.max(1, usable.size() - clearEngines);
     return longPrefills
-        < Math.max(1, Math.round(meanShare * LONG_PER_ENGINE_FLEETWIDE * engineCount));
+        < Math.max(1, Math.round(meanShare * maxLong * LONG_PER_ENGINE_FLEETWIDE * engineCount));
   }
 
-  private boolean isAllowed(EngineState engine, QueuedItem queued) {
+  private boolean isAllowed(EngineState engine, QueuedItem queued, int maxLong) {
     if (engine.isReservedForSuspect() || engine.name().equals(queued.refusedBy())) {
       return false;
     }
@@ -294,8 +294,7 @@
       return true;
     }
     return clearRank.getOrDefault(engine.name(), 0) >= clearEngines
-        && (engine.longPrefills() < MAX_LONG_PER_ENGINE
-            || !options.has(SchedulerFeature.LONG_PREFILL_LIMIT));
+        && (engine.longPrefills() < maxLong || !options.has(SchedulerFeature.LONG_PREFILL_LIMIT));
   }
 
   /** Chooses an upstream for a suspect: an idle one, or none while one is being emptied. */
--- a/org.cranberrystand/src/main/java/org/cranberrystand/schedule/PoolDispatcher.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/schedule/PoolDispatcher.java
@@ -48,6 +48,7 @@
   private final EnginePool engines;
   private final PolicyOutput output;
   private final Map<Tier, FairQueue> queues = new EnumMap<>(Tier.class);
+  private final Map<Tier, TeamShares> teamShares = new EnumMap<>(Tier.class);
   private final Map<Tier, Long> lastShedNanos = new EnumMap<>(Tier.class);
   private final Map<Tier, Integer> running = new EnumMap<>(Tier.class);
   private final ArrayDeque<QueuedItem> isolated = new ArrayDeque<>();
@@ -77,6 +78,7 @@
     this.lastRefreshNanos = nowNanos;
     for (Tier tier : Tier.values()) {
       queues.put(tier, new FairQueue(options.has(SchedulerFeature.FAIR_QUEUEING), weights));
+      teamShares.put(tier, new TeamShares(weights));
       lastShedNanos.put(tier, Long.MIN_VALUE / 2);
       running.put(tier, 0);
     }
@@ -137,6 +139,7 @@
 
   private void noteArrival(QueuedItem queued, Tier tier, long nowNanos) {
     guarantee.arrived(tier, queued.cost(), nowNanos);
+    teamShares.get(tier).arrived(queued.item().team(), nowNanos);
     if (tier == Tier.URGENT) {
       headroom.arrived(nowNanos);
     }
@@ -274,6 +277,7 @@
     if (nowNanos - lastRefreshNanos >= REFRESH_INTERVAL_NANOS) {
       lastRefreshNanos = nowNanos;
       queues.values().forEach(FairQueue::refresh);
+      teamShares.values().forEach(shares -> shares.refresh(nowNanos));
     }
     if (changed) {
       dispatch(nowNanos);
@@ -337,7 +341,7 @@
     for (Tier tier : Tier.values()) {
       if (tier != Tier.URGENT
           && options.has(SchedulerFeature.GUARANTEED_SHARES)
-          && guarantee.isEntitled(tier)
+          && isNextEntitled(tier, nowNanos)
           && dispatchFrom(tier, true, blocked, nowNanos)) {
         return true;
       }
@@ -345,6 +349,15 @@
     return false;
   }
 
+  private boolean isNextEntitled(Tier tier, long nowNanos) {
+    FairQueue queue = queues.get(tier);
+    if (queue.isEmpty()) {
+      return false;
+    }
+    String team = queue.peek(queue.isLongFirst()).item().team();
+    return guarantee.isEntitled(tier, teamShares.get(tier).isBehind(team, nowNanos));
+  }
+
   private boolean dispatchOne(int free, EnumSet<Tier> blocked, long nowNanos) {
     for (Tier tier : Tier.values()) {
       if (free > keptFree(tier, free, nowNanos) && dispatchFrom(tier, false, blocked, nowNanos)) {
@@ -390,7 +403,8 @@
       FairQueue queue, boolean longPrefill, boolean entitled, long nowNanos) {
     QueuedItem queued = queue.peek(longPrefill);
     double overdraft = entitled ? GUARANTEE_OVERDRAFT : 1;
-    EnginePool.Choice choice = queued == null ? null : engines.choose(queued, overdraft, nowNanos);
+    EnginePool.Choice choice =
+        queued == null ? null : engines.choose(queued, overdraft, entitled ? 2 : 1, nowNanos);
     if (choice == null) {
       return false;
     }
@@ -425,12 +439,25 @@
     }
     noteDemand(queued);
     running.merge(tier, 1, Integer::sum);
+    if (isUncontended(tier)) {
+      guarantee.forgive();
+    }
     guarantee.dispatched(tier, queued.cost());
+    teamShares.get(tier).served(queued.item().team(), queued.cost(), nowNanos);
     rates.dispatched(tier, queued.cost(), !queues.get(tier).isEmpty());
     output.dispatch(
         new RunningRequest(queued, engine, this, prefill, nowNanos, alone), choice, detail);
   }
 
+  private boolean isUncontended(Tier tier) {
+    for (Tier other : Tier.values()) {
+      if (tier.isLessUrgentThan(other) && !queues.get(other).isEmpty()) {
+        return false;
+      }
+    }
+    return tier != Tier.URGENT || queues.get(tier).isEmpty();
+  }
+
   /** Measures demand by dispatches, since a flood that is rejected needs no engines. */
   private void noteDemand(QueuedItem queued) {
     shortDemand *= DEMAND_DECAY;
--- a/org.cranberrystand/src/main/java/org/cranberrystand/schedule/TeamUsage.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/schedule/TeamUsage.java
@@ -36,9 +36,19 @@
     return total.decayed(nowNanos) / TIME_CONSTANT_SECONDS;
   }
 
+  double perSecond(String team, long nowNanos) {
+    Rate rate = rates.get(team);
+    return rate == null ? 0 : rate.decayed(nowNanos) / TIME_CONSTANT_SECONDS;
+  }
+
+  /** Forgets teams without recent service. */
+  void forgetIdle(long nowNanos) {
+    rates.values().removeIf(r -> r.decayed(nowNanos) < FORGET_BELOW);
+  }
+
   /** Returns the rates of the teams with the most service. */
   ImmutableMap<String, Long> largest(int limit, long nowNanos) {
-    rates.values().removeIf(r -> r.decayed(nowNanos) < FORGET_BELOW);
+    forgetIdle(nowNanos);
     return rates.entrySet().stream()
         .sorted(
             Comparator.comparingDouble(
--- a/org.cranberrystand/src/main/java/org/cranberrystand/upstream/EngineWindow.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/upstream/EngineWindow.java
@@ -293,7 +293,7 @@
         speed.prefillRate() * share * settings.maxPrefillMillis() / MILLIS_PER_SECOND;
     return ownSequences + 1 <= share * sequences
         && ownTokens + contextTokens <= share * tokens
-        && (pendingPrefillTokens <= 0 || pendingPrefillTokens + prefillTokens <= prefillLimit);
+        && pendingPrefillTokens + Math.min(prefillTokens, prefillLimit / 2) <= prefillLimit;
   }
 
   /**
