--- a/org.cranberrystand.bench/src/main/java/org/cranberrystand/bench/policy/Evaluation.java
+++ b/org.cranberrystand.bench/src/main/java/org/cranberrystand/bench/policy/Evaluation.java
@@ -80,7 +80,9 @@
         PolicyMeasure.URGENT_GOODPUT_LOW_FLOOD, (double) urgentInTime(low) / urgentInTime(planned));
     Run urgent = run(Scenario.urgentFlood(workload, times));
     values.put(PolicyMeasure.URGENT_GOODPUT_URGENT_FLOOD, urgentFloodGoodput(urgent));
-    values.put(PolicyMeasure.OTHER_WORK_KEPT, otherWorkKept(urgent));
+    values.put(
+        PolicyMeasure.OTHER_WORK_KEPT,
+        otherWorkKept(run(Scenario.lastingUrgentFlood(workload, times))));
     values.put(
         PolicyMeasure.RECOVERY_S,
         Math.max(recoverySeconds(low, planned), recoverySeconds(urgent, planned)));
@@ -117,20 +119,31 @@
 
   /**
    * Returns the share of engine time left for urgent work when every other tier gets its guaranteed
-   * share of tokens.
+   * share of tokens, or all that it offers if that is less.
    */
   private double urgentEngineShare() {
+    Map<Tier, Double> secondsPerToken = new EnumMap<>(Tier.class);
     double urgentShare = 1;
-    double others = 0;
+    for (KindSpec kind : workload.modelKinds()) {
+      Tier tier = kind.kind().tier();
+      urgentShare -= tier == Tier.URGENT ? 0 : workload.guaranteedShare(tier);
+      secondsPerToken.put(tier, 1 / workload.capacityTokensPerSecond(kind));
+    }
+    double sum = 0;
+    for (KindSpec kind : workload.modelKinds()) {
+      Tier tier = kind.kind().tier();
+      double share = tier == Tier.URGENT ? urgentShare : workload.guaranteedShare(tier);
+      sum += share * secondsPerToken.get(tier);
+    }
+    double left = 1;
     for (KindSpec kind : workload.modelKinds()) {
       Tier tier = kind.kind().tier();
       if (tier != Tier.URGENT) {
-        urgentShare -= workload.guaranteedShare(tier);
-        others += workload.guaranteedShare(tier) / workload.capacityTokensPerSecond(kind);
+        double guaranteed = workload.guaranteedShare(tier) * secondsPerToken.get(tier) / sum;
+        left -= Math.min(guaranteed, Scenario.PLANNED_LOAD * kind.loadShare());
       }
     }
-    double urgent = urgentShare / workload.capacityTokensPerSecond(workload.modelKind(Tier.URGENT));
-    return urgent / (urgent + others);
+    return left;
   }
 
   private double otherWorkKept(Run run) {
@@ -140,8 +153,7 @@
       Tier tier = kind.kind().tier();
       if (tier != Tier.URGENT) {
         double served = tokens(dispatchedIn(run, times.start(), times.stop()).filter(ofTier(tier)));
-        double offered = tokens(arrivedIn(run, times.start(), times.stop()).filter(ofTier(tier)));
-        double due = Math.min(offered, workload.guaranteedShare(tier) * all);
+        double due = workload.guaranteedShare(tier) * all;
         worst = Math.min(worst, served / due);
       }
     }
@@ -167,10 +179,10 @@
     Run alone = run(Scenario.smallAlone(workload, times));
     Run beside = run(Scenario.smallBesideLarge(workload, times));
     values.put(PolicyMeasure.SMALL_TEAM_GOODPUT, (double) smallInTime(beside) / smallInTime(alone));
-    Run backlogged = run(Scenario.backlogged(workload, times, Disturbance.NONE));
-    values.put(PolicyMeasure.JAIN_INDEX, jainIndex(backlogged));
-    Run peers = run(Scenario.backlogged(workload, times, Disturbance.PEER_LOST));
-    values.put(PolicyMeasure.ENGINE_OVERCOMMIT, overcommit(peers, backlogged));
+    values.put(PolicyMeasure.JAIN_INDEX, jainIndex(run(Scenario.backlogged(workload, times))));
+    Run single = run(Scenario.urgentOnly(workload, times, Disturbance.NONE));
+    Run peers = run(Scenario.urgentOnly(workload, times, Disturbance.PEER_LOST));
+    values.put(PolicyMeasure.ENGINE_OVERCOMMIT, overcommit(peers, single));
   }
 
   private long smallInTime(Run run) {
@@ -179,13 +191,14 @@
         .mapToLong(
             team ->
                 RunFigures.inTime(
-                    arrivedIn(run, times.warm(), times.end())
+                    arrivedIn(run, times.warm(), run.scenario().times().end())
                         .filter(r -> r.item.team().equals(team.name()))))
         .sum();
   }
 
   private double jainIndex(Run run) {
-    Map<String, Long> tokens = RunFigures.tokensByTeam(run, times.warm(), times.end());
+    Map<String, Long> tokens =
+        RunFigures.tokensByTeam(run, times.warm(), run.scenario().times().end());
     return RunFigures.jainIndex(
         workload.teams().stream()
             .mapToDouble(team -> tokens.getOrDefault(team.name(), 0L) / team.weight())
@@ -209,13 +222,16 @@
     double shift = RunFigures.NEVER_SECONDS;
     double last = times.stop() - SHIFT_WINDOW_SECONDS;
     for (double at = times.start(); at <= last; at += STEP_SECONDS) {
-      double share =
-          RunFigures.dispatchShare(run, Run.SLOWED_ENGINE, at, at + SHIFT_WINDOW_SECONDS);
-      if (share < SHIFTED_SHARE * before) {
+      if (slowShare(run, at, 1) < SHIFTED_SHARE * before
+          && slowShare(run, at, SHIFT_WINDOW_SECONDS) < SHIFTED_SHARE * before) {
         shift = at - times.start();
         break;
       }
     }
     values.put(PolicyMeasure.SLOW_ENGINE_SHIFT_S, shift);
   }
+
+  private static double slowShare(Run run, double at, double seconds) {
+    return RunFigures.dispatchShare(run, Run.SLOWED_ENGINE, at, at + seconds);
+  }
 }
--- a/org.cranberrystand.bench/src/main/java/org/cranberrystand/bench/policy/MirroredPeers.java
+++ b/org.cranberrystand.bench/src/main/java/org/cranberrystand/bench/policy/MirroredPeers.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 import org.cranberrystand.bundle.Tier;
 import org.cranberrystand.schedule.SchedulerEvent;
 import org.cranberrystand.schedule.SchedulerEvent.PeerLoad;
@@ -22,10 +23,17 @@
   private final List<SimRequest> requests;
   private int peers = PEERS;
 
-  MirroredPeers(Simulation simulation, List<SimRequest> requests) {
+  /** The node joins peers that share the whole capacity already. */
+  MirroredPeers(Workload workload, Simulation simulation, List<SimRequest> requests) {
     this.simulation = simulation;
     this.requests = requests;
     simulation.ghostsPerDispatch(PEERS);
+    double capacity = workload.capacityTokensPerSecond(workload.modelKind(Tier.URGENT));
+    ImmutableMap.Builder<String, Long> teams = ImmutableMap.builder();
+    workload
+        .teams()
+        .forEach(t -> teams.put(t.name(), (long) (capacity * workload.shareOf(t) / (PEERS + 1))));
+    feed(ImmutableMap.of(), teams.buildOrThrow());
   }
 
   /** Ends one node. Its running work stays, and the views learn of the loss with their lag. */
@@ -38,16 +46,16 @@
   void publish() {
     ImmutableMap<Tier, Long> backlog = ImmutableMap.copyOf(simulation.queued().tokensByTier());
     ImmutableMap<String, Long> teams = recentTeamTokens();
-    simulation.after(
-        Run.VIEW_LAG_NANOS,
-        () -> {
-          ImmutableList.Builder<PeerLoad> loads = ImmutableList.builder();
-          for (int i = 0; i < peers; i++) {
-            loads.add(new PeerLoad("node-" + (i + 2), backlog, 0, teams));
-          }
-          simulation.feed(
-              new SchedulerEvent.PeersChanged(Run.NODE, loads.build(), simulation.nowNanos()));
-        });
+    simulation.after(Run.VIEW_LAG_NANOS, () -> feed(backlog, teams));
+  }
+
+  private void feed(ImmutableMap<Tier, Long> backlog, ImmutableMap<String, Long> teams) {
+    ImmutableList.Builder<PeerLoad> loads = ImmutableList.builder();
+    for (int i = 0; i < peers; i++) {
+      loads.add(new PeerLoad("node-" + (i + 2), backlog, 0, teams));
+    }
+    simulation.feed(
+        new SchedulerEvent.PeersChanged(Run.NODE, loads.build(), simulation.nowNanos()));
   }
 
   private ImmutableMap<String, Long> recentTeamTokens() {
@@ -61,6 +69,6 @@
         tokens.merge(request.item.team(), request.costTokens(), Long::sum);
       }
     }
-    return ImmutableMap.copyOf(new java.util.TreeMap<>(tokens));
+    return ImmutableMap.copyOf(new TreeMap<>(tokens));
   }
 }
