--- /dev/null
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/membership/LoadSummary.java
@@ -0,0 +1,84 @@
+package org.cranberrystand.membership;
+
+import com.google.common.collect.ImmutableMap;
+import java.util.Objects;
+import org.cranberrystand.bundle.Tier;
+
+/**
+ * Figures of one node that change often; exchanged apart from its record, which changes rarely.
+ *
+ * @param node the name of the node
+ * @param sequence a number that grows with each change within and across incarnations
+ * @param bundleVersion the bundle in force on the node, or 0
+ * @param bundleDigest the digest of that bundle, or an empty string
+ * @param loadPercent how much of its capacity for queued work is used
+ * @param backlogTokens cost of queued work by tier, in tokens; tiers without work may be missing
+ * @param roomTokens cost of urgent work the node can take now, in tokens
+ * @param teamTokensPerSecond recent service of the largest teams
+ */
+public record LoadSummary(
+    String node,
+    long sequence,
+    long bundleVersion,
+    String bundleDigest,
+    int loadPercent,
+    ImmutableMap<Tier, Long> backlogTokens,
+    long roomTokens,
+    ImmutableMap<String, Long> teamTokensPerSecond) {
+
+  /** Checks that no component is null. */
+  public LoadSummary {
+    Objects.requireNonNull(node, "node");
+    Objects.requireNonNull(bundleDigest, "bundleDigest");
+    Objects.requireNonNull(backlogTokens, "backlogTokens");
+    Objects.requireNonNull(teamTokensPerSecond, "teamTokensPerSecond");
+  }
+
+  /**
+   * Returns the summary of a node without work.
+   *
+   * @param node the name of the node
+   * @param sequence the sequence number
+   * @return a summary without bundle and load
+   */
+  public static LoadSummary idle(String node, long sequence) {
+    return new LoadSummary(node, sequence, 0, "", 0, ImmutableMap.of(), 0, ImmutableMap.of());
+  }
+
+  /**
+   * Returns a copy with another sequence number.
+   *
+   * @param newSequence the number
+   * @return the copy
+   */
+  public LoadSummary withSequence(long newSequence) {
+    return new LoadSummary(
+        node,
+        newSequence,
+        bundleVersion,
+        bundleDigest,
+        loadPercent,
+        backlogTokens,
+        roomTokens,
+        teamTokensPerSecond);
+  }
+
+  /**
+   * Returns a copy with another bundle.
+   *
+   * @param version the version in force
+   * @param digest its digest
+   * @return the copy
+   */
+  public LoadSummary withBundle(long version, String digest) {
+    return new LoadSummary(
+        node,
+        sequence,
+        version,
+        digest,
+        loadPercent,
+        backlogTokens,
+        roomTokens,
+        teamTokensPerSecond);
+  }
+}
--- /dev/null
+++ b/org.cranberrystand/src/test/java/org/cranberrystand/upstream/DrainTrackerTest.java
@@ -0,0 +1,85 @@
+package org.cranberrystand.upstream;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import java.time.Duration;
+import org.cranberrystand.util.ManualClock;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Tests of {@link DrainTracker}. */
+public class DrainTrackerTest {
+  private ManualClock clock;
+  private DrainTracker tracker;
+
+  @BeforeMethod
+  void createTracker() {
+    clock = new ManualClock(1);
+    tracker = new DrainTracker(clock);
+  }
+
+  /** Guards against waiting for a second signal while the VM list lags. */
+  @Test
+  public void firstSignalOfAnySourceIsSufficient() {
+    assertTrue(tracker.listed(ImmutableSet.of("a")));
+    assertTrue(tracker.reported("b", true));
+    assertTrue(tracker.refused("c"));
+    assertTrue(tracker.reportedByPeer(new DrainTracker.Report("d", 0)));
+    assertFalse(tracker.reported("a", true));
+    for (String upstream : ImmutableList.of("a", "b", "c", "d")) {
+      assertTrue(tracker.isLeaving(upstream), upstream);
+    }
+    UpstreamDirectory directory =
+        UpstreamDirectory.of(
+            ImmutableList.of(
+                new UpstreamRecord("a", "p", "x:1", "f", false),
+                new UpstreamRecord("e", "p", "x:2", "f", false)));
+    assertTrue(tracker.apply(directory).find("a").orElseThrow().leaving());
+    assertFalse(tracker.apply(directory).find("e").orElseThrow().leaving());
+  }
+
+  /** Guards against a wrong report that circulates between nodes for ever. */
+  @Test
+  public void wrongPeerReportExpiresAlthoughPeersRepeatIt() {
+    DrainTracker other = new DrainTracker(clock);
+    tracker.reportedByPeer(new DrainTracker.Report("a", 0));
+    for (int i = 0; i < 12; i++) {
+      clock.advance(Duration.ofSeconds(1));
+      tracker.reports(10).forEach(other::reportedByPeer);
+      other.reports(10).forEach(tracker::reportedByPeer);
+    }
+    assertFalse(tracker.isLeaving("a"));
+    assertFalse(other.isLeaving("a"));
+    assertTrue(tracker.expire());
+    assertTrue(tracker.reports(10).isEmpty());
+  }
+
+  /** Guards against older reports of peers that outweigh the upstream's own statement. */
+  @Test
+  public void ownStatementOfTheUpstreamEndsAnOlderPeerReport() {
+    tracker.reportedByPeer(new DrainTracker.Report("a", 0));
+    clock.advance(Duration.ofSeconds(1));
+    tracker.reported("a", false);
+    assertFalse(tracker.isLeaving("a"));
+    tracker.reportedByPeer(new DrainTracker.Report("a", Duration.ofSeconds(2).toNanos()));
+    assertFalse(tracker.isLeaving("a"));
+    clock.advance(Duration.ofSeconds(1));
+    assertTrue(tracker.reportedByPeer(new DrainTracker.Report("a", 0)));
+  }
+
+  /** Guards against an upstream that stays marked after the list says that it stays. */
+  @Test
+  public void listIsBelievedUntilItChanges() {
+    tracker.listed(ImmutableSet.of("a"));
+    clock.advance(Duration.ofHours(1));
+    tracker.reported("a", false);
+    assertTrue(tracker.isLeaving("a"));
+    tracker.listed(ImmutableSet.of());
+    assertFalse(tracker.isLeaving("a"));
+    assertEquals(tracker.reports(10).size(), 0);
+  }
+}
