--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/NodeState.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/NodeState.java
@@ -39,6 +39,9 @@
   private final AtomicReference<MembershipView> membership =
       new AtomicReference<>(MembershipView.empty());
   private final AtomicBoolean leaving = new AtomicBoolean();
+  private final Readiness readiness;
+  private final LeaveSignals leaveSignals;
+  private final ControlCost controlCost = new ControlCost();
 
   /**
    * Creates the state of a node that starts.
@@ -56,6 +59,8 @@
             incarnation, clock, settings.limits().identifierLifetimeMillis() * NANOS_PER_MILLI);
     this.ledger = new RequestLedger(issuer, settings.limits().maxAnswerBytes());
     this.fleetKeys = new FleetKeys(settings.fleetKeys());
+    this.readiness = new Readiness(clock, leaving);
+    this.leaveSignals = new LeaveSignals(clock, new EventLog(settings.node()), directory);
     this.idCodec = new RequestIdCodec(fleetKeys.keysFor(FleetKeys.Use.IDENTIFIER));
   }
 
@@ -106,4 +111,16 @@
   public AtomicBoolean leaving() {
     return leaving;
   }
+
+  public Readiness readiness() {
+    return readiness;
+  }
+
+  public LeaveSignals leaveSignals() {
+    return leaveSignals;
+  }
+
+  public ControlCost controlCost() {
+    return controlCost;
+  }
 }
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/PeerClient.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/PeerClient.java
@@ -1,5 +1,6 @@
 package org.cranberrystand.daemon.internal;
 
+import java.net.ConnectException;
 import java.net.URI;
 import java.time.Duration;
 import org.cranberrystand.wire.security.FleetKeys;
@@ -20,7 +21,13 @@
   private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
   private static final Duration CONTROL_TIMEOUT = Duration.ofSeconds(2);
 
+  /** Bundles may have several parts of 1 MB; the default of the client is 1 MB. */
+  private static final int MAX_RESPONSE_BYTES = 8 << 20;
+
   private final PeerAuthentication authentication;
+  private final ControlCost cost;
+  private final String node;
+  private final PeerFault fault;
   private final HttpClient controlClient;
   private final HttpClient requestClient;
 
@@ -31,11 +38,26 @@
    * @throws Exception if the client cannot be created
    */
   public PeerClient(NodeState state) throws Exception {
+    this(state, PeerFault.none());
+  }
+
+  /**
+   * Creates a client that loses messages.
+   *
+   * @param state the state of the node
+   * @param fault decides which messages are lost
+   * @throws Exception if the client cannot be created
+   */
+  public PeerClient(NodeState state, PeerFault fault) throws Exception {
+    this.cost = state.controlCost();
+    this.node = state.settings().node();
+    this.fault = fault;
     this.authentication = new PeerAuthentication(state.fleetKeys().keysFor(FleetKeys.Use.PEER));
     this.controlClient =
         HttpClient.of(
             spec ->
                 spec.useJdkAddressResolver()
+                    .maxContentLength(MAX_RESPONSE_BYTES)
                     .connectTimeout(CONNECT_TIMEOUT)
                     .readTimeout(CONTROL_TIMEOUT));
     Duration requestTimeout = Duration.ofMillis(state.settings().limits().upstreamTimeoutMillis());
@@ -57,7 +79,13 @@
    * @return the response
    */
   public Promise<ReceivedResponse> call(String address, String method, String path, byte[] body) {
-    return controlClient.request(uri(address, path), sign(method, path, body, spec -> {}));
+    if (fault.drops(node, address)) {
+      return lost(address);
+    }
+    cost.request(body.length);
+    return controlClient
+        .request(uri(address, path), sign(method, path, body, spec -> {}))
+        .flatMap(response -> receive(address, response));
   }
 
   /**
@@ -71,6 +99,9 @@
    */
   public Promise<StreamedResponse> stream(
       String address, String path, byte[] body, Action<? super RequestSpec> extra) {
+    if (fault.drops(node, address)) {
+      return lost(address);
+    }
     return requestClient.requestStream(uri(address, path), sign("POST", path, body, extra));
   }
 
@@ -80,6 +111,18 @@
     requestClient.close();
   }
 
+  private Promise<ReceivedResponse> receive(String address, ReceivedResponse response) {
+    if (fault.drops(node, address)) {
+      return lost(address);
+    }
+    cost.response(response.getBody().getBytes().length);
+    return Promise.value(response);
+  }
+
+  private static <T> Promise<T> lost(String address) {
+    return Promise.error(new ConnectException("message to or from " + address + " was lost"));
+  }
+
   private Action<RequestSpec> sign(
       String method, String path, byte[] body, Action<? super RequestSpec> extra) {
     return spec -> {
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/PeerServer.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/PeerServer.java
@@ -19,8 +19,6 @@
  * the body as {@link PeerBody} from the registry. Safe for use by several threads.
  */
 public final class PeerServer implements AutoCloseable {
-  private static final int THREADS = 2;
-
   private final RatpackServer server;
   private final PeerAuthentication authentication;
   private final int maxBodyBytes;
@@ -30,10 +28,12 @@
    * Opens the listener.
    *
    * @param state the state of the node
+   * @param threads the number of threads
    * @param endpoints adds the handlers
    * @throws Exception if the listener cannot be opened
    */
-  public PeerServer(NodeState state, Action<? super Chain> endpoints) throws Exception {
+  public PeerServer(NodeState state, int threads, Action<? super Chain> endpoints)
+      throws Exception {
     this.authentication = new PeerAuthentication(state.fleetKeys().keysFor(FleetKeys.Use.PEER));
     this.maxBodyBytes = state.settings().limits().maxBodyBytes();
     this.host = state.settings().peers().getHost();
@@ -43,7 +43,7 @@
             .port(state.settings().peers().getPort())
             .development(false)
             .registerShutdownHook(false)
-            .threads(THREADS)
+            .threads(threads)
             .maxContentLength(maxBodyBytes)
             .build();
     this.server =
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/RequestHandler.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/RequestHandler.java
@@ -115,7 +115,7 @@
             .toString();
     Claim claim = state.ledger().claim(request.id(), request.shop().name(), digest);
     if (claim instanceof Claim.Granted granted) {
-      runner.run(ctx, request, granted.entry(), digest);
+      runOrRefuse(ctx, request, granted, digest);
     } else if (claim instanceof Claim.InFlight inFlight) {
       Promise.toPromise(inFlight.entry().whenDone()).then(o -> reply(ctx, request, o));
     } else if (claim instanceof Claim.Completed completed) {
@@ -129,6 +129,20 @@
     }
   }
 
+  /** Refuses only requests that were never run; a resend gets the outcome of the first one. */
+  private void runOrRefuse(
+      Context ctx, IncomingRequest request, Claim.Granted granted, String digest) {
+    Optional<NotRunReason> refusal = state.readiness().refusal();
+    if (refusal.isEmpty()) {
+      runner.run(ctx, request, granted.entry(), digest);
+      return;
+    }
+    long retryMillis = refusal.get() == NotRunReason.LEAVING ? 0 : NOT_READY_RETRY_MILLIS;
+    Outcome outcome = new Outcome.NotRun(refusal.get(), retryMillis);
+    state.ledger().complete(granted.entry(), outcome);
+    reply(ctx, request, outcome);
+  }
+
   private void reply(Context ctx, IncomingRequest request, Outcome outcome) {
     Replies.outcome(
         ctx, outcome, request.kind().isRepeatable(), state.idCodec().encode(request.id()));
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/RequestRunner.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/RequestRunner.java
@@ -14,6 +14,7 @@
 import org.cranberrystand.bundle.UpstreamPool;
 import org.cranberrystand.event.LogEvent;
 import org.cranberrystand.identity.LedgerEntry;
+import org.cranberrystand.outcome.NotRunReason;
 import org.cranberrystand.outcome.Outcome;
 import org.cranberrystand.outcome.RecordedAnswer;
 import org.cranberrystand.outcome.UnknownCause;
@@ -38,6 +39,7 @@
 public final class RequestRunner implements AutoCloseable {
   private static final int CHARS_PER_TOKEN = 4;
   private static final long NANOS_PER_MILLI = 1_000_000;
+  private static final long NOT_READY_RETRY_MILLIS = 1_000;
   private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
   private static final byte[] END_OF_STREAM = "data: [DONE]".getBytes(StandardCharsets.UTF_8);
 
@@ -128,7 +130,11 @@
     }
 
     void carryOut(Decision decision) {
-      if (decision instanceof Decision.Send send) {
+      if (decision instanceof Decision.Send && !state.readiness().mayDispatch()) {
+        scheduler.end(
+            item.key(), new SchedulerEvent.CallerGone(item.key(), state.clock().nowNanos()));
+        end(new Outcome.NotRun(NotRunReason.NOT_READY, NOT_READY_RETRY_MILLIS));
+      } else if (decision instanceof Decision.Send send) {
         ctx.getResponse().getHeaders().set(ApiHeaders.UPSTREAM, send.upstream().name());
         if (request.poolType().isStreaming()) {
           stream(send.upstream());
@@ -151,6 +157,7 @@
     private void received(UpstreamRecord upstream, ReceivedResponse response) {
       if (isRefusal(
           upstream, response.getStatusCode(), response.getHeaders().get(ApiHeaders.NOT_RUN))) {
+        noteRefusal(upstream, response.getStatusCode());
         refused(true);
         return;
       }
@@ -205,6 +212,7 @@
     private void rejectedStream(UpstreamRecord upstream, StreamedResponse response) {
       String notRun = response.getHeaders().get(ApiHeaders.NOT_RUN);
       if (isRefusal(upstream, response.getStatusCode(), notRun)) {
+        noteRefusal(upstream, response.getStatusCode());
         refused(true);
       } else {
         finished(false);
@@ -255,6 +263,13 @@
       end(new Outcome.OutcomeUnknown(UnknownCause.CONNECTION_LOST));
     }
 
+    /** An upstream that is overloaded refuses with 429; 503 means that it is leaving. */
+    private void noteRefusal(UpstreamRecord upstream, int status) {
+      if (status == 503) {
+        state.leaveSignals().refused(upstream.name());
+      }
+    }
+
     private void refused(boolean connected) {
       Promise<Decision> next =
           slot.await(
