Exchange digests, distribute bundles and leave gracefully

Every node polled the VM list twice a second and watched the configuration service; nodes did not talk to each other. ControlPlane starts a digest exchange with one member per second and passes news on at once, lets two nodes per failure domain watch the service, fetches announced bundles by digest, refuses new work while the view is uncertain, and announces a drain.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/Main.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/Main.java
@@ -7,6 +7,7 @@
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.cranberrystand.util.Checked;
 import org.cranberrystand.util.MonotonicClock;
 import org.cranberrystand.wire.settings.NodeSettings;
@@ -27,6 +28,9 @@
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final int EXIT_INVALID_SETTINGS = 2;
 
+  /** 128 plus the number of SIGTERM, as shells report it. */
+  private static final int EXIT_TERMINATED = 143;
+
   @Spec private CommandSpec spec;
 
   @Option(
@@ -66,9 +70,13 @@
       return 0;
     }
     Node node = Node.start(settings.orElseThrow(), MonotonicClock.system());
-    CountDownLatch stopped = new CountDownLatch(1);
-    Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(node, stopped), "shutdown"));
-    stopped.await();
+    Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(node), "shutdown"));
+    AtomicBoolean leaving = new AtomicBoolean();
+    TerminationSignal.handle(() -> terminate(node, leaving));
+    CountDownLatch drained = new CountDownLatch(1);
+    node.whenDrained().thenRun(drained::countDown);
+    drained.await();
+    stop(node);
     return 0;
   }
 
@@ -76,13 +84,19 @@
     return NodeSettingsParser.parse(config.toString(), Files.readString(config));
   }
 
-  private static void stop(Node node, CountDownLatch stopped) {
+  private static void terminate(Node node, AtomicBoolean leaving) {
+    if (leaving.compareAndSet(false, true)) {
+      node.drain();
+    } else {
+      Runtime.getRuntime().halt(EXIT_TERMINATED);
+    }
+  }
+
+  private static void stop(Node node) {
     try {
       node.close();
     } catch (Exception e) {
       logger.atSevere().withCause(e).log("shutdown failed");
-    } finally {
-      stopped.countDown();
     }
   }
 }
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/Node.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/Node.java
@@ -3,22 +3,29 @@
 import com.google.common.net.HostAndPort;
 import java.net.InetAddress;
 import java.security.SecureRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.cranberrystand.daemon.internal.ActiveExchanges;
 import org.cranberrystand.daemon.internal.AddressesHandler;
 import org.cranberrystand.daemon.internal.BundleIntake;
+import org.cranberrystand.daemon.internal.ControlPlane;
 import org.cranberrystand.daemon.internal.EventLog;
 import org.cranberrystand.daemon.internal.NodeState;
 import org.cranberrystand.daemon.internal.PeerClient;
+import org.cranberrystand.daemon.internal.PeerEndpoints;
 import org.cranberrystand.daemon.internal.PeerServer;
-import org.cranberrystand.daemon.internal.PlatformWatcher;
 import org.cranberrystand.daemon.internal.RequestHandler;
 import org.cranberrystand.daemon.internal.RequestRunner;
 import org.cranberrystand.daemon.internal.SchedulerLoop;
 import org.cranberrystand.event.LogEvent;
 import org.cranberrystand.identity.Incarnation;
 import org.cranberrystand.schedule.Scheduler;
-import org.cranberrystand.schedule.SchedulerEvent;
 import org.cranberrystand.util.MonotonicClock;
+import org.cranberrystand.wire.bundle.SignedBundle;
 import org.cranberrystand.wire.settings.NodeSettings;
+import ratpack.exec.ExecController;
 import ratpack.server.RatpackServer;
 import ratpack.server.ServerConfig;
 
@@ -28,34 +35,50 @@
  * <p>Safe for use by several threads.
  */
 public final class Node implements AutoCloseable {
-  private static final int THREADS = 4;
+  private static final long DRAIN_CHECK_MILLIS = 50;
+
+  /** A leaving node stays at least this long, so that its announcement reaches the others. */
+  private static final long MIN_DRAIN_MILLIS = 500;
 
   private final NodeState state;
   private final EventLog log;
+  private final BundleIntake intake;
   private final RequestRunner runner;
-  private final PlatformWatcher watcher;
+  private final NodeOptions options;
+  private final ControlPlane control;
   private final RatpackServer callerServer;
   private final PeerServer peerServer;
   private final PeerClient peerClient;
+  private final ActiveExchanges activeExchanges = new ActiveExchanges();
+  private final CompletableFuture<Void> drained = new CompletableFuture<>();
+  private final AtomicBoolean draining = new AtomicBoolean();
+  private final AtomicBoolean closed = new AtomicBoolean();
 
-  private Node(NodeSettings settings, MonotonicClock clock) throws Exception {
+  private Node(NodeSettings settings, MonotonicClock clock, NodeOptions options) throws Exception {
+    this.options = options;
     this.state =
         new NodeState(settings, Incarnation.draw(settings.node(), new SecureRandom()), clock);
     this.log = new EventLog(settings.node());
     SchedulerLoop scheduler = new SchedulerLoop(new Scheduler(), log);
-    BundleIntake intake = new BundleIntake(state, scheduler, log);
+    this.intake = new BundleIntake(state, scheduler, log);
     this.runner = new RequestRunner(state, scheduler, log);
-    this.peerClient = new PeerClient(state);
-    this.peerServer = new PeerServer(state, chain -> {});
+    this.peerClient = new PeerClient(state, options.peerFault());
     this.callerServer = startCallerServer(settings.callers());
-    this.watcher =
-        new PlatformWatcher(
+    PeerEndpoints endpoints = new PeerEndpoints();
+    this.peerServer =
+        new PeerServer(
+            state, options.peerThreads(), chain -> chain.all(activeExchanges).all(endpoints));
+    this.control =
+        new ControlPlane(
             state,
-            callerServer.getRegistry().orElseThrow().get(ratpack.exec.ExecController.class),
-            log,
-            signed -> intake.offer("config-service", signed),
-            directory ->
-                scheduler.feed(new SchedulerEvent.DirectoryChanged(directory, clock.nowNanos())));
+            new ControlPlane.Addresses(callerAddress(), peerAddress()),
+            exec(),
+            peerClient,
+            intake,
+            scheduler,
+            log);
+    endpoints.open(
+        callerServer.getRegistry().orElseThrow().get(ServerConfig.class), control::addEndpoints);
   }
 
   /**
@@ -67,8 +90,22 @@
    * @throws Exception if a listener cannot be opened
    */
   public static Node start(NodeSettings settings, MonotonicClock clock) throws Exception {
-    Node node = new Node(settings, clock);
-    node.watcher.start();
+    return start(settings, clock, NodeOptions.defaults());
+  }
+
+  /**
+   * Starts a node that shares its process with others.
+   *
+   * @param settings the settings; port 0 takes any free port
+   * @param clock the clock of the node
+   * @param options how the node is embedded
+   * @return the running node
+   * @throws Exception if a listener cannot be opened
+   */
+  public static Node start(NodeSettings settings, MonotonicClock clock, NodeOptions options)
+      throws Exception {
+    Node node = new Node(settings, clock, options);
+    node.control.start();
     node.log.write(LogEvent.NODE_STARTED, "callers=" + node.callerAddress());
     return node;
   }
@@ -91,9 +128,63 @@
     return peerServer.address();
   }
 
+  /**
+   * Starts the graceful shutdown: no new work is taken, answers in progress are completed.
+   *
+   * @return completed when the last answer is complete or the time for the shutdown is over; the
+   *     node must then be closed
+   */
+  public CompletionStage<Void> drain() {
+    if (draining.compareAndSet(false, true)) {
+      control.startLeaving();
+      checkDrained(state.clock().nowNanos());
+    }
+    return drained.minimalCompletionStage();
+  }
+
+  /**
+   * Returns the state of the node.
+   *
+   * @return the state that the parts of the node share
+   */
+  public NodeState state() {
+    return state;
+  }
+
+  /**
+   * Returns the control plane of the node.
+   *
+   * @return membership, bundle distribution and leaving
+   */
+  public ControlPlane control() {
+    return control;
+  }
+
+  /**
+   * Offers a bundle in place of an operator.
+   *
+   * @param signed the bundle
+   * @return what became of it
+   */
+  public BundleIntake.Result offerBundle(SignedBundle signed) {
+    return intake.offer("operator", signed);
+  }
+
+  /**
+   * Completes when a graceful shutdown has ended.
+   *
+   * @return a stage that never completes while the node is not told to leave
+   */
+  public CompletionStage<Void> whenDrained() {
+    return drained.minimalCompletionStage();
+  }
+
   @Override
   public void close() throws Exception {
-    watcher.close();
+    if (!closed.compareAndSet(false, true)) {
+      return;
+    }
+    control.close();
     callerServer.stop();
     peerServer.close();
     peerClient.close();
@@ -101,6 +192,23 @@
     log.write(LogEvent.NODE_STOPPED, "");
   }
 
+  private void checkDrained(long startedAtNanos) {
+    long elapsedMillis = TimeUnit.NANOSECONDS.toMillis(state.clock().nowNanos() - startedAtNanos);
+    boolean idle = activeExchanges.count() == 0 && elapsedMillis >= MIN_DRAIN_MILLIS;
+    if (idle || elapsedMillis >= state.settings().limits().drainTimeoutMillis()) {
+      drained.complete(null);
+    } else if (!closed.get()) {
+      exec()
+          .getExecutor()
+          .schedule(() -> checkDrained(startedAtNanos), DRAIN_CHECK_MILLIS, TimeUnit.MILLISECONDS)
+          .isDone();
+    }
+  }
+
+  private ExecController exec() {
+    return callerServer.getRegistry().orElseThrow().get(ExecController.class);
+  }
+
   private RatpackServer startCallerServer(HostAndPort address) throws Exception {
     ServerConfig config =
         ServerConfig.builder()
@@ -108,7 +216,7 @@
             .port(address.getPort())
             .development(false)
             .registerShutdownHook(false)
-            .threads(THREADS)
+            .threads(options.callerThreads())
             .maxContentLength(state.settings().limits().maxBodyBytes())
             .build();
     return RatpackServer.start(
@@ -117,6 +225,7 @@
                 .handlers(
                     chain ->
                         chain
+                            .all(activeExchanges)
                             .get("v1/addresses", new AddressesHandler(state))
                             .post("v1/requests/:kind", new RequestHandler(state, runner))));
   }
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/BundleIntake.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/BundleIntake.java
@@ -1,19 +1,72 @@
 package org.cranberrystand.daemon.internal;
 
+import com.google.common.collect.EvictingQueue;
+import com.google.common.collect.ImmutableList;
+import java.util.Collections;
+import java.util.Optional;
+import java.util.Queue;
+import java.util.concurrent.atomic.AtomicReference;
 import org.cranberrystand.bundle.Bundle;
 import org.cranberrystand.bundle.BundleRegister;
 import org.cranberrystand.event.LogEvent;
 import org.cranberrystand.schedule.SchedulerEvent;
 import org.cranberrystand.util.Checked;
+import org.cranberrystand.wire.Json;
 import org.cranberrystand.wire.bundle.BundleSignatures;
 import org.cranberrystand.wire.bundle.SignedBundle;
 
-/** Verifies bundles and puts them in force. Safe for use by several threads. */
+/**
+ * Verifies bundles, puts them in force and keeps the signed form for other nodes.
+ *
+ * <p>Safe for use by several threads.
+ */
 public final class BundleIntake {
+
+  /** What became of an offered bundle. */
+  public enum Result {
+    /** It is in force now. */
+    ACCEPTED,
+    /** It was in force already. */
+    ALREADY_IN_FORCE,
+    /** A newer version is in force. */
+    OLDER,
+    /** Another content is in force under its version. */
+    CONFLICT,
+    /** It is not signed by a trusted key, or malformed. */
+    INVALID;
+
+    private static Result of(BundleRegister.Acceptance acceptance) {
+      return switch (acceptance) {
+        case ACCEPTED -> ACCEPTED;
+        case ALREADY_IN_FORCE -> ALREADY_IN_FORCE;
+        case OLDER -> OLDER;
+        case CONFLICT -> CONFLICT;
+      };
+    }
+  }
+
+  /**
+   * Two contents of one version.
+   *
+   * @param version the version
+   * @param digestInForce the content that this node keeps
+   * @param otherDigest the other content
+   * @param source where the other content came from
+   */
+  public record Conflict(long version, String digestInForce, String otherDigest, String source) {}
+
+  private record Held(Bundle bundle, RequestBody json) {}
+
+  private static final int MAX_CONFLICTS = 32;
+
   private final NodeState state;
   private final SchedulerLoop scheduler;
   private final EventLog log;
   private final BundleSignatures signatures;
+  private final AtomicReference<Held> held = new AtomicReference<>();
+  private final Queue<Conflict> conflicts =
+      com.google.common.collect.Queues.synchronizedQueue(EvictingQueue.create(MAX_CONFLICTS));
+  private volatile Runnable onAccepted = () -> {};
 
   /**
    * Creates an intake.
@@ -29,29 +82,114 @@
     this.signatures = new BundleSignatures(state.settings().trustedKeys());
   }
 
+  /**
+   * Sets what to do when a bundle came into force.
+   *
+   * @param action called after the scheduler was told
+   */
+  void onAccepted(Runnable action) {
+    this.onAccepted = action;
+  }
+
   /**
    * Offers a bundle from an untrusted source.
    *
    * @param source where it came from
    * @param signed the bundle
+   * @return what became of it
    */
-  public void offer(String source, SignedBundle signed) {
+  public Result offer(String source, SignedBundle signed) {
     Checked<Bundle> checked = signatures.verify(source, signed);
     if (checked instanceof Checked.Valid<Bundle> valid) {
-      accept(source, valid.value());
-    } else {
-      log.write(LogEvent.BUNDLE_REFUSED, checked.findingsOrEmpty().toString());
+      return accept(source, valid.value(), signed);
     }
+    log.write(LogEvent.BUNDLE_REFUSED, checked.findingsOrEmpty().toString());
+    return Result.INVALID;
   }
 
-  private void accept(String source, Bundle bundle) {
-    String detail = "version=" + bundle.version() + " digest=" + bundle.digest();
+  /**
+   * Offers a bundle published by the configuration service.
+   *
+   * @param signed the bundle
+   * @return its version, or 0 when it is not valid
+   */
+  long offerPublished(SignedBundle signed) {
+    Checked<Bundle> checked = signatures.verify("config-service", signed);
+    if (checked instanceof Checked.Valid<Bundle> valid) {
+      accept("config-service", valid.value(), signed);
+      return valid.value().version();
+    }
+    log.write(LogEvent.BUNDLE_REFUSED, checked.findingsOrEmpty().toString());
+    return 0;
+  }
+
+  /**
+   * Returns the signed form of the bundle in force.
+   *
+   * @param digest the digest asked for
+   * @return JSON, or empty when another bundle is in force
+   */
+  public Optional<byte[]> signedForm(String digest) {
+    Held current = held.get();
+    return current != null && current.bundle().digest().equals(digest)
+        ? Optional.of(current.json().bytes())
+        : Optional.empty();
+  }
+
+  /**
+   * Returns the conflicts seen lately.
+   *
+   * @return the latest conflicts, the oldest first
+   */
+  public ImmutableList<Conflict> conflicts() {
+    synchronized (conflicts) {
+      return ImmutableList.copyOf(Collections.unmodifiableCollection(conflicts));
+    }
+  }
+
+  /**
+   * Reports that another content exists under the version in force.
+   *
+   * @param source where it was seen
+   * @param version the version
+   * @param otherDigest the digest of the other content
+   */
+  void reportConflict(String source, long version, String otherDigest) {
+    String own = state.bundles().current().map(Bundle::digest).orElse("");
+    Conflict conflict = new Conflict(version, own, otherDigest, source);
+    synchronized (conflicts) {
+      if (conflicts.contains(conflict)) {
+        return;
+      }
+      conflicts.add(conflict);
+    }
+    log.write(
+        LogEvent.BUNDLE_CONFLICT,
+        "version=" + version + " digest=" + otherDigest + " inForce=" + own + " source=" + source);
+  }
+
+  private Result accept(String source, Bundle bundle, SignedBundle signed) {
     BundleRegister.Acceptance acceptance = state.bundles().offer(bundle);
     if (acceptance == BundleRegister.Acceptance.ACCEPTED) {
-      log.write(LogEvent.BUNDLE_IN_FORCE, detail + " source=" + source);
+      hold(new Held(bundle, new RequestBody(Json.toBytes(signed))));
+      log.write(
+          LogEvent.BUNDLE_IN_FORCE,
+          "version=" + bundle.version() + " digest=" + bundle.digest() + " source=" + source);
       scheduler.feed(new SchedulerEvent.BundleChanged(bundle, state.clock().nowNanos()));
+      onAccepted.run();
     } else if (acceptance == BundleRegister.Acceptance.CONFLICT) {
-      log.write(LogEvent.BUNDLE_CONFLICT, detail + " source=" + source);
+      reportConflict(source, bundle.version(), bundle.digest());
     }
+    return Result.of(acceptance);
+  }
+
+  /** Two threads may accept bundles at once; the higher version stays. */
+  private void hold(Held candidate) {
+    held.accumulateAndGet(
+        candidate,
+        (current, next) ->
+            current == null || next.bundle().version() > current.bundle().version()
+                ? next
+                : current);
   }
 }
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/LeaveSignals.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/LeaveSignals.java
@@ -27,8 +27,7 @@
   private UpstreamDirectory listed = UpstreamDirectory.empty();
   private volatile ImmutableList<DrainTracker.Report> reports = ImmutableList.of();
 
-  LeaveSignals(
-      MonotonicClock clock, EventLog log, AtomicReference<UpstreamDirectory> published) {
+  LeaveSignals(MonotonicClock clock, EventLog log, AtomicReference<UpstreamDirectory> published) {
     this.tracker = new DrainTracker(clock);
     this.published = published;
     this.serial = new SerialExecutor(t -> log.write(LogEvent.TASK_FAILED, "task=leaving", t));
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/NodeState.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/NodeState.java
@@ -8,6 +8,8 @@
 import org.cranberrystand.identity.Incarnation;
 import org.cranberrystand.identity.RequestIdCodec;
 import org.cranberrystand.identity.RequestLedger;
+import org.cranberrystand.membership.LoadSummary;
+import org.cranberrystand.membership.MemberRecord;
 import org.cranberrystand.membership.MembershipView;
 import org.cranberrystand.upstream.UpstreamDirectory;
 import org.cranberrystand.util.MonotonicClock;
@@ -38,6 +40,9 @@
       new AtomicReference<>(ImmutableList.of());
   private final AtomicReference<MembershipView> membership =
       new AtomicReference<>(MembershipView.empty());
+  private final AtomicReference<ImmutableList<LoadSummary>> memberLoads =
+      new AtomicReference<>(ImmutableList.of());
+  private final AtomicReference<MemberRecord> self = new AtomicReference<>();
   private final AtomicBoolean leaving = new AtomicBoolean();
   private final Readiness readiness;
   private final LeaveSignals leaveSignals;
@@ -108,6 +113,14 @@
     return membership;
   }
 
+  public AtomicReference<ImmutableList<LoadSummary>> memberLoads() {
+    return memberLoads;
+  }
+
+  public AtomicReference<MemberRecord> self() {
+    return self;
+  }
+
   public AtomicBoolean leaving() {
     return leaving;
   }
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/PeerDigest.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/PeerDigest.java
@@ -55,6 +55,12 @@
     suspects = suspects == null ? List.of() : suspects;
   }
 
+  /** Returns a copy with the hash 0, which no receiver has, so that it answers with all records. */
+  PeerDigest askingForAll() {
+    return new PeerDigest(
+        from, members, 0, loads, bundleVersion, bundleDigest, leaving, quarantined, suspects);
+  }
+
   /** A name with an age or a remaining time. */
   @JsonFormat(shape = JsonFormat.Shape.ARRAY)
   @JsonPropertyOrder({"name", "millis"})
@@ -106,7 +112,14 @@
   /** The load of a node; backlogs are in the order of the tiers. */
   @JsonFormat(shape = JsonFormat.Shape.ARRAY)
   @JsonPropertyOrder({
-    "node", "sequence", "version", "digest", "percent", "backlog", "room", "teams"
+    "node",
+    "sequence",
+    "version",
+    "digest",
+    "percent",
+    "backlog",
+    "room",
+    "teams"
   })
   record Load(
       String node,
--- a/org.cranberrystand/src/main/java/org/cranberrystand/event/LogEvent.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/event/LogEvent.java
@@ -12,6 +12,8 @@
   TASK_FAILED(1004, Severity.ERROR, "background task failed"),
   /** Settings have defects. */
   SETTINGS_INVALID(1005, Severity.ERROR, "settings are invalid"),
+  /** The process was paused; the view is refreshed before requests are dispatched. */
+  NODE_PAUSED(1006, Severity.WARNING, "node was paused"),
   /** A bundle came into force. */
   BUNDLE_IN_FORCE(2001, Severity.INFO, "bundle in force"),
   /** A bundle was refused. */
