Add the rollout benchmark and faults between embedded nodes

bench rollout starts 8 to 64 nodes in one process and measures the time until a bundle is in force everywhere, with the service down, lost messages and a failure domain cut off, and the cost of control per node.

--- a/org.cranberrystand.bench/src/main/java/org/cranberrystand/bench/Main.java
+++ b/org.cranberrystand.bench/src/main/java/org/cranberrystand/bench/Main.java
@@ -1,5 +1,6 @@
 package org.cranberrystand.bench;
 
+import org.cranberrystand.bench.rollout.RolloutCommand;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
@@ -10,7 +11,8 @@
 @Command(
     name = "bench",
     mixinStandardHelpOptions = true,
-    description = "Runs benchmarks and writes their measures.")
+    description = "Runs benchmarks and writes their measures.",
+    subcommands = {RolloutCommand.class})
 public final class Main implements Runnable {
   @Spec private CommandSpec spec;
 
--- a/org.cranberrystand.bench/src/main/java/org/cranberrystand/bench/fleet/EmbeddedFleet.java
+++ b/org.cranberrystand.bench/src/main/java/org/cranberrystand/bench/fleet/EmbeddedFleet.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.cranberrystand.daemon.Node;
+import org.cranberrystand.daemon.NodeOptions;
 import org.cranberrystand.fake.EngineSpeed;
 import org.cranberrystand.fake.FakeModelEngine;
 import org.cranberrystand.fake.FakeOrderService;
@@ -14,6 +15,7 @@
 import org.cranberrystand.util.MonotonicClock;
 import org.cranberrystand.wire.Json;
 import org.cranberrystand.wire.bundle.BundleSignatures;
+import org.cranberrystand.wire.bundle.SignedBundle;
 import org.cranberrystand.wire.platform.VmEntry;
 import org.cranberrystand.wire.settings.NodeSettings;
 
@@ -28,7 +30,13 @@
   private static final String FLEET_KEY = "embedded-fleet-key-0001";
   private static final String KEY_ID = "embedded";
 
-  private final FakePlatform platform;
+  private static final long FAULT_SEED = 11;
+  private static final int DEFAULT_DOMAINS = 3;
+
+  private final ImmutableList<FakePlatform> platforms;
+  private final FleetFaults faults = new FleetFaults(FAULT_SEED);
+  private final int domains;
+  private int startedNodes;
   private final KeyPair operatorKeys = BundleSignatures.generateKeyPair();
   private final List<Node> nodes = new ArrayList<>();
   private final List<FakeModelEngine> engines = new ArrayList<>();
@@ -40,11 +48,36 @@
    * @throws Exception if the platform cannot be started
    */
   public EmbeddedFleet() throws Exception {
-    this.platform = new FakePlatform();
+    this(DEFAULT_DOMAINS, false);
+  }
+
+  /**
+   * Creates a fleet that consists of the platform only.
+   *
+   * @param domains the number of failure domains
+   * @param platformPerDomain whether each failure domain has an access of its own to the platform,
+   *     so that it can be cut off
+   * @throws Exception if the platform cannot be started
+   */
+  public EmbeddedFleet(int domains, boolean platformPerDomain) throws Exception {
+    this.domains = domains;
+    ImmutableList.Builder<FakePlatform> builder = ImmutableList.builder();
+    for (int i = 0; i < (platformPerDomain ? domains : 1); i++) {
+      builder.add(new FakePlatform());
+    }
+    this.platforms = builder.build();
   }
 
   public FakePlatform platform() {
-    return platform;
+    return platforms.get(0);
+  }
+
+  public ImmutableList<FakePlatform> platforms() {
+    return platforms;
+  }
+
+  public FleetFaults faults() {
+    return faults;
   }
 
   public ImmutableList<Node> nodes() {
@@ -65,8 +98,26 @@
    * @param text the TOML text
    */
   public void publish(String text) {
-    platform.publish(
-        "bundle/head", Json.toText(BundleSignatures.sign(text, KEY_ID, operatorKeys.getPrivate())));
+    publish(sign(text));
+  }
+
+  /**
+   * Publishes a bundle as it is.
+   *
+   * @param signed the bundle
+   */
+  public void publish(SignedBundle signed) {
+    platforms.forEach(platform -> platform.publish("bundle/head", Json.toText(signed)));
+  }
+
+  /**
+   * Signs a bundle with the operators' key.
+   *
+   * @param text the TOML text
+   * @return the signed bundle
+   */
+  public SignedBundle sign(String text) {
+    return BundleSignatures.sign(text, KEY_ID, operatorKeys.getPrivate());
   }
 
   /**
@@ -80,7 +131,7 @@
   public FakeModelEngine addEngine(String pool, EngineSpeed speed) throws Exception {
     FakeModelEngine engine = new FakeModelEngine(pool + "-" + engines.size(), speed);
     engines.add(engine);
-    platform.addVm(
+    list(
         VmEntry.upstream(engine.name(), pool, engine.address().toString(), domain(engines.size())));
     return engine;
   }
@@ -95,7 +146,7 @@
   public FakeOrderService addService(String pool) throws Exception {
     FakeOrderService service = new FakeOrderService(pool + "-" + services.size());
     services.add(service);
-    platform.addVm(
+    list(
         VmEntry.upstream(
             service.name(), pool, service.address().toString(), domain(services.size())));
     return service;
@@ -108,8 +159,21 @@
    * @throws Exception if it cannot be started
    */
   public Node addNode() throws Exception {
-    String name = "node-" + nodes.size();
-    String domain = domain(nodes.size());
+    return addNode(MonotonicClock.system());
+  }
+
+  /**
+   * Starts a node with a clock of its own and lists it.
+   *
+   * @param clock the clock of the node
+   * @return the node
+   * @throws Exception if it cannot be started
+   */
+  public Node addNode(MonotonicClock clock) throws Exception {
+    int index = startedNodes++;
+    String name = "node-" + index;
+    String domain = domain(index);
+    FakePlatform platform = platforms.get(index % domains % platforms.size());
     NodeSettings settings =
         new NodeSettings(
             name,
@@ -124,9 +188,10 @@
             platform.address(),
             ImmutableList.of(),
             NodeSettings.Limits.defaults());
-    Node node = Node.start(settings, MonotonicClock.system());
+    Node node = Node.start(settings, clock, NodeOptions.embedded(faults));
     nodes.add(node);
-    platform.addVm(
+    faults.register(node.peerAddress().toString(), name);
+    list(
         new VmEntry(
             name,
             VmEntry.ROLE_ENTRY,
@@ -138,6 +203,17 @@
     return node;
   }
 
+  /**
+   * Ends a node without a drain, as a crash does; it stays listed.
+   *
+   * @param node the node
+   * @throws Exception if it cannot be ended
+   */
+  public void kill(Node node) throws Exception {
+    nodes.remove(node);
+    node.close();
+  }
+
   @Override
   public void close() throws Exception {
     for (Node node : nodes) {
@@ -149,10 +225,16 @@
     for (FakeOrderService service : services) {
       service.close();
     }
-    platform.close();
+    for (FakePlatform platform : platforms) {
+      platform.close();
+    }
+  }
+
+  private void list(VmEntry entry) {
+    platforms.forEach(platform -> platform.addVm(entry));
   }
 
-  private static String domain(int index) {
-    return "domain-" + (char) ('a' + index % 3);
+  private String domain(int index) {
+    return "domain-" + (char) ('a' + index % domains);
   }
 }
--- /dev/null
+++ b/org.cranberrystand.bench/src/main/java/org/cranberrystand/bench/rollout/RolloutCommand.java
@@ -0,0 +1,66 @@
+package org.cranberrystand.bench.rollout;
+
+import java.io.PrintWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.Callable;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+import org.cranberrystand.wire.Json;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Spec;
+
+/** Measures how long a bundle takes to come into force everywhere, and what that costs. */
+@Command(
+    name = "rollout",
+    mixinStandardHelpOptions = true,
+    description = "Measures bundle distribution and the cost of control per node.")
+public final class RolloutCommand implements Callable<Integer> {
+  @Spec private CommandSpec spec;
+
+  @Option(names = "--out", paramLabel = "FILE", description = "Where to write the measures.")
+  private Path out;
+
+  @Option(
+      names = "--sizes",
+      split = ",",
+      defaultValue = "8,16,32,64",
+      description = "Fleet sizes for which the cost is measured (default: ${DEFAULT-VALUE}).")
+  private List<Integer> sizes;
+
+  @Option(
+      names = "--rollout-sizes",
+      split = ",",
+      defaultValue = "8,64",
+      description = "Fleet sizes for which rollouts are timed (default: ${DEFAULT-VALUE}).")
+  private List<Integer> rolloutSizes;
+
+  @Option(
+      names = "--rollouts",
+      defaultValue = "10",
+      description = "Rollouts per scenario (default: ${DEFAULT-VALUE}).")
+  private int rollouts;
+
+  private record Report(List<Measure> measures) {}
+
+  @Override
+  public Integer call() throws Exception {
+    // Every rollout writes one event per node; printing them would be part of the measure.
+    Logger.getLogger("").setLevel(Level.SEVERE);
+    PrintWriter printer = spec.commandLine().getOut();
+    List<Measure> measures = new RolloutBench(printer, rollouts).run(sizes, rolloutSizes);
+    printer.printf("%-32s %12s %12s %s%n", "measure", "value", "bound", "result");
+    for (Measure m : measures) {
+      printer.printf(
+          "%-32s %12.4f %12.3f %s%n", m.name(), m.value(), m.bound(), m.pass() ? "ok" : "FAILED");
+    }
+    printer.flush();
+    if (out != null) {
+      Files.write(out, Json.toBytes(new Report(measures)));
+    }
+    return measures.stream().allMatch(Measure::pass) ? 0 : 1;
+  }
+}
--- /dev/null
+++ b/org.cranberrystand.bench/src/main/java/org/cranberrystand/bench/rollout/package-info.java
@@ -0,0 +1,2 @@
+/** Benchmark of membership and bundle distribution over real sockets. */
+package org.cranberrystand.bench.rollout;
--- a/org.cranberrystand.fake/src/main/java/org/cranberrystand/fake/FakePlatform.java
+++ b/org.cranberrystand.fake/src/main/java/org/cranberrystand/fake/FakePlatform.java
@@ -34,7 +34,10 @@
   private final List<VmEntry> vms = new CopyOnWriteArrayList<>();
   private final AtomicLong nextRevision = new AtomicLong();
   private final AtomicLong calls = new AtomicLong();
+  private final AtomicLong configCalls = new AtomicLong();
+  private final Map<String, Value> olderValues = new ConcurrentHashMap<>();
   private volatile boolean down;
+  private volatile boolean alternating;
 
   /**
    * Starts the services on one address.
@@ -63,7 +66,10 @@
    * @param text the new text
    */
   public void publish(String key, String text) {
-    values.put(key, new Value(nextRevision.incrementAndGet(), text));
+    Value previous = values.put(key, new Value(nextRevision.incrementAndGet(), text));
+    if (previous != null) {
+      olderValues.put(key, previous);
+    }
     List<Runnable> waiting = watchers.remove(key);
     if (waiting != null) {
       waiting.forEach(Runnable::run);
@@ -89,6 +95,46 @@
     vms.add(entry);
   }
 
+  /**
+   * Changes the state of a listed VM.
+   *
+   * @param name the name of the VM
+   * @param state the new state
+   */
+  public void setVmState(String name, String state) {
+    vms.replaceAll(
+        vm ->
+            vm.name().equals(name)
+                ? new VmEntry(
+                    vm.name(),
+                    vm.role(),
+                    vm.pool(),
+                    vm.address(),
+                    vm.peerAddress(),
+                    vm.failureDomain(),
+                    state)
+                : vm);
+  }
+
+  /**
+   * Removes a VM from the list.
+   *
+   * @param name the name of the VM
+   */
+  public void removeVm(String name) {
+    vms.removeIf(vm -> vm.name().equals(name));
+  }
+
+  /**
+   * Makes every second answer carry the value before the last change, as a service does whose
+   * replicas lag.
+   *
+   * @param value true to alternate
+   */
+  public void setAlternating(boolean value) {
+    this.alternating = value;
+  }
+
   /**
    * Makes every call fail.
    *
@@ -107,6 +153,15 @@
     return calls.get();
   }
 
+  /**
+   * Returns how many calls asked for values.
+   *
+   * @return reads and watches of values, without those of the VM list
+   */
+  public long configCallCount() {
+    return configCalls.get();
+  }
+
   @Override
   public void close() throws Exception {
     server.close();
@@ -126,11 +181,17 @@
   }
 
   private void read(Context ctx) {
-    sendValue(ctx, values.get(keyOf(ctx, "v1/values/")));
+    configCalls.incrementAndGet();
+    sendValue(ctx, valueOf(keyOf(ctx, "v1/values/")));
   }
 
   private void watch(Context ctx) {
+    long call = configCalls.incrementAndGet();
     String key = keyOf(ctx, "v1/watch/");
+    if (alternating && call % 2 == 0 && olderValues.containsKey(key)) {
+      sendValue(ctx, olderValues.get(key));
+      return;
+    }
     var query = ctx.getRequest().getQueryParams();
     long after = Long.parseLong(query.getOrDefault("after", "0"));
     long timeoutMillis =
@@ -140,12 +201,16 @@
       sendValue(ctx, value);
       return;
     }
-    Promise.<Boolean>async(downstream -> awaitChange(ctx, key, timeoutMillis, downstream))
+    Promise.<Boolean>async(downstream -> awaitChange(ctx, key, after, timeoutMillis, downstream))
         .then(changed -> answerWatch(ctx, key, after));
   }
 
   private void awaitChange(
-      Context ctx, String key, long timeoutMillis, Downstream<? super Boolean> downstream) {
+      Context ctx,
+      String key,
+      long after,
+      long timeoutMillis,
+      Downstream<? super Boolean> downstream) {
     AtomicBoolean signalled = new AtomicBoolean();
     Runnable signal =
         () -> {
@@ -153,7 +218,14 @@
             downstream.success(true);
           }
         };
-    watchers.computeIfAbsent(key, k -> new CopyOnWriteArrayList<>()).add(signal);
+    List<Runnable> waiting = watchers.computeIfAbsent(key, k -> new CopyOnWriteArrayList<>());
+    waiting.add(signal);
+    ctx.onClose(outcome -> waiting.remove(signal));
+    Value value = values.get(key);
+    if (value != null && value.revision() > after) {
+      // A value that was published before the signal was added would otherwise be missed.
+      signal.run();
+    }
     ScheduledFuture<?> timer =
         ctx.getExecution()
             .getController()
@@ -171,6 +243,11 @@
     }
   }
 
+  private Value valueOf(String key) {
+    Value older = olderValues.get(key);
+    return alternating && older != null && configCalls.get() % 2 == 0 ? older : values.get(key);
+  }
+
   private static String keyOf(Context ctx, String prefix) {
     return ctx.getRequest().getPath().substring(prefix.length());
   }
