Fetch the parts of a bundle by digest

Bundles may list parts since they were split by team. A node that learns of a bundle checks the signature first, fetches the parts that it does not hold from the same source, and offers the bundle when it is complete. Parts that stay in use are not fetched again.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/BundleDistribution.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/BundleDistribution.java
@@ -3,11 +3,13 @@
 import com.google.common.collect.EvictingQueue;
 import com.google.common.collect.ImmutableList;
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Function;
 import org.cranberrystand.bundle.Bundle;
 import org.cranberrystand.event.LogEvent;
 import org.cranberrystand.membership.MemberRecord;
@@ -31,6 +33,7 @@
   /** Two watchers per failure domain, so that losing one of them delays nothing. */
   static final int WATCHERS_PER_DOMAIN = 2;
 
+  private static final String PART_PATH = "peer/v1/bundle/part/";
   private static final String WATCH_KEY = "bundle-watch";
   private static final long DISTRUST_NANOS = 60_000_000_000L;
   private static final int MAX_SOURCES = 8;
@@ -100,8 +103,51 @@
    */
   Promise<BundleIntake.Result> fetch(String address, String digest) {
     return client
-        .call(address, "GET", "peer/v1/bundle/part/" + digest, new byte[0])
-        .map(response -> accept(address, digest, response));
+        .call(address, "GET", PART_PATH + digest, new byte[0])
+        .flatMap(response -> accept(address, digest, response));
+  }
+
+  /**
+   * Offers a bundle after fetching those of its parts that are not held.
+   *
+   * @param source where the bundle came from
+   * @param signed the bundle
+   * @param partByDigest fetches a part
+   * @return what became of the bundle; an error when a part cannot be fetched
+   */
+  Promise<BundleIntake.Result> obtain(
+      String source, SignedBundle signed, Function<String, Promise<String>> partByDigest) {
+    if (!intake.isTrusted(signed)) {
+      return Promise.value(intake.offer(source, signed));
+    }
+    return fetchParts(intake.missingParts(signed), 0, partByDigest)
+        .map(complete -> complete ? intake.offer(source, signed) : BundleIntake.Result.INVALID);
+  }
+
+  /** Fetches a part from a peer. */
+  Promise<String> fetchPart(String address, String digest) {
+    return client
+        .call(address, "GET", PART_PATH + digest, new byte[0])
+        .map(
+            response -> {
+              requireOk(address, response);
+              return response.getBody().getText(StandardCharsets.UTF_8);
+            });
+  }
+
+  private Promise<Boolean> fetchParts(
+      List<String> digests, int index, Function<String, Promise<String>> partByDigest) {
+    if (index == digests.size()) {
+      return Promise.value(true);
+    }
+    String digest = digests.get(index);
+    return partByDigest
+        .apply(digest)
+        .flatMap(
+            text ->
+                intake.addPart(digest, text)
+                    ? fetchParts(digests, index + 1, partByDigest)
+                    : Promise.value(false));
   }
 
   /** Returns whether content from a peer was refused lately. */
@@ -155,31 +201,38 @@
     return true;
   }
 
-  private BundleIntake.Result accept(String address, String digest, ReceivedResponse response)
-      throws IOException {
-    if (response.getStatusCode() != 200) {
-      throw new IOException("status " + response.getStatusCode() + " from " + address);
-    }
-    BundleIntake.Result result = offer(address, digest, response.getBody().getBytes());
-    if (result == BundleIntake.Result.INVALID) {
-      serial.execute(() -> distrust(address));
-    }
-    return result;
+  private Promise<BundleIntake.Result> accept(
+      String address, String digest, ReceivedResponse response) throws IOException {
+    requireOk(address, response);
+    return offer(address, digest, response.getBody().getBytes())
+        .map(
+            result -> {
+              if (result == BundleIntake.Result.INVALID) {
+                serial.execute(() -> distrust(address));
+              }
+              return result;
+            });
   }
 
-  private BundleIntake.Result offer(String address, String digest, byte[] body) {
+  private Promise<BundleIntake.Result> offer(String address, String digest, byte[] body) {
     SignedBundle signed;
     try {
       signed = Json.read(body, SignedBundle.class);
     } catch (IOException e) {
       log.write(LogEvent.BUNDLE_REFUSED, "source=" + address + " cause=" + e.getMessage());
-      return BundleIntake.Result.INVALID;
+      return Promise.value(BundleIntake.Result.INVALID);
     }
     if (!BundleParser.digestOf(signed.bundle()).equals(digest)) {
       log.write(LogEvent.BUNDLE_REFUSED, "source=" + address + " cause=wrong digest");
-      return BundleIntake.Result.INVALID;
+      return Promise.value(BundleIntake.Result.INVALID);
+    }
+    return obtain(address, signed, part -> fetchPart(address, part));
+  }
+
+  private static void requireOk(String address, ReceivedResponse response) throws IOException {
+    if (response.getStatusCode() != 200) {
+      throw new IOException("status " + response.getStatusCode() + " from " + address);
     }
-    return intake.offer(address, signed);
   }
 
   private long versionInForce() {
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/BundleIntake.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/BundleIntake.java
@@ -12,6 +12,9 @@
 import org.cranberrystand.schedule.SchedulerEvent;
 import org.cranberrystand.util.Checked;
 import org.cranberrystand.wire.Json;
+import org.cranberrystand.wire.bundle.BundleParser;
+import org.cranberrystand.wire.bundle.BundlePart;
+import org.cranberrystand.wire.bundle.BundlePartCache;
 import org.cranberrystand.wire.bundle.BundleSignatures;
 import org.cranberrystand.wire.bundle.SignedBundle;
 
@@ -33,7 +36,9 @@
     /** Another content is in force under its version. */
     CONFLICT,
     /** It is not signed by a trusted key, or malformed. */
-    INVALID;
+    INVALID,
+    /** It is signed by a trusted key, but parts of it are not held yet. */
+    INCOMPLETE;
 
     private static Result of(BundleRegister.Acceptance acceptance) {
       return switch (acceptance) {
@@ -66,6 +71,7 @@
   private final AtomicReference<Held> held = new AtomicReference<>();
   private final Queue<Conflict> conflicts =
       com.google.common.collect.Queues.synchronizedQueue(EvictingQueue.create(MAX_CONFLICTS));
+  private final BundlePartCache parts = new BundlePartCache();
   private volatile Runnable onAccepted = () -> {};
 
   /**
@@ -92,14 +98,17 @@
   }
 
   /**
-   * Offers a bundle from an untrusted source.
+   * Offers a bundle from an untrusted source; its parts must have been added.
    *
    * @param source where it came from
    * @param signed the bundle
    * @return what became of it
    */
   public Result offer(String source, SignedBundle signed) {
-    Checked<Bundle> checked = signatures.verify(source, signed);
+    if (signatures.isTrusted(signed) && !missingParts(signed).isEmpty()) {
+      return Result.INCOMPLETE;
+    }
+    Checked<Bundle> checked = signatures.verify(source, signed, parts::find);
     if (checked instanceof Checked.Valid<Bundle> valid) {
       return accept(source, valid.value(), signed);
     }
@@ -108,19 +117,46 @@
   }
 
   /**
-   * Offers a bundle published by the configuration service.
+   * Adds a part from an untrusted source.
    *
-   * @param signed the bundle
-   * @return its version, or 0 when it is not valid
+   * @param digest the digest by which it was asked for
+   * @param text what was received
+   * @return false if the text does not have this digest or is malformed
    */
-  long offerPublished(SignedBundle signed) {
-    Checked<Bundle> checked = signatures.verify("config-service", signed);
-    if (checked instanceof Checked.Valid<Bundle> valid) {
-      accept("config-service", valid.value(), signed);
-      return valid.value().version();
+  public boolean addPart(String digest, String text) {
+    Checked<BundlePart> part = parts.add(digest, text);
+    if (part instanceof Checked.Invalid<BundlePart> invalid) {
+      log.write(LogEvent.BUNDLE_REFUSED, invalid.findings().toString());
+      return false;
     }
-    log.write(LogEvent.BUNDLE_REFUSED, checked.findingsOrEmpty().toString());
-    return 0;
+    return true;
+  }
+
+  /**
+   * Returns the text of a part.
+   *
+   * @param digest the digest of the part
+   * @return the text, or empty when the part is not held
+   */
+  public Optional<String> partText(String digest) {
+    return parts.text(digest);
+  }
+
+  /** Returns the digests of the parts of a bundle that are not held. */
+  ImmutableList<String> missingParts(SignedBundle signed) {
+    return parts.missing(BundleParser.partDigests(signed.bundle()));
+  }
+
+  /** Returns the version of a bundle, or 0 when it is not valid or not complete. */
+  long versionOf(SignedBundle signed) {
+    return signatures.verify("bundle", signed, parts::find) instanceof Checked.Valid<Bundle> valid
+        ? valid.value().version()
+        : 0;
+  }
+
+  /** Tells whether a trusted key signed a bundle. */
+  boolean isTrusted(SignedBundle signed) {
+    return signatures.isTrusted(signed);
   }
 
   /**
@@ -171,6 +207,8 @@
   private Result accept(String source, Bundle bundle, SignedBundle signed) {
     BundleRegister.Acceptance acceptance = state.bundles().offer(bundle);
     if (acceptance == BundleRegister.Acceptance.ACCEPTED) {
+      // Parts of a version that is being fetched may be dropped here; they are fetched again.
+      parts.retain(BundleParser.partDigests(signed.bundle()));
       hold(new Held(bundle, new RequestBody(Json.toBytes(signed))));
       log.write(
           LogEvent.BUNDLE_IN_FORCE,
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/ControlPlane.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/ControlPlane.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.net.HostAndPort;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -17,6 +18,7 @@
 import org.cranberrystand.membership.MemberState;
 import org.cranberrystand.schedule.SchedulerEvent;
 import org.cranberrystand.wire.Json;
+import org.cranberrystand.wire.bundle.SignedBundle;
 import ratpack.exec.ExecController;
 import ratpack.exec.Promise;
 import ratpack.exec.util.ParallelBatch;
@@ -87,7 +89,7 @@
             retry,
             log,
             () -> distribution.isWatcher(state.membership().get()),
-            intake::offerPublished);
+            this::published);
     intake.onAccepted(membership::spread);
     state
         .leaveSignals()
@@ -201,6 +203,13 @@
         0);
   }
 
+  /** Offers what the service publishes, with the parts that it lists. */
+  private Promise<Long> published(SignedBundle signed) {
+    return distribution
+        .obtain("config-service", signed, watcher::readPart)
+        .map(result -> intake.versionOf(signed));
+  }
+
   private void tick() {
     boolean paused = state.readiness().pauses().tick();
     if ((paused || !state.readiness().pauses().isCertain())
@@ -323,9 +332,11 @@
 
   private void bundlePart(Context ctx) {
     state.controlCost().request(0);
+    String digest = ctx.getPathTokens().get("digest");
     intake
-        .signedForm(ctx.getPathTokens().get("digest"))
-        .ifPresentOrElse(json -> send(ctx, json), () -> ctx.getResponse().status(404).send());
+        .signedForm(digest)
+        .or(() -> intake.partText(digest).map(t -> t.getBytes(StandardCharsets.UTF_8)))
+        .ifPresentOrElse(content -> send(ctx, content), () -> ctx.getResponse().status(404).send());
   }
 
   private void send(Context ctx, byte[] json) {
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/MembershipService.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/MembershipService.java
@@ -153,8 +153,7 @@
                   refreshOwnLoad();
                   for (MemberRecord peer :
                       order.sample(state.membership().get(), NEWS_FAN_OUT, "")) {
-                    retry.run(
-                        "news", () -> exchange(peer.peerAddress(), peer.node(), false, false));
+                    retry.run("news", () -> pushTo(peer));
                   }
                 });
           });
@@ -248,6 +247,11 @@
         .map(answers -> (int) answers.stream().filter(a -> a).count());
   }
 
+  /** Passes news on; a lost message is made up for by the periodic exchanges. */
+  private Promise<Boolean> pushTo(MemberRecord peer) {
+    return exchange(peer.peerAddress(), peer.node(), false, false).mapError(cause -> false);
+  }
+
   private void probe(MemberRecord target) {
     retry.run(
         "probe",
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/PlatformWatcher.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/PlatformWatcher.java
@@ -4,12 +4,13 @@
 import com.google.common.net.HostAndPort;
 import java.io.IOException;
 import java.net.URI;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Arrays;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BooleanSupplier;
-import java.util.function.ToLongFunction;
+import java.util.function.Function;
 import org.cranberrystand.event.LogEvent;
 import org.cranberrystand.upstream.UpstreamDirectory;
 import org.cranberrystand.upstream.UpstreamRecord;
@@ -39,7 +40,7 @@
   /** At 460 nodes this gives 10 reads/s; a group of nodes that is cut off learns within it. */
   private static final Duration SLOW_POLL = Duration.ofSeconds(45);
 
-  private static final Duration MIN_VM_POLL = Duration.ofMillis(500);
+  private static final Duration MIN_VM_POLL = Duration.ofSeconds(1);
   private static final Duration MAX_VM_POLL = Duration.ofMinutes(2);
 
   /**
@@ -61,7 +62,7 @@
   private final Retry retry;
   private final HttpClient client;
   private final BooleanSupplier watches;
-  private final ToLongFunction<SignedBundle> onBundle;
+  private final Function<SignedBundle, Promise<Long>> onBundle;
   private final AtomicLong revision = new AtomicLong();
   private final AtomicReference<Published> published = new AtomicReference<>(new Published(0, ""));
   private volatile boolean answering;
@@ -82,7 +83,7 @@
       Retry retry,
       EventLog log,
       BooleanSupplier watches,
-      ToLongFunction<SignedBundle> onBundle)
+      Function<SignedBundle, Promise<Long>> onBundle)
       throws Exception {
     this.state = state;
     this.retry = retry;
@@ -133,6 +134,21 @@
     return head("/v1/values/" + HEAD_KEY, READ_TIMEOUT);
   }
 
+  /** Reads a part of a bundle. */
+  Promise<String> readPart(String digest) {
+    HostAndPort service = state.settings().configService();
+    return client
+        .request(
+            URI.create("http://" + service + "/v1/values/bundle/part/" + digest),
+            spec -> spec.readTimeout(READ_TIMEOUT))
+        .map(PlatformWatcher::requireOk)
+        .map(
+            response -> {
+              state.controlCost().platformCall(response.getBody().getBytes().length);
+              return response.getBody().getText(StandardCharsets.UTF_8);
+            });
+  }
+
   private Promise<Duration> watchIfAssigned() {
     if (!watches.getAsBoolean()) {
       return Promise.value(ROLE_CHECK);
@@ -154,21 +170,26 @@
     HostAndPort service = state.settings().configService();
     return client
         .request(URI.create("http://" + service + path), spec -> spec.readTimeout(timeout))
-        .map(this::applyHead)
+        .flatMap(this::applyHead)
         .wiretap(result -> answering = result.isSuccess());
   }
 
-  private boolean applyHead(ReceivedResponse response) throws IOException {
+  private Promise<Boolean> applyHead(ReceivedResponse response) throws IOException {
     byte[] body = response.getBody().getBytes();
     state.controlCost().platformCall(body.length);
     if (response.getStatusCode() == 204 || response.getStatusCode() == 404) {
-      return false;
+      return Promise.value(false);
     }
     requireOk(response);
     SignedBundle signed = Json.read(body, SignedBundle.class);
     revision.set(Long.parseLong(response.getHeaders().get(ApiHeaders.REVISION)));
-    published.set(new Published(onBundle.applyAsLong(signed), digestOf(signed)));
-    return true;
+    return onBundle
+        .apply(signed)
+        .map(
+            version -> {
+              published.set(new Published(version, digestOf(signed)));
+              return true;
+            });
   }
 
   private static String digestOf(SignedBundle signed) {
--- a/org.cranberrystand.fake/src/main/java/org/cranberrystand/fake/FakePlatform.java
+++ b/org.cranberrystand.fake/src/main/java/org/cranberrystand/fake/FakePlatform.java
@@ -236,7 +236,9 @@
 
   private void answerWatch(Context ctx, String key, long after) {
     Value value = values.get(key);
-    if (value != null && value.revision() > after) {
+    if (down) {
+      ctx.getResponse().status(500).send();
+    } else if (value != null && value.revision() > after) {
       sendValue(ctx, value);
     } else {
       ctx.getResponse().status(204).send();
