--- a/org.cranberrystand.bench/src/main/java/org/cranberrystand/bench/Main.java
+++ b/org.cranberrystand.bench/src/main/java/org/cranberrystand/bench/Main.java
@@ -1,6 +1,7 @@
 package org.cranberrystand.bench;
 
 import org.cranberrystand.bench.policy.PolicyCommand;
+import org.cranberrystand.bench.rollout.RolloutCommand;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
@@ -12,7 +13,7 @@
     name = "bench",
     mixinStandardHelpOptions = true,
     description = "Runs benchmarks and writes their measures.",
-    subcommands = {PolicyCommand.class})
+    subcommands = {PolicyCommand.class, RolloutCommand.class})
 public final class Main implements Runnable {
   @Spec private CommandSpec spec;
 
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/BundleIntake.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/BundleIntake.java
@@ -1,19 +1,78 @@
 package org.cranberrystand.daemon.internal;
 
+import com.google.common.collect.EvictingQueue;
+import com.google.common.collect.ImmutableList;
+import java.util.Collections;
+import java.util.Optional;
+import java.util.Queue;
+import java.util.concurrent.atomic.AtomicReference;
 import org.cranberrystand.bundle.Bundle;
 import org.cranberrystand.bundle.BundleRegister;
 import org.cranberrystand.event.LogEvent;
 import org.cranberrystand.schedule.SchedulerEvent;
 import org.cranberrystand.util.Checked;
+import org.cranberrystand.wire.Json;
+import org.cranberrystand.wire.bundle.BundleParser;
+import org.cranberrystand.wire.bundle.BundlePart;
+import org.cranberrystand.wire.bundle.BundlePartCache;
 import org.cranberrystand.wire.bundle.BundleSignatures;
 import org.cranberrystand.wire.bundle.SignedBundle;
 
-/** Verifies bundles and puts them in force. Safe for use by several threads. */
+/**
+ * Verifies bundles, puts them in force and keeps the signed form for other nodes.
+ *
+ * <p>Safe for use by several threads.
+ */
 public final class BundleIntake {
+
+  /** What became of an offered bundle. */
+  public enum Result {
+    /** It is in force now. */
+    ACCEPTED,
+    /** It was in force already. */
+    ALREADY_IN_FORCE,
+    /** A newer version is in force. */
+    OLDER,
+    /** Another content is in force under its version. */
+    CONFLICT,
+    /** It is not signed by a trusted key, or malformed. */
+    INVALID,
+    /** It is signed by a trusted key, but parts of it are not held yet. */
+    INCOMPLETE;
+
+    private static Result of(BundleRegister.Acceptance acceptance) {
+      return switch (acceptance) {
+        case ACCEPTED -> ACCEPTED;
+        case ALREADY_IN_FORCE -> ALREADY_IN_FORCE;
+        case OLDER -> OLDER;
+        case CONFLICT -> CONFLICT;
+      };
+    }
+  }
+
+  /**
+   * Two contents of one version.
+   *
+   * @param version the version
+   * @param digestInForce the content that this node keeps
+   * @param otherDigest the other content
+   * @param source where the other content came from
+   */
+  public record Conflict(long version, String digestInForce, String otherDigest, String source) {}
+
+  private record Held(Bundle bundle, RequestBody json) {}
+
+  private static final int MAX_CONFLICTS = 32;
+
   private final NodeState state;
   private final SchedulerLoop scheduler;
   private final EventLog log;
   private final BundleSignatures signatures;
+  private final AtomicReference<Held> held = new AtomicReference<>();
+  private final Queue<Conflict> conflicts =
+      com.google.common.collect.Queues.synchronizedQueue(EvictingQueue.create(MAX_CONFLICTS));
+  private final BundlePartCache parts = new BundlePartCache();
+  private volatile Runnable onAccepted = () -> {};
 
   /**
    * Creates an intake.
@@ -30,28 +89,145 @@
   }
 
   /**
-   * Offers a bundle from an untrusted source.
+   * Sets what to do when a bundle came into force.
+   *
+   * @param action called after the scheduler was told
+   */
+  void onAccepted(Runnable action) {
+    this.onAccepted = action;
+  }
+
+  /**
+   * Offers a bundle from an untrusted source; its parts must have been added.
    *
    * @param source where it came from
    * @param signed the bundle
+   * @return what became of it
    */
-  public void offer(String source, SignedBundle signed) {
-    Checked<Bundle> checked = signatures.verify(source, signed);
+  public Result offer(String source, SignedBundle signed) {
+    if (signatures.isTrusted(signed) && !missingParts(signed).isEmpty()) {
+      return Result.INCOMPLETE;
+    }
+    Checked<Bundle> checked = signatures.verify(source, signed, parts::find);
     if (checked instanceof Checked.Valid<Bundle> valid) {
-      accept(source, valid.value());
-    } else {
-      log.write(LogEvent.BUNDLE_REFUSED, checked.findingsOrEmpty().toString());
+      return accept(source, valid.value(), signed);
     }
+    log.write(LogEvent.BUNDLE_REFUSED, checked.findingsOrEmpty().toString());
+    return Result.INVALID;
   }
 
-  private void accept(String source, Bundle bundle) {
-    String detail = "version=" + bundle.version() + " digest=" + bundle.digest();
+  /**
+   * Adds a part from an untrusted source.
+   *
+   * @param digest the digest by which it was asked for
+   * @param text what was received
+   * @return false if the text does not have this digest or is malformed
+   */
+  public boolean addPart(String digest, String text) {
+    Checked<BundlePart> part = parts.add(digest, text);
+    if (part instanceof Checked.Invalid<BundlePart> invalid) {
+      log.write(LogEvent.BUNDLE_REFUSED, invalid.findings().toString());
+      return false;
+    }
+    return true;
+  }
+
+  /**
+   * Returns the text of a part.
+   *
+   * @param digest the digest of the part
+   * @return the text, or empty when the part is not held
+   */
+  public Optional<String> partText(String digest) {
+    return parts.text(digest);
+  }
+
+  /** Returns the digests of the parts of a bundle that are not held. */
+  ImmutableList<String> missingParts(SignedBundle signed) {
+    return parts.missing(BundleParser.partDigests(signed.bundle()));
+  }
+
+  /** Returns the version of a bundle, or 0 when it is not valid or not complete. */
+  long versionOf(SignedBundle signed) {
+    return signatures.verify("bundle", signed, parts::find) instanceof Checked.Valid<Bundle> valid
+        ? valid.value().version()
+        : 0;
+  }
+
+  /** Tells whether a trusted key signed a bundle. */
+  boolean isTrusted(SignedBundle signed) {
+    return signatures.isTrusted(signed);
+  }
+
+  /**
+   * Returns the signed form of the bundle in force.
+   *
+   * @param digest the digest asked for
+   * @return JSON, or empty when another bundle is in force
+   */
+  public Optional<byte[]> signedForm(String digest) {
+    Held current = held.get();
+    return current != null && current.bundle().digest().equals(digest)
+        ? Optional.of(current.json().bytes())
+        : Optional.empty();
+  }
+
+  /**
+   * Returns the conflicts seen lately.
+   *
+   * @return the latest conflicts, the oldest first
+   */
+  public ImmutableList<Conflict> conflicts() {
+    synchronized (conflicts) {
+      return ImmutableList.copyOf(Collections.unmodifiableCollection(conflicts));
+    }
+  }
+
+  /**
+   * Reports that another content exists under the version in force.
+   *
+   * @param source where it was seen
+   * @param version the version
+   * @param otherDigest the digest of the other content
+   */
+  void reportConflict(String source, long version, String otherDigest) {
+    String own = state.bundles().current().map(Bundle::digest).orElse("");
+    Conflict conflict = new Conflict(version, own, otherDigest, source);
+    synchronized (conflicts) {
+      if (conflicts.contains(conflict)) {
+        return;
+      }
+      conflicts.add(conflict);
+    }
+    log.write(
+        LogEvent.BUNDLE_CONFLICT,
+        "version=" + version + " digest=" + otherDigest + " inForce=" + own + " source=" + source);
+  }
+
+  private Result accept(String source, Bundle bundle, SignedBundle signed) {
     BundleRegister.Acceptance acceptance = state.bundles().offer(bundle);
     if (acceptance == BundleRegister.Acceptance.ACCEPTED) {
-      log.write(LogEvent.BUNDLE_IN_FORCE, detail + " source=" + source);
+      // Parts of a version that is being fetched may be dropped here; they are fetched again.
+      parts.retain(BundleParser.partDigests(signed.bundle()));
+      hold(new Held(bundle, new RequestBody(Json.toBytes(signed))));
+      log.write(
+          LogEvent.BUNDLE_IN_FORCE,
+          "version=" + bundle.version() + " digest=" + bundle.digest() + " source=" + source);
       scheduler.feed(new SchedulerEvent.BundleChanged(bundle, state.clock().nowNanos()));
+      onAccepted.run();
     } else if (acceptance == BundleRegister.Acceptance.CONFLICT) {
-      log.write(LogEvent.BUNDLE_CONFLICT, detail + " source=" + source);
+      reportConflict(source, bundle.version(), bundle.digest());
     }
+    return Result.of(acceptance);
+  }
+
+  /** Two threads may accept bundles at once; the higher version stays. */
+  private void hold(Held candidate) {
+    held.accumulateAndGet(
+        candidate,
+        (current, next) ->
+            current == null || next.bundle().version() > current.bundle().version()
+                ? next
+                : current);
   }
 }
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/NodeState.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/NodeState.java
@@ -8,6 +8,8 @@
 import org.cranberrystand.identity.Incarnation;
 import org.cranberrystand.identity.RequestIdCodec;
 import org.cranberrystand.identity.RequestLedger;
+import org.cranberrystand.membership.LoadSummary;
+import org.cranberrystand.membership.MemberRecord;
 import org.cranberrystand.membership.MembershipView;
 import org.cranberrystand.upstream.UpstreamDirectory;
 import org.cranberrystand.util.MonotonicClock;
@@ -38,7 +40,13 @@
       new AtomicReference<>(ImmutableList.of());
   private final AtomicReference<MembershipView> membership =
       new AtomicReference<>(MembershipView.empty());
+  private final AtomicReference<ImmutableList<LoadSummary>> memberLoads =
+      new AtomicReference<>(ImmutableList.of());
+  private final AtomicReference<MemberRecord> self = new AtomicReference<>();
   private final AtomicBoolean leaving = new AtomicBoolean();
+  private final Readiness readiness;
+  private final LeaveSignals leaveSignals;
+  private final ControlCost controlCost = new ControlCost();
 
   /**
    * Creates the state of a node that starts.
@@ -56,6 +64,8 @@
             incarnation, clock, settings.limits().identifierLifetimeMillis() * NANOS_PER_MILLI);
     this.ledger = new RequestLedger(issuer, settings.limits().maxAnswerBytes());
     this.fleetKeys = new FleetKeys(settings.fleetKeys());
+    this.readiness = new Readiness(clock, leaving);
+    this.leaveSignals = new LeaveSignals(clock, new EventLog(settings.node()), directory);
     this.idCodec = new RequestIdCodec(fleetKeys.keysFor(FleetKeys.Use.IDENTIFIER));
   }
 
@@ -103,7 +113,27 @@
     return membership;
   }
 
+  public AtomicReference<ImmutableList<LoadSummary>> memberLoads() {
+    return memberLoads;
+  }
+
+  public AtomicReference<MemberRecord> self() {
+    return self;
+  }
+
   public AtomicBoolean leaving() {
     return leaving;
   }
+
+  public Readiness readiness() {
+    return readiness;
+  }
+
+  public LeaveSignals leaveSignals() {
+    return leaveSignals;
+  }
+
+  public ControlCost controlCost() {
+    return controlCost;
+  }
 }
