Add the command-line tool, the load command and the platform of fakes

Cause: operators had no tool, and there was no way to run a fleet of separate processes or to drive a load against it.

--- a/org.cranberrystand.fake/src/main/java/org/cranberrystand/fake/FakeModelEngine.java
+++ b/org.cranberrystand.fake/src/main/java/org/cranberrystand/fake/FakeModelEngine.java
@@ -53,9 +53,21 @@
    * @throws Exception if the server cannot be started
    */
   public FakeModelEngine(String name, EngineSpeed speed) throws Exception {
+    this(name, speed, 0);
+  }
+
+  /**
+   * Starts an engine.
+   *
+   * @param name the name of the VM
+   * @param speed how fast it is
+   * @param port the port on loopback; 0 takes any free port
+   * @throws Exception if the server cannot be started
+   */
+  public FakeModelEngine(String name, EngineSpeed speed, int port) throws Exception {
     this.name = name;
     this.speed = speed;
-    this.server = new FakeServer(handlers());
+    this.server = new FakeServer(port, handlers());
   }
 
   public String name() {
--- a/org.cranberrystand.fake/src/main/java/org/cranberrystand/fake/FakeOrderService.java
+++ b/org.cranberrystand.fake/src/main/java/org/cranberrystand/fake/FakeOrderService.java
@@ -39,9 +39,21 @@
    * @throws Exception if the server cannot be started
    */
   public FakeOrderService(String name) throws Exception {
+    this(name, 0);
+  }
+
+  /**
+   * Starts a service.
+   *
+   * @param name the name of the VM
+   * @param port the port on loopback; 0 takes any free port
+   * @throws Exception if the server cannot be started
+   */
+  public FakeOrderService(String name, int port) throws Exception {
     this.name = name;
     this.server =
         new FakeServer(
+            port,
             chain ->
                 chain
                     .get(
--- a/org.cranberrystand.fake/src/main/java/org/cranberrystand/fake/FakePlatform.java
+++ b/org.cranberrystand.fake/src/main/java/org/cranberrystand/fake/FakePlatform.java
@@ -42,8 +42,19 @@
    * @throws Exception if the server cannot be started
    */
   public FakePlatform() throws Exception {
+    this(0);
+  }
+
+  /**
+   * Starts the services on one address.
+   *
+   * @param port the port on loopback; 0 takes any free port
+   * @throws Exception if the server cannot be started
+   */
+  public FakePlatform(int port) throws Exception {
     this.server =
         new FakeServer(
+            port,
             chain ->
                 chain
                     .all(this::count)
--- /dev/null
+++ b/org.cranberrystand.fake/src/main/java/org/cranberrystand/fake/PlatformFile.java
@@ -0,0 +1,97 @@
+package org.cranberrystand.fake;
+
+import com.google.common.collect.ImmutableList;
+import java.nio.file.Path;
+import org.cranberrystand.util.Checked;
+import org.cranberrystand.util.Findings;
+import org.cranberrystand.wire.TomlDocument;
+import org.cranberrystand.wire.TomlReader;
+import org.cranberrystand.wire.platform.VmEntry;
+
+/**
+ * What the fakes consist of.
+ *
+ * @param port the port of configuration service and VM list
+ * @param bundleFile the signed bundle to publish; may appear later
+ * @param upstreams the engines and plain services to run
+ * @param nodes the entry VMs to list
+ */
+record PlatformFile(
+    int port, Path bundleFile, ImmutableList<Upstream> upstreams, ImmutableList<VmEntry> nodes) {
+  private static final int MAX_PORT = 65_535;
+
+  /**
+   * One upstream to run.
+   *
+   * @param name the name of the VM
+   * @param pool the pool
+   * @param port the port
+   * @param failureDomain the failure domain
+   * @param speed the speed of an engine; null for a plain service
+   */
+  record Upstream(String name, String pool, int port, String failureDomain, EngineSpeed speed) {}
+
+  /**
+   * Reads a file.
+   *
+   * @param file the name of the file for findings
+   * @param text the TOML text
+   * @return the content, or everything that is wrong with it
+   */
+  static Checked<PlatformFile> parse(String file, String text) {
+    Checked<TomlDocument> document = TomlDocument.parse(file, text);
+    if (document instanceof Checked.Invalid<TomlDocument> invalid) {
+      return new Checked.Invalid<>(invalid.findings());
+    }
+    Findings findings = new Findings(file);
+    TomlReader root = TomlReader.ofRoot(document.orElseThrow(), findings);
+    int port = port(root);
+    String bundleFile = root.requiredText("bundle_file");
+    ImmutableList.Builder<Upstream> upstreams = ImmutableList.builder();
+    root.tables("engines").forEach(table -> upstreams.add(engine(table)));
+    root.tables("services").forEach(table -> upstreams.add(upstream(table, null)));
+    ImmutableList.Builder<VmEntry> nodes = ImmutableList.builder();
+    root.tables("nodes").forEach(table -> nodes.add(node(table)));
+    root.rejectUnknownKeys();
+    return findings.toChecked(
+        () -> new PlatformFile(port, Path.of(bundleFile), upstreams.build(), nodes.build()));
+  }
+
+  private static int port(TomlReader table) {
+    return (int) table.wholeNumber("port", 0, 0, MAX_PORT);
+  }
+
+  private static Upstream engine(TomlReader table) {
+    String speed = table.text("speed", "fast");
+    if (!speed.equals("fast") && !speed.equals("slow")) {
+      table.report("speed", "must be \"fast\" or \"slow\"");
+    }
+    return upstream(table, speed.equals("slow") ? EngineSpeed.SLOW : EngineSpeed.FAST);
+  }
+
+  private static Upstream upstream(TomlReader table, EngineSpeed speed) {
+    Upstream upstream =
+        new Upstream(
+            table.requiredText("name"),
+            table.requiredText("pool"),
+            port(table),
+            table.requiredText("failure_domain"),
+            speed);
+    table.rejectUnknownKeys();
+    return upstream;
+  }
+
+  private static VmEntry node(TomlReader table) {
+    VmEntry entry =
+        new VmEntry(
+            table.requiredText("name"),
+            VmEntry.ROLE_ENTRY,
+            "",
+            table.requiredText("callers"),
+            table.requiredText("peers"),
+            table.requiredText("failure_domain"),
+            VmEntry.STATE_LIVE);
+    table.rejectUnknownKeys();
+    return entry;
+  }
+}
--- /dev/null
+++ b/org.cranberrystand.pgm/src/main/java/org/cranberrystand/pgm/KeyFile.java
@@ -0,0 +1,52 @@
+package org.cranberrystand.pgm;
+
+import java.nio.file.Path;
+import java.security.PrivateKey;
+import org.cranberrystand.util.Checked;
+import org.cranberrystand.util.Findings;
+import org.cranberrystand.wire.TomlDocument;
+import org.cranberrystand.wire.TomlReader;
+import org.cranberrystand.wire.bundle.BundleSignatures;
+
+/**
+ * Private key of an operator.
+ *
+ * @param id the name of the key
+ * @param key the key
+ */
+record KeyFile(String id, PrivateKey key) {
+
+  /**
+   * Reads a key file.
+   *
+   * @param file the file
+   * @return the key
+   */
+  static KeyFile read(Path file) {
+    Checked<KeyFile> checked = parse(file.toString(), BundleFiles.readText(file));
+    if (checked instanceof Checked.Invalid<KeyFile> invalid) {
+      throw CommandFailure.invalid(invalid.findings());
+    }
+    return checked.orElseThrow();
+  }
+
+  private static Checked<KeyFile> parse(String file, String text) {
+    Checked<TomlDocument> document = TomlDocument.parse(file, text);
+    if (document instanceof Checked.Invalid<TomlDocument> invalid) {
+      return new Checked.Invalid<>(invalid.findings());
+    }
+    Findings findings = new Findings(file);
+    TomlReader root = TomlReader.ofRoot(document.orElseThrow(), findings);
+    String id = root.requiredText("id");
+    String encoded = root.requiredText("private_key");
+    root.rejectUnknownKeys();
+    PrivateKey key = null;
+    try {
+      key = BundleSignatures.readPrivateKey(encoded);
+    } catch (IllegalArgumentException e) {
+      root.report("private_key", "must be an Ed25519 key as written by \"key generate\"");
+    }
+    PrivateKey read = key;
+    return findings.toChecked(() -> new KeyFile(id, read));
+  }
+}
--- a/org.cranberrystand.pgm/src/main/java/org/cranberrystand/pgm/Main.java
+++ b/org.cranberrystand.pgm/src/main/java/org/cranberrystand/pgm/Main.java
@@ -1,5 +1,6 @@
 package org.cranberrystand.pgm;
 
+import java.io.PrintWriter;
 import picocli.AutoComplete.GenerateCompletion;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
@@ -13,7 +14,29 @@
     mixinStandardHelpOptions = true,
     version = "cranberrystand 0.1.0",
     description = "Operates a fleet of cranberrystand nodes.",
-    subcommands = {GenerateCompletion.class})
+    exitCodeListHeading = "Exit codes:%n",
+    exitCodeList = {
+      "0:done",
+      "1:failed, or the state is not as wanted",
+      "2:invalid command line or input",
+      "3:the wanted state was not reached in time"
+    },
+    subcommands = {
+      BundleCommand.class,
+      KeyCommand.class,
+      RolloutCommand.class,
+      NodesCommand.class,
+      UpstreamsCommand.class,
+      QueuesCommand.class,
+      TeamsCommand.class,
+      ExplainCommand.class,
+      DrainCommand.class,
+      AuditCommand.class,
+      TopCommand.class,
+      LoadCommand.class,
+      CommandLine.HelpCommand.class,
+      GenerateCompletion.class
+    })
 public final class Main implements Runnable {
   @Spec private CommandSpec spec;
 
@@ -25,11 +48,29 @@
    * @param args the command line
    */
   public static void main(String[] args) {
-    System.exit(new CommandLine(new Main()).execute(args));
+    System.exit(commandLine().execute(args));
+  }
+
+  static CommandLine commandLine() {
+    return new CommandLine(new Main())
+        .setCaseInsensitiveEnumValuesAllowed(true)
+        .setExecutionExceptionHandler((e, commandLine, result) -> report(e, commandLine.getErr()));
   }
 
   @Override
   public void run() {
     throw new ParameterException(spec.commandLine(), "name a command; --help lists them");
   }
+
+  private static int report(Exception exception, PrintWriter err) {
+    if (exception instanceof CommandFailure failure) {
+      failure.findings().forEach(err::println);
+      err.println("error: " + failure.getMessage());
+      err.println("next: " + failure.next());
+      return failure.exitCode();
+    }
+    err.println("error: " + exception);
+    err.println("next: if the message does not tell the cause, report it with the command line");
+    return ExitCode.FAILED;
+  }
 }
--- /dev/null
+++ b/org.cranberrystand.pgm/src/main/java/org/cranberrystand/pgm/RolloutPushCommand.java
@@ -0,0 +1,80 @@
+package org.cranberrystand.pgm;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.net.HostAndPort;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Callable;
+import org.cranberrystand.wire.Json;
+import org.cranberrystand.wire.operator.ChangeReport;
+import org.cranberrystand.wire.operator.OperatorApi;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+
+/** Hands a signed bundle to a node. */
+@Command(
+    name = "push",
+    mixinStandardHelpOptions = true,
+    description = {
+      "Hands a signed bundle to the first of the given nodes that can be reached.",
+      "The nodes pass it on to each other; publish it in the configuration service as well."
+    })
+final class RolloutPushCommand implements Callable<Integer> {
+  @Mixin private Output output;
+  @Mixin private Connection connection;
+  @Mixin private ChangeOptions change;
+
+  @Parameters(paramLabel = "FILE", description = "The signed bundle.")
+  private Path file;
+
+  @Option(names = "--all", description = "Hand it to every given node.")
+  private boolean all;
+
+  @Override
+  public Integer call() {
+    byte[] body = Json.toBytes(BundleFiles.readSigned(file));
+    BundleFiles.read(file);
+    OperatorClient client = connection.open();
+    List<ChangeReport> reports = new ArrayList<>();
+    boolean failed = false;
+    for (HostAndPort address : client.addresses()) {
+      OperatorClient.Reply<ChangeReport> reply =
+          client.change(address, OperatorApi.PREFIX + "bundle", body, change, ChangeReport.class);
+      if (reply.document() == null) {
+        output.note(address + ": " + reply.failure());
+        failed |= all;
+        continue;
+      }
+      reports.add(reply.document());
+      if (!all) {
+        break;
+      }
+    }
+    output.print(reports, () -> reports.forEach(this::printReport));
+    if (reports.isEmpty()) {
+      throw CommandFailure.failed(
+          "no node took the bundle", "give the operator address of a running node");
+    }
+    failed |= reports.stream().anyMatch(report -> !report.done());
+    return failed ? ExitCode.FAILED : ExitCode.DONE;
+  }
+
+  private void printReport(ChangeReport report) {
+    output
+        .out()
+        .printf("%s: %s%s%n", report.node(), report.dryRun() ? "would be " : "", report.result());
+    ImmutableList.copyOf(report.findings()).forEach(f -> output.out().println("  " + f));
+    if (!report.done()) {
+      output.note(
+          switch (report.result()) {
+            case "older" -> "next: a newer version is in force; sign with a higher version";
+            case "conflict" ->
+                "next: other content is in force under this version; sign with a higher version";
+            default -> "next: sign with a key that the settings of the nodes trust";
+          });
+    }
+  }
+}
--- /dev/null
+++ b/org.cranberrystand.pgm/src/main/java/org/cranberrystand/pgm/TeamsCommand.java
@@ -0,0 +1,31 @@
+package org.cranberrystand.pgm;
+
+import com.google.common.collect.ImmutableList;
+import java.util.concurrent.Callable;
+import org.cranberrystand.wire.operator.LoadReport;
+import picocli.CommandLine.Command;
+
+/** Shows the requests on the nodes by team. */
+@Command(
+    name = "teams",
+    mixinStandardHelpOptions = true,
+    description = "Shows how many requests wait and run on each given node, by team.")
+final class TeamsCommand extends NodeCalls implements Callable<Integer> {
+
+  @Override
+  public Integer call() {
+    ImmutableList<LoadReport> reports = readAll("teams", LoadReport.class);
+    output().print(reports, () -> printTable(reports));
+    return exitCodeFor(reports);
+  }
+
+  private void printTable(ImmutableList<LoadReport> reports) {
+    Output.Table table = new Output.Table("NODE", "TEAM", "WEIGHT", "QUEUED", "RUNNING");
+    for (LoadReport r : reports) {
+      for (LoadReport.Group g : r.groups()) {
+        table.row(r.node(), g.name(), g.share(), g.queued(), g.running());
+      }
+    }
+    table.printTo(output().out());
+  }
+}
--- /dev/null
+++ b/org.cranberrystand.pgm/src/main/java/org/cranberrystand/pgm/UpstreamsCommand.java
@@ -0,0 +1,33 @@
+package org.cranberrystand.pgm;
+
+import com.google.common.collect.ImmutableList;
+import java.util.concurrent.Callable;
+import org.cranberrystand.wire.operator.UpstreamReport;
+import picocli.CommandLine.Command;
+
+/** Lists the upstreams as the nodes see them. */
+@Command(
+    name = "upstreams",
+    mixinStandardHelpOptions = true,
+    description = "Lists the upstreams as each given node sees them.")
+final class UpstreamsCommand extends NodeCalls implements Callable<Integer> {
+
+  @Override
+  public Integer call() {
+    ImmutableList<UpstreamReport> reports = readAll("upstreams", UpstreamReport.class);
+    output().print(reports, () -> printTable(reports));
+    return exitCodeFor(reports);
+  }
+
+  private void printTable(ImmutableList<UpstreamReport> reports) {
+    Output.Table table =
+        new Output.Table("UPSTREAM", "POOL", "ADDRESS", "DOMAIN", "LEAVING", "RUNNING", "SEEN BY");
+    for (UpstreamReport r : reports) {
+      for (UpstreamReport.Upstream u : r.upstreams()) {
+        table.row(
+            u.name(), u.pool(), u.address(), u.failureDomain(), u.leaving(), u.running(), r.node());
+      }
+    }
+    table.printTo(output().out());
+  }
+}
--- /dev/null
+++ b/org.cranberrystand.pgm/src/main/java/org/cranberrystand/pgm/load/MixParser.java
@@ -0,0 +1,68 @@
+package org.cranberrystand.pgm.load;
+
+import com.google.common.collect.ImmutableList;
+import java.util.Optional;
+import org.cranberrystand.bundle.Tier;
+import org.cranberrystand.util.Checked;
+import org.cranberrystand.util.Findings;
+import org.cranberrystand.wire.TomlDocument;
+import org.cranberrystand.wire.TomlReader;
+
+/** Reads mixes of requests from TOML. Stateless. */
+public final class MixParser {
+  private static final double MAX_WEIGHT = 1e6;
+  private static final int MAX_PROMPT_CHARS = 4_000_000;
+  private static final int MAX_TOKENS = 100_000;
+  private static final long MAX_DEADLINE_MILLIS = 86_400_000;
+
+  private MixParser() {}
+
+  /**
+   * Reads a mix.
+   *
+   * @param file the name of the file for findings
+   * @param text the TOML text
+   * @return the classes of requests, or everything that is wrong
+   */
+  public static Checked<ImmutableList<RequestClass>> parse(String file, String text) {
+    Checked<TomlDocument> document = TomlDocument.parse(file, text);
+    if (document instanceof Checked.Invalid<TomlDocument> invalid) {
+      return new Checked.Invalid<>(invalid.findings());
+    }
+    Findings findings = new Findings(file);
+    TomlReader root = TomlReader.ofRoot(document.orElseThrow(), findings);
+    ImmutableList.Builder<RequestClass> classes = ImmutableList.builder();
+    var tables = root.tables("requests");
+    tables.forEach(table -> classes.add(read(table)));
+    if (tables.isEmpty()) {
+      root.report("requests", "needs at least one [[requests]] table");
+    }
+    root.rejectUnknownKeys();
+    return findings.toChecked(classes::build);
+  }
+
+  private static RequestClass read(TomlReader table) {
+    String tier = table.requiredText("tier");
+    Optional<Tier> known = Tier.fromLabel(tier);
+    if (known.isEmpty() && !tier.isEmpty()) {
+      table.report("tier", "must be \"urgent\", \"standard\" or \"deferrable\"");
+    }
+    RequestClass.Builder builder =
+        RequestClass.builder(table.requiredText("kind"), table.requiredText("shop"))
+            .reportAs(tier, table.text("team", ""))
+            .weight(table.number("weight", 1, 1 / MAX_WEIGHT, MAX_WEIGHT))
+            .model(
+                (int) table.wholeNumber("prompt_chars", 200, 1, MAX_PROMPT_CHARS),
+                (int) table.wholeNumber("max_tokens", 16, 1, MAX_TOKENS))
+            .repeatable(table.flag("repeatable", true))
+            .deadlineMillis(table.wholeNumber("deadline_ms", 60_000, 1, MAX_DEADLINE_MILLIS));
+    String type = table.text("type", "model");
+    if (type.equals("service")) {
+      builder.service();
+    } else if (!type.equals("model")) {
+      table.report("type", "must be \"model\" or \"service\"");
+    }
+    table.rejectUnknownKeys();
+    return builder.build();
+  }
+}
