--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/Node.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/Node.java
@@ -9,13 +9,20 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.cranberrystand.daemon.internal.ActiveExchanges;
 import org.cranberrystand.daemon.internal.AddressesHandler;
+import org.cranberrystand.daemon.internal.AuditLog;
 import org.cranberrystand.daemon.internal.BundleIntake;
 import org.cranberrystand.daemon.internal.ControlPlane;
 import org.cranberrystand.daemon.internal.EventLog;
+import org.cranberrystand.daemon.internal.Metrics;
 import org.cranberrystand.daemon.internal.NodeState;
+import org.cranberrystand.daemon.internal.ObservedPolicy;
+import org.cranberrystand.daemon.internal.OperatorCommands;
+import org.cranberrystand.daemon.internal.OperatorReports;
+import org.cranberrystand.daemon.internal.OperatorServer;
 import org.cranberrystand.daemon.internal.PeerClient;
 import org.cranberrystand.daemon.internal.PeerEndpoints;
 import org.cranberrystand.daemon.internal.PeerServer;
+import org.cranberrystand.daemon.internal.PublishedBundleReader;
 import org.cranberrystand.daemon.internal.RequestHandler;
 import org.cranberrystand.daemon.internal.RequestRunner;
 import org.cranberrystand.daemon.internal.SchedulerLoop;
@@ -53,14 +60,21 @@
   private final CompletableFuture<Void> drained = new CompletableFuture<>();
   private final AtomicBoolean draining = new AtomicBoolean();
   private final AtomicBoolean closed = new AtomicBoolean();
+  private final AuditLog audit;
+  private final Metrics metrics;
+  private final PublishedBundleReader published;
+  private final OperatorServer operatorServer;
 
   private Node(NodeSettings settings, MonotonicClock clock, NodeOptions options) throws Exception {
     this.options = options;
     this.state =
         new NodeState(settings, Incarnation.draw(settings.node(), new SecureRandom()), clock);
     this.log = new EventLog(settings.node());
-    SchedulerLoop scheduler = new SchedulerLoop(new Scheduler(), log);
-    this.intake = new BundleIntake(state, scheduler, log);
+    this.audit = new AuditLog(state.incarnation(), log);
+    this.metrics = new Metrics(state.ledger());
+    ObservedPolicy policy = new ObservedPolicy(new Scheduler(), metrics);
+    SchedulerLoop scheduler = new SchedulerLoop(policy, log);
+    this.intake = new BundleIntake(state, scheduler, log, audit);
     this.runner = new RequestRunner(state, scheduler, log);
     this.peerClient = new PeerClient(state, options.peerFault());
     this.callerServer = startCallerServer(settings.callers());
@@ -77,6 +91,13 @@
             intake,
             scheduler,
             log);
+    this.published = new PublishedBundleReader(state);
+    this.operatorServer =
+        new OperatorServer(
+            state,
+            log,
+            new OperatorReports(state, policy, metrics, audit, published),
+            new OperatorCommands(state, audit, intake, this::drain));
     endpoints.open(
         callerServer.getRegistry().orElseThrow().get(ServerConfig.class), control::addEndpoints);
   }
@@ -106,7 +127,11 @@
       throws Exception {
     Node node = new Node(settings, clock, options);
     node.control.start();
-    node.log.write(LogEvent.NODE_STARTED, "callers=" + node.callerAddress());
+    node.audit.write(
+        LogEvent.NODE_STARTED,
+        AuditLog.SYSTEM,
+        "start",
+        "callers=" + node.callerAddress() + " operators=" + node.operatorAddress());
     return node;
   }
 
@@ -179,6 +204,15 @@
     return drained.minimalCompletionStage();
   }
 
+  /**
+   * Returns the address of the listener for operators.
+   *
+   * @return host and port
+   */
+  public HostAndPort operatorAddress() {
+    return operatorServer.address();
+  }
+
   @Override
   public void close() throws Exception {
     if (!closed.compareAndSet(false, true)) {
@@ -186,7 +220,10 @@
     }
     control.close();
     callerServer.stop();
+    operatorServer.close();
+    published.close();
     peerServer.close();
+    metrics.close();
     peerClient.close();
     runner.close();
     log.write(LogEvent.NODE_STOPPED, "");
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/BundleIntake.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/BundleIntake.java
@@ -3,6 +3,7 @@
 import com.google.common.collect.EvictingQueue;
 import com.google.common.collect.ImmutableList;
 import java.util.Collections;
+import java.util.List;
 import java.util.Optional;
 import java.util.Queue;
 import java.util.concurrent.atomic.AtomicReference;
@@ -11,6 +12,8 @@
 import org.cranberrystand.event.LogEvent;
 import org.cranberrystand.schedule.SchedulerEvent;
 import org.cranberrystand.util.Checked;
+import org.cranberrystand.util.Finding;
+import org.cranberrystand.util.Findings;
 import org.cranberrystand.wire.Json;
 import org.cranberrystand.wire.bundle.BundleParser;
 import org.cranberrystand.wire.bundle.BundlePart;
@@ -60,6 +63,15 @@
    */
   public record Conflict(long version, String digestInForce, String otherDigest, String source) {}
 
+  /**
+   * What became of an offered bundle, for the operator who offered it.
+   *
+   * @param result what became of it
+   * @param bundle the bundle; null if it could not be read
+   * @param findings why it was refused; empty otherwise
+   */
+  public record Verdict(Result result, Bundle bundle, List<Finding> findings) {}
+
   private record Held(Bundle bundle, RequestBody json) {}
 
   private static final int MAX_CONFLICTS = 32;
@@ -67,6 +79,7 @@
   private final NodeState state;
   private final SchedulerLoop scheduler;
   private final EventLog log;
+  private final AuditLog audit;
   private final BundleSignatures signatures;
   private final AtomicReference<Held> held = new AtomicReference<>();
   private final Queue<Conflict> conflicts =
@@ -79,12 +92,14 @@
    *
    * @param state holds the bundle in force
    * @param scheduler is told of each new bundle
-   * @param log receives what became of each bundle
+   * @param log receives what became of each refused bundle
+   * @param audit receives each bundle put in force
    */
-  public BundleIntake(NodeState state, SchedulerLoop scheduler, EventLog log) {
+  public BundleIntake(NodeState state, SchedulerLoop scheduler, EventLog log, AuditLog audit) {
     this.state = state;
     this.scheduler = scheduler;
     this.log = log;
+    this.audit = audit;
     this.signatures = new BundleSignatures(state.settings().trustedKeys());
   }
 
@@ -105,15 +120,53 @@
    * @return what became of it
    */
   public Result offer(String source, SignedBundle signed) {
+    return offerForVerdict(source, signed).result();
+  }
+
+  /**
+   * Offers a bundle and tells the reasons of a refusal; its parts must have been added.
+   *
+   * @param source where it came from
+   * @param signed the bundle
+   * @return what became of it
+   */
+  public Verdict offerForVerdict(String source, SignedBundle signed) {
+    Verdict read = read(source, signed);
+    if (read.result() != Result.ACCEPTED) {
+      log.write(LogEvent.BUNDLE_REFUSED, "source=" + source + " cause=" + read.findings());
+      return read;
+    }
+    return new Verdict(accept(source, read.bundle(), signed), read.bundle(), List.of());
+  }
+
+  /**
+   * Tells what would become of a bundle without putting it in force.
+   *
+   * @param source where it came from
+   * @param signed the bundle
+   * @return the verdict that {@link #offerForVerdict} would give now
+   */
+  public Verdict check(String source, SignedBundle signed) {
+    Verdict read = read(source, signed);
+    if (read.result() != Result.ACCEPTED) {
+      return read;
+    }
+    BundleRegister trial = new BundleRegister();
+    state.bundles().current().ifPresent(trial::offer);
+    return new Verdict(Result.of(trial.offer(read.bundle())), read.bundle(), List.of());
+  }
+
+  /** Reads a bundle; {@code ACCEPTED} means that it may be offered to the register. */
+  private Verdict read(String source, SignedBundle signed) {
     if (signatures.isTrusted(signed) && !missingParts(signed).isEmpty()) {
-      return Result.INCOMPLETE;
+      Findings findings = new Findings(source);
+      missingParts(signed).forEach(digest -> findings.add(0, "parts", digest + " is missing"));
+      return new Verdict(Result.INCOMPLETE, null, findings.toList());
     }
     Checked<Bundle> checked = signatures.verify(source, signed, parts::find);
-    if (checked instanceof Checked.Valid<Bundle> valid) {
-      return accept(source, valid.value(), signed);
-    }
-    log.write(LogEvent.BUNDLE_REFUSED, checked.findingsOrEmpty().toString());
-    return Result.INVALID;
+    return checked instanceof Checked.Valid<Bundle> valid
+        ? new Verdict(Result.ACCEPTED, valid.value(), List.of())
+        : new Verdict(Result.INVALID, null, checked.findingsOrEmpty());
   }
 
   /**
@@ -199,8 +252,10 @@
       }
       conflicts.add(conflict);
     }
-    log.write(
+    audit.write(
         LogEvent.BUNDLE_CONFLICT,
+        AuditLog.SYSTEM,
+        "two contents of one version",
         "version=" + version + " digest=" + otherDigest + " inForce=" + own + " source=" + source);
   }
 
@@ -210,8 +265,10 @@
       // Parts of a version that is being fetched may be dropped here; they are fetched again.
       parts.retain(BundleParser.partDigests(signed.bundle()));
       hold(new Held(bundle, new RequestBody(Json.toBytes(signed))));
-      log.write(
+      audit.write(
           LogEvent.BUNDLE_IN_FORCE,
+          AuditLog.SYSTEM,
+          "newer version",
           "version=" + bundle.version() + " digest=" + bundle.digest() + " source=" + source);
       scheduler.feed(new SchedulerEvent.BundleChanged(bundle, state.clock().nowNanos()));
       onAccepted.run();
