Test rollouts, leaving and pauses over real sockets

Leave reports were passed on with the age of the last change instead of the current one, so each hop renewed them by up to a second and a withdrawn report did not heal within 15 s; ages are now computed when a digest is written. The rollout state left out the node itself. 11 tests cover the service down, older answers, forged, altered and conflicting bundles, a partition that heals, replacement of all but one node, a drain with an open stream, a leaving engine and a paused node.

--- a/org.cranberrystand.bench/src/main/java/org/cranberrystand/bench/fleet/EmbeddedFleet.java
+++ b/org.cranberrystand.bench/src/main/java/org/cranberrystand/bench/fleet/EmbeddedFleet.java
@@ -17,6 +17,7 @@
 import org.cranberrystand.wire.bundle.BundleSignatures;
 import org.cranberrystand.wire.bundle.SignedBundle;
 import org.cranberrystand.wire.platform.VmEntry;
+import org.cranberrystand.wire.security.FleetKeys;
 import org.cranberrystand.wire.settings.NodeSettings;
 
 /**
@@ -76,6 +77,15 @@
     return platforms;
   }
 
+  /**
+   * Returns the keys that the nodes share.
+   *
+   * @return the keys
+   */
+  public static FleetKeys fleetKeys() {
+    return new FleetKeys(ImmutableList.of(FLEET_KEY));
+  }
+
   public FleetFaults faults() {
     return faults;
   }
--- /dev/null
+++ b/org.cranberrystand.bench/src/test/java/org/cranberrystand/bench/rollout/LeavingTest.java
@@ -0,0 +1,133 @@
+package org.cranberrystand.bench.rollout;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import com.google.common.collect.ImmutableList;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.cranberrystand.bench.fleet.EmbeddedFleet;
+import org.cranberrystand.daemon.Node;
+import org.cranberrystand.fake.EngineSpeed;
+import org.cranberrystand.fake.FakeModelEngine;
+import org.cranberrystand.membership.MemberState;
+import org.testng.annotations.Test;
+
+/** Nodes and upstreams that leave, and nodes that were paused, over real sockets. */
+public class LeavingTest {
+  private static final String QUESTION = "{\"prompt\":\"Which cane?\",\"max_tokens\":%d}";
+  private static final Duration LEAVING_KNOWN = Duration.ofSeconds(3);
+
+  /** Guards against a drain that interrupts a long answer or still takes new work. */
+  @Test
+  public void drainCompletesTheOpenStreamAndTakesNoNewWork() throws Exception {
+    try (EmbeddedFleet fleet = new EmbeddedFleet()) {
+      FakeModelEngine engine = fleet.addEngine("assistant", EngineSpeed.SLOW);
+      FleetChecks.start(fleet, 3);
+      Node node = fleet.nodes().get(0);
+      CompletableFuture<HttpResponse<String>> stream =
+          FleetChecks.postLater(node, "consultation", QUESTION.formatted(100));
+      FleetChecks.await("dispatch", LEAVING_KNOWN, () -> !engine.log().isEmpty());
+      CompletableFuture<Void> drained = node.drain().toCompletableFuture();
+      HttpResponse<String> refused =
+          FleetChecks.post(node, "counter-question", QUESTION.formatted(1));
+      assertEquals(refused.statusCode(), 503);
+      assertTrue(refused.body().contains("not-run"), refused.body());
+      assertEquals(refused.headers().firstValue("Retry-After").orElse(""), "0");
+      assertTrue(FleetChecks.addresses(node).identifiers().isEmpty());
+      for (Node other : fleet.nodes()) {
+        FleetChecks.await(
+            "node-0 not offered",
+            LEAVING_KNOWN,
+            () ->
+                FleetChecks.addresses(other).addresses().stream()
+                    .noneMatch(a -> a.node().equals("node-0")));
+      }
+      assertFalse(drained.isDone());
+      assertTrue(stream.get(20, TimeUnit.SECONDS).body().contains("[DONE]"));
+      drained.get(5, TimeUnit.SECONDS);
+      fleet.kill(node);
+    }
+  }
+
+  /** Guards against new work for a leaving engine that the VM list still shows as live. */
+  @Test
+  public void leavingEngineIsMarkedOnAllNodesThoughTheListLags() throws Exception {
+    try (EmbeddedFleet fleet = new EmbeddedFleet()) {
+      FakeModelEngine leaving = fleet.addEngine("assistant", EngineSpeed.FAST);
+      fleet.addEngine("assistant", EngineSpeed.FAST);
+      FleetChecks.start(fleet, 3);
+      Node node = fleet.nodes().get(0);
+      FleetChecks.await(
+          "both engines known",
+          LEAVING_KNOWN,
+          () -> node.state().directory().get().inPool("assistant").size() == 2);
+      leaving.setDraining(true);
+      node.state().leaveSignals().reported(leaving.name(), true);
+      for (Node each : fleet.nodes()) {
+        FleetChecks.await(
+            "marked as leaving",
+            LEAVING_KNOWN,
+            () -> each.state().directory().get().find(leaving.name()).orElseThrow().leaving());
+      }
+      int before = leaving.log().size();
+      for (int i = 0; i < 6; i++) {
+        Node each = fleet.nodes().get(i % 3);
+        assertEquals(
+            FleetChecks.post(each, "counter-question", QUESTION.formatted(1)).statusCode(), 200);
+      }
+      assertEquals(leaving.log().size(), before);
+      node.state().leaveSignals().reported(leaving.name(), false);
+      FleetChecks.await(
+          "healed after the report expired",
+          Duration.ofSeconds(15),
+          () ->
+              fleet.nodes().stream()
+                  .noneMatch(
+                      n ->
+                          n.state()
+                              .directory()
+                              .get()
+                              .find(leaving.name())
+                              .orElseThrow()
+                              .leaving()));
+    }
+  }
+
+  /** Guards against a resumed node that dispatches on the view from before its pause. */
+  @Test
+  public void pausedNodeDispatchesNothingBeforeItsViewIsFresh() throws Exception {
+    try (EmbeddedFleet fleet = new EmbeddedFleet()) {
+      FakeModelEngine engine = fleet.addEngine("assistant", EngineSpeed.FAST);
+      FleetChecks.start(fleet, 2);
+      AtomicLong pausedNanos = new AtomicLong();
+      Node node = fleet.addNode(() -> System.nanoTime() + pausedNanos.get());
+      FleetChecks.await("served", Duration.ofSeconds(10), () -> status(node) == 200);
+      fleet.platform().setDown(true);
+      fleet.faults().cutOff(ImmutableList.of("node-2"));
+      int before = engine.log().size();
+      pausedNanos.addAndGet(Duration.ofSeconds(30).toNanos());
+      for (int i = 0; i < 5; i++) {
+        HttpResponse<String> refused =
+            FleetChecks.post(node, "counter-question", QUESTION.formatted(1));
+        assertEquals(refused.statusCode(), 503);
+        assertTrue(refused.body().contains("not-run"), refused.body());
+        Thread.sleep(200);
+      }
+      assertEquals(engine.log().size(), before);
+      fleet.faults().cutOff(ImmutableList.of());
+      FleetChecks.await("served again", Duration.ofSeconds(10), () -> status(node) == 200);
+      assertTrue(
+          node.state().membership().get().all().stream()
+              .noneMatch(r -> r.state() == MemberState.GONE));
+    }
+  }
+
+  private static int status(Node node) throws Exception {
+    return FleetChecks.post(node, "counter-question", QUESTION.formatted(1)).statusCode();
+  }
+}
--- /dev/null
+++ b/org.cranberrystand.bench/src/test/java/org/cranberrystand/bench/rollout/RolloutFailureTest.java
@@ -0,0 +1,202 @@
+package org.cranberrystand.bench.rollout;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import com.google.common.collect.ImmutableList;
+import java.time.Duration;
+import org.cranberrystand.bench.fleet.EmbeddedFleet;
+import org.cranberrystand.daemon.Node;
+import org.cranberrystand.daemon.internal.BundleIntake;
+import org.cranberrystand.membership.MemberState;
+import org.cranberrystand.wire.bundle.BundleSignatures;
+import org.cranberrystand.wire.bundle.BundleSplitter;
+import org.cranberrystand.wire.bundle.SignedBundle;
+import org.testng.annotations.Test;
+
+/** Failures during the distribution of bundles, over real sockets. */
+public class RolloutFailureTest {
+  private static final Duration ROLLOUT = Duration.ofSeconds(5);
+  private static final Duration HEALED = Duration.ofSeconds(20);
+
+  /** Guards against a pushed bundle that stays on one node while the service is down. */
+  @Test
+  public void pushedBundleSpreadsWhileTheServiceIsDown() throws Exception {
+    try (EmbeddedFleet fleet = new EmbeddedFleet()) {
+      FleetChecks.start(fleet, 4);
+      fleet.platform().setConfigDown(true);
+      Node node = fleet.nodes().get(2);
+      assertEquals(
+          node.offerBundle(fleet.sign(RolloutFleet.bundleText(2))), BundleIntake.Result.ACCEPTED);
+      FleetChecks.await("version 2", ROLLOUT, () -> FleetChecks.allHave(fleet, 2));
+      assertFalse(node.control().rollout().isPublished());
+      FleetChecks.await(
+          "rollout state of all members",
+          ROLLOUT,
+          () ->
+              node.control().rollout().members().stream().filter(m -> m.version() == 2).count()
+                  == 4);
+      fleet.platform().setConfigDown(false);
+      fleet.publish(RolloutFleet.bundleText(2));
+      FleetChecks.await(
+          "publication seen by a watcher",
+          ROLLOUT,
+          () -> fleet.nodes().stream().anyMatch(n -> n.control().rollout().isPublished()));
+    }
+  }
+
+  /** Guards against a return to an older version that lagging replicas of the service answer. */
+  @Test
+  public void olderAnswersOfTheServiceRevertNothing() throws Exception {
+    try (EmbeddedFleet fleet = new EmbeddedFleet()) {
+      FleetChecks.start(fleet, 4);
+      fleet.publish(RolloutFleet.bundleText(2));
+      FleetChecks.await("version 2", ROLLOUT, () -> FleetChecks.allHave(fleet, 2));
+      fleet.platform().setAlternating(true);
+      fleet.publish(RolloutFleet.bundleText(3));
+      FleetChecks.await("version 3", ROLLOUT, () -> FleetChecks.allHave(fleet, 3));
+      long calls = fleet.platform().configCallCount();
+      FleetChecks.await(
+          "more older answers", ROLLOUT, () -> fleet.platform().configCallCount() > calls + 20);
+      assertTrue(FleetChecks.allHave(fleet, 3));
+    }
+  }
+
+  /** Guards against bundles in force that no operator signed, or that were altered. */
+  @Test
+  public void forgedBundlesAreRefused() throws Exception {
+    try (EmbeddedFleet fleet = new EmbeddedFleet()) {
+      FleetChecks.start(fleet, 3);
+      SignedBundle forged =
+          BundleSignatures.sign(
+              RolloutFleet.bundleText(9),
+              "embedded",
+              BundleSignatures.generateKeyPair().getPrivate());
+      SignedBundle signed = fleet.sign(RolloutFleet.bundleText(8));
+      SignedBundle altered = new SignedBundle(signed.bundle() + "\n", signed.signatures());
+      for (Node node : fleet.nodes()) {
+        assertEquals(node.offerBundle(forged), BundleIntake.Result.INVALID);
+        assertEquals(node.offerBundle(altered), BundleIntake.Result.INVALID);
+      }
+      fleet.publish(forged);
+      fleet.publish(RolloutFleet.bundleText(2));
+      FleetChecks.await("version 2", ROLLOUT, () -> FleetChecks.allHave(fleet, 2));
+    }
+  }
+
+  /** Guards against altered content from a peer, and against asking that peer again and again. */
+  @Test
+  public void peerThatServesAlteredContentIsNotAskedAgain() throws Exception {
+    try (EmbeddedFleet fleet = new EmbeddedFleet();
+        RoguePeer rogue = new RoguePeer(fleet.sign(RolloutFleet.bundleText(99)))) {
+      FleetChecks.start(fleet, 2);
+      Node node = fleet.nodes().get(0);
+      for (int i = 0; i < 5; i++) {
+        assertEquals(rogue.announceTo(node), 200);
+        FleetChecks.await("one fetch", ROLLOUT, () -> rogue.fetches() > 0);
+      }
+      fleet.publish(RolloutFleet.bundleText(2));
+      FleetChecks.await("version 2", ROLLOUT, () -> FleetChecks.allHave(fleet, 2));
+      assertEquals(rogue.fetches(), 1);
+    }
+  }
+
+  /** Guards against two contents of one version that replace each other or go unnoticed. */
+  @Test
+  public void conflictingContentsAreKeptAndReported() throws Exception {
+    try (EmbeddedFleet fleet = new EmbeddedFleet()) {
+      FleetChecks.start(fleet, 2);
+      Node left = fleet.nodes().get(0);
+      Node right = fleet.nodes().get(1);
+      fleet.faults().cutOff(ImmutableList.of("node-0"));
+      SignedBundle other = fleet.sign(RolloutFleet.bundleText(2) + "\n# other\n");
+      left.offerBundle(fleet.sign(RolloutFleet.bundleText(2)));
+      right.offerBundle(other);
+      String digest = right.control().rollout().digest();
+      fleet.faults().cutOff(ImmutableList.of());
+      FleetChecks.await(
+          "conflict reported on both nodes",
+          ROLLOUT,
+          () ->
+              !left.control().rollout().conflicts().isEmpty()
+                  && !right.control().rollout().conflicts().isEmpty());
+      assertEquals(right.control().rollout().digest(), digest);
+      left.offerBundle(fleet.sign(RolloutFleet.bundleText(3)));
+      FleetChecks.await("version 3", ROLLOUT, () -> FleetChecks.allHave(fleet, 3));
+    }
+  }
+
+  /** Guards against a node that stays apart and on an old bundle after a partition. */
+  @Test
+  public void partitionedNodeComesBackWithTheNewBundle() throws Exception {
+    try (EmbeddedFleet fleet = new EmbeddedFleet()) {
+      FleetChecks.start(fleet, 4);
+      fleet.platform().setDown(true);
+      fleet.faults().cutOff(ImmutableList.of("node-3"));
+      Node inside = fleet.nodes().get(0);
+      inside.offerBundle(fleet.sign(RolloutFleet.bundleText(2)));
+      FleetChecks.await(
+          "node-3 gone",
+          Duration.ofSeconds(40),
+          () ->
+              fleet.nodes().subList(0, 3).stream()
+                  .allMatch(n -> stateOf(n, "node-3") == MemberState.GONE));
+      assertEquals(FleetChecks.version(fleet.nodes().get(3)), 1);
+      assertTrue(
+          FleetChecks.addresses(inside).addresses().stream()
+              .noneMatch(a -> a.node().equals("node-3")));
+      fleet.faults().cutOff(ImmutableList.of());
+      FleetChecks.await("version 2", HEALED, () -> FleetChecks.allHave(fleet, 2));
+      FleetChecks.await(
+          "all alive",
+          HEALED,
+          () -> fleet.nodes().stream().allMatch(n -> RolloutFleet.alive(n) == 3));
+    }
+  }
+
+  /** Guards against a bundle that is lost when almost all nodes are replaced in an outage. */
+  @Test
+  public void oneSurvivorPassesTheBundleToItsReplacedPeers() throws Exception {
+    try (EmbeddedFleet fleet = new EmbeddedFleet()) {
+      FleetChecks.start(fleet, 4);
+      fleet.platform().setConfigDown(true);
+      fleet.nodes().get(0).offerBundle(fleet.sign(RolloutFleet.bundleText(2)));
+      FleetChecks.await("version 2", ROLLOUT, () -> FleetChecks.allHave(fleet, 2));
+      for (Node node : fleet.nodes().subList(1, 4)) {
+        fleet.kill(node);
+      }
+      for (int i = 0; i < 3; i++) {
+        fleet.addNode();
+      }
+      FleetChecks.await("version 2", HEALED, () -> FleetChecks.allHave(fleet, 2));
+      FleetChecks.await(
+          "all serve",
+          HEALED,
+          () -> fleet.nodes().stream().allMatch(n -> n.state().readiness().mayDispatch()));
+    }
+  }
+
+  /** Guards against bundles in parts that come into force on the nodes that watch only. */
+  @Test
+  public void partsReachNodesThatDoNotWatch() throws Exception {
+    try (EmbeddedFleet fleet = new EmbeddedFleet(1, false)) {
+      FleetChecks.start(fleet, 5);
+      BundleSplitter.Split split = BundleSplitter.split(RolloutFleet.bundleText(2), 4);
+      assertFalse(split.parts().isEmpty());
+      split
+          .parts()
+          .forEach((digest, text) -> fleet.platform().publish("bundle/part/" + digest, text));
+      fleet.publish(split.main());
+      FleetChecks.await("version 2", ROLLOUT, () -> FleetChecks.allHave(fleet, 2));
+      for (Node node : fleet.nodes()) {
+        assertTrue(
+            node.state().bundles().current().orElseThrow().shop("lajeado-counter").isPresent());
+      }
+    }
+  }
+
+  private static MemberState stateOf(Node node, String member) {
+    return node.state().membership().get().find(member).orElseThrow().state();
+  }
+}
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/ControlPlane.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/ControlPlane.java
@@ -157,21 +157,10 @@
    */
   public RolloutState rollout() {
     Bundle bundle = state.bundles().current().orElse(null);
-    ImmutableList.Builder<RolloutState.MemberBundle> members = ImmutableList.builder();
-    for (LoadSummary load : state.memberLoads().get()) {
-      state
-          .membership()
-          .get()
-          .find(load.node())
-          .ifPresent(
-              record ->
-                  members.add(
-                      new RolloutState.MemberBundle(
-                          load.node(),
-                          record.state().label(),
-                          load.bundleVersion(),
-                          load.bundleDigest())));
-    }
+    ImmutableList<RolloutState.MemberBundle> members =
+        state.memberLoads().get().stream()
+            .map(this::memberBundle)
+            .collect(ImmutableList.toImmutableList());
     PlatformWatcher.Published published = watcher.published();
     return new RolloutState(
         bundle == null ? 0 : bundle.version(),
@@ -179,10 +168,17 @@
         published.version(),
         published.digest(),
         watcher.isAnswering(),
-        members.build(),
+        members,
         intake.conflicts());
   }
 
+  private RolloutState.MemberBundle memberBundle(LoadSummary load) {
+    MemberRecord record =
+        state.membership().get().find(load.node()).orElseGet(() -> state.self().get());
+    return new RolloutState.MemberBundle(
+        load.node(), record.state().label(), load.bundleVersion(), load.bundleDigest());
+  }
+
   @Override
   public void close() {
     retry.close();
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/LeaveSignals.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/LeaveSignals.java
@@ -19,15 +19,19 @@
 public final class LeaveSignals {
   private static final int MAX_REPORTS = 32;
 
+  private final MonotonicClock clock;
   private final DrainTracker tracker;
   private final SerialExecutor serial;
   private final AtomicReference<UpstreamDirectory> published;
   private volatile Consumer<UpstreamDirectory> onDirectory = directory -> {};
   private volatile Runnable onNews = () -> {};
   private UpstreamDirectory listed = UpstreamDirectory.empty();
-  private volatile ImmutableList<DrainTracker.Report> reports = ImmutableList.of();
+  private volatile Snapshot snapshot = new Snapshot(0, ImmutableList.of());
+
+  private record Snapshot(long atNanos, ImmutableList<DrainTracker.Report> reports) {}
 
   LeaveSignals(MonotonicClock clock, EventLog log, AtomicReference<UpstreamDirectory> published) {
+    this.clock = clock;
     this.tracker = new DrainTracker(clock);
     this.published = published;
     this.serial = new SerialExecutor(t -> log.write(LogEvent.TASK_FAILED, "task=leaving", t));
@@ -106,14 +110,21 @@
   /**
    * Returns the reports for digests.
    *
+   * <p>Ages are as of now: a report passed on with the age of an earlier moment would be renewed
+   * with each hop and would never expire.
+   *
    * @return the leaving upstreams as of the last change or expiry
    */
   ImmutableList<DrainTracker.Report> reports() {
-    return reports;
+    Snapshot current = snapshot;
+    long elapsedNanos = clock.nowNanos() - current.atNanos();
+    return current.reports().stream()
+        .map(r -> new DrainTracker.Report(r.upstream(), r.ageNanos() + elapsedNanos))
+        .collect(ImmutableList.toImmutableList());
   }
 
   private void publish(boolean news) {
-    reports = tracker.reports(MAX_REPORTS);
+    snapshot = new Snapshot(clock.nowNanos(), tracker.reports(MAX_REPORTS));
     UpstreamDirectory marked = tracker.apply(listed);
     if (!marked.all().equals(published.getAndSet(marked).all())) {
       onDirectory.accept(marked);
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/MembershipService.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/MembershipService.java
@@ -374,7 +374,7 @@
         bundle.map(Bundle::version).orElse(0L),
         bundle.map(Bundle::digest).orElse(""),
         state.leaveSignals().reports().stream()
-            .map(r -> new PeerDigest.Timed(r.upstream(), r.ageNanos() / NANOS_PER_MILLI))
+            .map(r -> new PeerDigest.Timed(r.upstream(), r.ageNanos() / NANOS_PER_MILLI + 1))
             .toList(),
         quarantined.remaining(),
         suspects.remaining());
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/RolloutState.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/RolloutState.java
@@ -10,7 +10,7 @@
  * @param publishedVersion what the configuration service published when it last answered, or 0
  * @param publishedDigest the digest of that, or an empty string
  * @param serviceAnswers whether the last call to the configuration service was answered
- * @param members what is in force on the other nodes
+ * @param members what is in force on the members, this node included
  * @param conflicts versions of which two contents were seen
  */
 public record RolloutState(
--- a/org.cranberrystand.fake/src/main/java/org/cranberrystand/fake/FakePlatform.java
+++ b/org.cranberrystand.fake/src/main/java/org/cranberrystand/fake/FakePlatform.java
@@ -38,6 +38,7 @@
   private final Map<String, Value> olderValues = new ConcurrentHashMap<>();
   private volatile boolean down;
   private volatile boolean alternating;
+  private volatile boolean configDown;
 
   /**
    * Starts the services on one address.
@@ -144,6 +145,15 @@
     this.down = value;
   }
 
+  /**
+   * Makes every read and watch of a value fail; the VM list still answers.
+   *
+   * @param value true to fail
+   */
+  public void setConfigDown(boolean value) {
+    this.configDown = value;
+  }
+
   /**
    * Returns how many calls arrived.
    *
@@ -169,7 +179,8 @@
 
   private void count(Context ctx) {
     calls.incrementAndGet();
-    if (down) {
+    boolean isVmList = ctx.getRequest().getPath().equals("v1/vms");
+    if (down || (configDown && !isVmList)) {
       ctx.getResponse().status(500).send();
     } else {
       ctx.next();
@@ -236,7 +247,7 @@
 
   private void answerWatch(Context ctx, String key, long after) {
     Value value = values.get(key);
-    if (down) {
+    if (down || configDown) {
       ctx.getResponse().status(500).send();
     } else if (value != null && value.revision() > after) {
       sendValue(ctx, value);
