Record a push before its effect and refuse bundles above 1 MB

Cause: the audit trail showed a bundle in force before the push that caused it, and the tool signed bundles that the configuration service cannot hold.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/OperatorCommands.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/OperatorCommands.java
@@ -82,12 +82,15 @@
   }
 
   private void take(Context ctx, SignedBundle signed, String who, String why, boolean dryRun) {
-    BundleIntake.Result result =
-        dryRun ? intake.check(SOURCE, signed) : intake.offer(SOURCE, signed);
+    BundleIntake.Result result = intake.check(SOURCE, signed);
     if (!dryRun && result.acceptance() == BundleRegister.Acceptance.ACCEPTED) {
+      // The push is the cause of what follows, so it is recorded first.
       String what = "version=" + result.bundle().version() + " digest=" + result.bundle().digest();
       audit.write(LogEvent.BUNDLE_PUSHED, who, why, what);
     }
+    if (!dryRun) {
+      result = intake.offer(SOURCE, signed);
+    }
     boolean inForce =
         result.acceptance() == BundleRegister.Acceptance.ACCEPTED
             || result.acceptance() == BundleRegister.Acceptance.ALREADY_IN_FORCE;
--- a/org.cranberrystand.daemon/src/test/java/org/cranberrystand/daemon/OperatorListenerTest.java
+++ b/org.cranberrystand.daemon/src/test/java/org/cranberrystand/daemon/OperatorListenerTest.java
@@ -104,11 +104,13 @@
     assertEquals(rollout.path("version").asLong(), 7);
     assertEquals(rollout.path("published").path("state").asText(), "UNAVAILABLE");
     JsonNode entries = tree(get("operator/v1/audit", TOKEN)).path("entries");
-    JsonNode last = entries.get(entries.size() - 1);
-    assertEquals(last.path("event").asText(), "BUNDLE_PUSHED");
-    assertEquals(last.path("who").asText(), "maria");
-    assertEquals(last.path("why").asText(), "new tier & more");
-    assertEquals(last.path("sequence").asLong(), entries.size());
+    JsonNode cause = entries.get(entries.size() - 2);
+    assertEquals(cause.path("event").asText(), "BUNDLE_PUSHED");
+    assertEquals(cause.path("who").asText(), "maria");
+    assertEquals(cause.path("why").asText(), "new tier & more");
+    JsonNode effect = entries.get(entries.size() - 1);
+    assertEquals(effect.path("event").asText(), "BUNDLE_IN_FORCE", "the effect comes last");
+    assertEquals(effect.path("sequence").asLong(), entries.size());
   }
 
   @Test
--- a/org.cranberrystand.pgm/src/main/java/org/cranberrystand/pgm/BundleSignCommand.java
+++ b/org.cranberrystand.pgm/src/main/java/org/cranberrystand/pgm/BundleSignCommand.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.Callable;
@@ -20,6 +21,9 @@
     mixinStandardHelpOptions = true,
     description = "Checks and signs a bundle and writes the form that is published.")
 final class BundleSignCommand implements Callable<Integer> {
+  /** The configuration service holds values up to 1 MB. */
+  private static final int MAX_PUBLISHED_BYTES = 1_000_000;
+
   @Mixin private Output output;
 
   @Parameters(paramLabel = "FILE", description = "The bundle in TOML.")
@@ -66,7 +70,14 @@
       signatures.addAll(BundleSignatures.sign(content.text(), key.id(), key.key()).signatures());
     }
     SignedBundle signed = new SignedBundle(content.text(), signatures.build());
-    BundleFiles.write(target, Json.toText(signed) + "\n", force, dryRun);
+    String published = Json.toText(signed) + "\n";
+    int size = published.getBytes(StandardCharsets.UTF_8).length;
+    if (size > MAX_PUBLISHED_BYTES) {
+      throw CommandFailure.invalid(
+          "the signed bundle has " + size + " bytes; the configuration service holds 1 MB",
+          "shorten the bundle, for example by grouping shops into fewer teams");
+    }
+    BundleFiles.write(target, published, force, dryRun);
     Bundle bundle = content.bundle();
     output.print(
         ImmutableMap.of(
--- a/org.cranberrystand.pgm/src/test/java/org/cranberrystand/pgm/ToolTest.java
+++ b/org.cranberrystand.pgm/src/test/java/org/cranberrystand/pgm/ToolTest.java
@@ -49,6 +49,22 @@
     assertEquals(trusted.verify("signed.json", signed).orElseThrow().version(), 1);
   }
 
+  /** Guards against a bundle that the configuration service cuts or refuses. */
+  @Test
+  public void bundleAboveTheLimitOfTheServiceIsNotSigned() throws IOException {
+    StringBuilder text = new StringBuilder("version = 1\n");
+    for (int i = 0; i < 30_000; i++) {
+      text.append("[[teams]]\nname = \"team-").append(i).append("\"\nweight = 1.0\n");
+    }
+    Files.writeString(directory.resolve("big.toml"), text);
+    run("key", "generate", "--id", "ops", "--out", path("ops.key"));
+
+    assertEquals(
+        run("bundle", "sign", path("big.toml"), "--key", path("ops.key"), "--out", path("s")), 2);
+    assertTrue(err.contains("1 MB"), err);
+    assertFalse(Files.exists(directory.resolve("s")));
+  }
+
   /** Guards against a revert to a version number that nodes refuse. */
   @Test
   public void revertWritesNewVersionThatSignsAsSuccessorOfTheCurrentOne() throws IOException {
