--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/OperatorCommands.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/OperatorCommands.java
@@ -81,14 +81,17 @@
   }
 
   private void take(Context ctx, SignedBundle signed, String who, String why, boolean dryRun) {
-    BundleIntake.Verdict verdict =
-        dryRun ? intake.check(SOURCE, signed) : intake.offerForVerdict(SOURCE, signed);
-    BundleIntake.Result result = verdict.result();
-    if (!dryRun && result == BundleIntake.Result.ACCEPTED) {
+    BundleIntake.Verdict verdict = intake.check(SOURCE, signed);
+    if (!dryRun && verdict.result() == BundleIntake.Result.ACCEPTED) {
+      // The push is the cause of what follows, so it is recorded first.
       String what =
           "version=" + verdict.bundle().version() + " digest=" + verdict.bundle().digest();
       audit.write(LogEvent.BUNDLE_PUSHED, who, why, what);
     }
+    if (!dryRun) {
+      verdict = intake.offerForVerdict(SOURCE, signed);
+    }
+    BundleIntake.Result result = verdict.result();
     boolean inForce =
         result == BundleIntake.Result.ACCEPTED || result == BundleIntake.Result.ALREADY_IN_FORCE;
     String label =
