Size the reserve of guaranteed shares for long prefill

Cause: the clear engines left too little room for the guaranteed share of long work, the drain rate of slow queues was measured as zero, a node that met its peers after it was alone got a share near zero.

Change: engines for long prefill follow the guaranteed share, intervals of the drain rate span several dispatches, weights start at the common floor.

--- a/org.cranberrystand/src/main/java/org/cranberrystand/placement/ShareAllocator.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/placement/ShareAllocator.java
@@ -62,12 +62,15 @@
     weights.values().forEach(w -> w.present = false);
     double mean = demandByNode.values().stream().mapToDouble(d -> d).average().orElse(0);
     double floor = Math.max(1, mean * FLOOR_FRACTION);
+    boolean alone = demandByNode.size() == 1;
     for (Map.Entry<String, Double> entry : demandByNode.entrySet()) {
       double demand = Math.max(0, Math.min(mean * CAP_FRACTION, entry.getValue())) + floor;
       Weight weight = weights.computeIfAbsent(entry.getKey(), name -> new Weight());
-      if (weight.value <= 0) {
+      if (weight.value <= 0 || alone) {
         weight.value = demand;
       }
+      // Every node raises a weight to the floor at once, so all views agree on that.
+      weight.value = Math.max(weight.value, floor);
       weight.demand = demand;
       weight.present = true;
     }
--- a/org.cranberrystand/src/main/java/org/cranberrystand/schedule/DrainRates.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/schedule/DrainRates.java
@@ -11,6 +11,11 @@
  */
 final class DrainRates {
   private static final long INTERVAL_NANOS = 500_000_000;
+
+  /** A queue of long work may move only every few seconds, so an interval spans some dispatches. */
+  private static final int MIN_DISPATCHES = 4;
+
+  private static final long MAX_INTERVAL_NANOS = 10_000_000_000L;
   private static final double NANOS_PER_SECOND = 1e9;
   private static final double WEIGHT = 0.3;
 
@@ -21,47 +26,53 @@
     private double dispatched;
     private double tokensPerSecond;
     private long measuredNanos;
+    private long startNanos;
+    private int dispatches;
     private boolean known;
     private boolean queuedThroughout;
   }
 
   private final Map<Tier, Rate> rates = new EnumMap<>(Tier.class);
-  private long startNanos;
 
   DrainRates(long nowNanos) {
-    startNanos = nowNanos;
     for (Tier tier : Tier.values()) {
-      rates.put(tier, new Rate());
+      Rate rate = new Rate();
+      rate.startNanos = nowNanos;
+      rates.put(tier, rate);
     }
   }
 
   void dispatched(Tier tier, double cost, boolean stillQueued) {
     Rate rate = rates.get(tier);
     rate.dispatched += cost;
+    rate.dispatches++;
     rate.queuedThroughout &= stillQueued;
   }
 
-  /** Ends a measuring interval when it is over. */
+  /** Ends the measuring intervals that are over. */
   void update(Map<Tier, FairQueue> queues, long nowNanos) {
-    long elapsed = nowNanos - startNanos;
-    if (elapsed < INTERVAL_NANOS) {
+    rates.forEach((tier, rate) -> update(rate, !queues.get(tier).isEmpty(), nowNanos));
+  }
+
+  private static void update(Rate rate, boolean queued, long nowNanos) {
+    long elapsed = nowNanos - rate.startNanos;
+    boolean complete = rate.dispatches >= MIN_DISPATCHES || elapsed >= MAX_INTERVAL_NANOS;
+    boolean measuring = queued && rate.queuedThroughout;
+    if (elapsed < INTERVAL_NANOS || (measuring && !complete)) {
       return;
     }
-    startNanos = nowNanos;
-    rates.forEach(
-        (tier, rate) -> {
-          boolean queued = !queues.get(tier).isEmpty();
-          if (queued && rate.queuedThroughout) {
-            double sample = rate.dispatched / elapsed * NANOS_PER_SECOND;
-            rate.tokensPerSecond += (rate.known ? WEIGHT : 1) * (sample - rate.tokensPerSecond);
-            rate.known = true;
-            rate.measuredNanos = nowNanos;
-          } else if (nowNanos - rate.measuredNanos > LIFETIME_NANOS) {
-            rate.known = false;
-          }
-          rate.dispatched = 0;
-          rate.queuedThroughout = queued;
-        });
+    if (measuring) {
+      double sample = rate.dispatched / elapsed * NANOS_PER_SECOND;
+      rate.tokensPerSecond += (rate.known ? WEIGHT : 1) * (sample - rate.tokensPerSecond);
+      rate.known = true;
+      rate.measuredNanos = nowNanos;
+    } else if (nowNanos - rate.measuredNanos > LIFETIME_NANOS) {
+      rate.known = false;
+    }
+    rate.startNanos = nowNanos;
+    rate.dispatched = 0;
+    rate.dispatches = 0;
+    rate.queuedThroughout = queued;
   }
 
   /** Returns how long an amount of work of a tier waits, or 0 when nothing was measured lately. */
--- a/org.cranberrystand/src/main/java/org/cranberrystand/schedule/EnginePool.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/schedule/EnginePool.java
@@ -28,6 +28,16 @@
 
   private static final int MAX_RANKED_PREFIXES = 4_096;
   private static final double LONG_PER_ENGINE_FLEETWIDE = 2;
+  private static final int LONG_PER_ENGINE = 1;
+
+  /**
+   * What a tier below its guaranteed share may use on top of the window, of the pending prefill and
+   * of the long prefills. So its requests find a slot although more urgent work fills the window.
+   */
+  private static final double RESERVED_OVERDRAFT = 1.2;
+
+  private static final double RESERVED_PREFILL = 4;
+  private static final int RESERVED_LONG_PER_ENGINE = 2;
 
   /** An upstream for a request, with the figures that led to it. */
   record Choice(
@@ -59,6 +69,7 @@
   private double fastestPrefill = 1;
   private double leastGapNanos;
   private double shortFraction = 1;
+  private double minLongFraction;
   private int clearEngines;
   private int longPrefills;
   private double meanShare = 1;
@@ -140,7 +151,7 @@
   }
 
   private double clearFraction() {
-    return Math.min(MAX_CLEAR_FRACTION, shortFraction);
+    return Math.min(1 - minLongFraction, Math.min(MAX_CLEAR_FRACTION, shortFraction));
   }
 
   /** Lets all windows follow their observations; returns whether one grew. */
@@ -153,6 +164,11 @@
     return grew;
   }
 
+  /** Sets the part of the upstreams that guaranteed shares of long work need. */
+  void setMinLongFraction(double value) {
+    minLongFraction = Math.min(1, value);
+  }
+
   /** Sets the part of the recent prefill demand that comes from short prompts. */
   void setShortFraction(double value) {
     shortFraction = value;
@@ -192,10 +208,11 @@
    * of the prompt in its cache is chosen; if there is none, the one that all nodes prefer for the
    * prefix.
    *
-   * @param overdraft the factor by which the share may be exceeded; 1 for most requests
-   * @param maxLong the number of concurrent long prefills per upstream
+   * @param reserved whether the request may use the slots reserved for guaranteed shares
    */
-  Choice choose(QueuedItem queued, double overdraft, int maxLong, long nowNanos) {
+  Choice choose(QueuedItem queued, boolean reserved, long nowNanos) {
+    int maxLong = reserved ? RESERVED_LONG_PER_ENGINE : LONG_PER_ENGINE;
+
     if (queued.isLongPrefill() && !isLongPrefillAllowed(maxLong)) {
       return null;
     }
@@ -207,8 +224,10 @@
       }
       double cached = cachedTokens(engine, queued.item());
       double prefill = queued.item().promptTokens() - cached;
-      double share = engine.usableShare() * overdraft;
-      if (engine.window().admits(share, prefill, queued.cost(), nowNanos)) {
+      double share = engine.usableShare() * (reserved ? RESERVED_OVERDRAFT : 1);
+      if (engine
+          .window()
+          .admits(share, prefill, queued.cost(), reserved ? RESERVED_PREFILL : 1, nowNanos)) {
         double work = work(engine, prefill, queued.outputTokens());
         candidates.add(new Candidate(engine, cached, work));
         leastWork = Math.min(leastWork, work);
--- a/org.cranberrystand/src/main/java/org/cranberrystand/schedule/PoolDispatcher.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/schedule/PoolDispatcher.java
@@ -35,15 +35,12 @@
   private static final long MAX_RETRY_MILLIS = 30_000;
   private static final long DEFAULT_RETRY_MILLIS = 1_000;
 
-  /**
-   * Part of the window that a tier below its guaranteed share may use on top. So its requests find
-   * a slot although more urgent work has filled the window.
-   */
-  private static final double GUARANTEE_OVERDRAFT = 1.2;
-
   private static final double RETRY_JITTER = 0.25;
   private static final double DEMAND_DECAY = 0.995;
 
+  /** Prefill comes in bursts, so long work needs more engines than its share of the tokens. */
+  private static final double LONG_PER_GUARANTEE = 2;
+
   private final SchedulerOptions options;
   private final EnginePool engines;
   private final PolicyOutput output;
@@ -402,9 +399,7 @@
   private boolean dispatchHead(
       FairQueue queue, boolean longPrefill, boolean entitled, long nowNanos) {
     QueuedItem queued = queue.peek(longPrefill);
-    double overdraft = entitled ? GUARANTEE_OVERDRAFT : 1;
-    EnginePool.Choice choice =
-        queued == null ? null : engines.choose(queued, overdraft, entitled ? 2 : 1, nowNanos);
+    EnginePool.Choice choice = queued == null ? null : engines.choose(queued, entitled, nowNanos);
     if (choice == null) {
       return false;
     }
@@ -469,6 +464,9 @@
     }
     double all = shortDemand + longDemand;
     engines.setShortFraction(all <= 0 ? 1 : shortDemand / all);
+    if (queued.isLongPrefill()) {
+      engines.setMinLongFraction(LONG_PER_GUARANTEE * guarantee.share(tier(queued)));
+    }
   }
 
   /** Notes output of a running request. */
--- a/org.cranberrystand/src/main/java/org/cranberrystand/schedule/TierGuarantee.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/schedule/TierGuarantee.java
@@ -49,6 +49,10 @@
     accounts.forEach((tier, account) -> account.share = bundle.guaranteedShare(tier));
   }
 
+  double share(Tier tier) {
+    return accounts.get(tier).share;
+  }
+
   void arrived(Tier tier, double cost, long nowNanos) {
     Account account = accounts.get(tier);
     account.meanCost += (account.arrived ? COST_WEIGHT : 1) * (cost - account.meanCost);
--- a/org.cranberrystand/src/main/java/org/cranberrystand/upstream/EngineSpeedEstimate.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/upstream/EngineSpeedEstimate.java
@@ -33,6 +33,10 @@
     return prefillRate;
   }
 
+  double unloadedPrefillRate() {
+    return unloadedPrefillRate;
+  }
+
   double gapNanos() {
     return gapNanos;
   }
--- a/org.cranberrystand/src/main/java/org/cranberrystand/upstream/EngineWindow.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/upstream/EngineWindow.java
@@ -279,18 +279,29 @@
    * @param share the share of this node
    * @param prefillTokens prompt tokens to compute
    * @param contextTokens prompt and expected output
+   * @param prefillLimitFactor the factor by which pending prefill may exceed its limit
    * @param nowNanos the time
    * @return true if it may be dispatched
    */
-  public boolean admits(double share, double prefillTokens, double contextTokens, long nowNanos) {
+  public boolean admits(
+      double share,
+      double prefillTokens,
+      double contextTokens,
+      double prefillLimitFactor,
+      long nowNanos) {
     if (draining || nowNanos < blockedUntilNanos) {
       return false;
     }
     if (ownSequences == 0) {
       return true;
     }
+    // Not the present rate, which holds the work of other nodes already.
     double prefillLimit =
-        speed.prefillRate() * share * settings.maxPrefillMillis() / MILLIS_PER_SECOND;
+        speed.unloadedPrefillRate()
+            * share
+            * prefillLimitFactor
+            * settings.maxPrefillMillis()
+            / MILLIS_PER_SECOND;
     return ownSequences + 1 <= share * sequences
         && ownTokens + contextTokens <= share * tokens
         && pendingPrefillTokens + Math.min(prefillTokens, prefillLimit / 2) <= prefillLimit;
