Measure decisions and retained state, and draw timelines

'bench jmh' measures one decision with the JMH annotation processor, 'bench state' the retained heap per instance by the difference of two builds, and 'bench plot' draws goodput by tier and the service of teams from a policy report.

--- a/org.cranberrystand.bench/src/main/java/org/cranberrystand/bench/Main.java
+++ b/org.cranberrystand.bench/src/main/java/org/cranberrystand/bench/Main.java
@@ -1,5 +1,8 @@
 package org.cranberrystand.bench;
 
+import org.cranberrystand.bench.jmh.JmhCommand;
+import org.cranberrystand.bench.jmh.StateCommand;
+import org.cranberrystand.bench.plot.PlotCommand;
 import org.cranberrystand.bench.policy.PolicyCommand;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
@@ -12,7 +15,7 @@
     name = "bench",
     mixinStandardHelpOptions = true,
     description = "Runs benchmarks and writes their measures.",
-    subcommands = {PolicyCommand.class})
+    subcommands = {PolicyCommand.class, JmhCommand.class, StateCommand.class, PlotCommand.class})
 public final class Main implements Runnable {
   @Spec private CommandSpec spec;
 
--- a/org.cranberrystand.bench/src/main/java/org/cranberrystand/bench/policy/Run.java
+++ b/org.cranberrystand.bench/src/main/java/org/cranberrystand/bench/policy/Run.java
@@ -34,6 +34,7 @@
   private static final int CACHE_DELAY_MAX_MILLIS = 1_200;
   private static final double CACHE_LOSS = 0.03;
   private static final long SAMPLE_NANOS = Duration.ofMillis(50).toNanos();
+  private static final int STEADY_SECONDS = 2;
   private static final double SLOW_FACTOR = 10;
   private static final int DRAIN_SECONDS = 120;
 
@@ -116,7 +117,7 @@
     }
     every(SECOND_NANOS, this::sampleEngines);
     long warm = Times.nanos(scenario.times().warm());
-    simulation.at(warm, () -> every(SAMPLE_NANOS, this::sampleAdmitted));
+    simulation.at(admittedFromNanos(), () -> every(SAMPLE_NANOS, this::sampleAdmitted));
     simulation.at(warm, simulation.tokenGaps()::reset);
     scheduleDisturbance();
     runToEnd();
@@ -176,6 +177,13 @@
                     name, changes.stored(), changes.evicted(), gap, simulation.nowNanos())));
   }
 
+  /** Returns when admitted work counts: the fleet is in a steady state before a peer is lost. */
+  private long admittedFromNanos() {
+    Times times = scenario.times();
+    boolean peers = scenario.disturbance() == Disturbance.PEER_LOST;
+    return Times.nanos(peers ? times.start() - STEADY_SECONDS : times.warm());
+  }
+
   private void sampleAdmitted() {
     for (SimUpstream upstream : simulation.upstreams()) {
       maxAdmitted.merge(upstream.record().name(), upstream.admittedTokens(), Math::max);
--- a/org.cranberrystand.bench/src/main/java/org/cranberrystand/bench/policy/Scenario.java
+++ b/org.cranberrystand.bench/src/main/java/org/cranberrystand/bench/policy/Scenario.java
@@ -30,6 +30,7 @@
 
   private static final double LOW_FLOOD_LOAD = 5;
   private static final double URGENT_FLOOD_LOAD = 3;
+
   /** Load at which each tier of each workload offers at least 3 times its guaranteed share. */
   private static final double BACKLOG_LOAD = 3;
 
