--- a/org.cranberrystand/src/main/java/org/cranberrystand/schedule/EnginePool.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/schedule/EnginePool.java
@@ -216,10 +216,20 @@
     if (queued.isLongPrefill() && !isLongPrefillAllowed(maxLong)) {
       return null;
     }
+    double leastWork = collect(queued, reserved, maxLong, clearEngines, nowNanos);
+    Candidate best = best(queued.item(), leastWork);
+    return best == null
+        ? null
+        : new Choice(best.engine(), candidates.size(), best.cached(), best.work(), leastWork);
+  }
+
+  /** Collects the upstreams with room for a request; returns the least work among them. */
+  private double collect(
+      QueuedItem queued, boolean reserved, int maxLong, int clear, long nowNanos) {
     candidates.clear();
     double leastWork = Double.MAX_VALUE;
     for (EngineState engine : usable) {
-      if (!isAllowed(engine, queued, maxLong)) {
+      if (!isAllowed(engine, queued, maxLong, clear)) {
         continue;
       }
       double cached = cachedTokens(engine, queued.item());
@@ -233,10 +243,7 @@
         leastWork = Math.min(leastWork, work);
       }
     }
-    Candidate best = best(queued.item(), leastWork);
-    return best == null
-        ? null
-        : new Choice(best.engine(), candidates.size(), best.cached(), best.work(), leastWork);
+    return leastWork;
   }
 
   private Candidate best(WorkItem item, double leastWork) {
@@ -305,14 +312,14 @@
         < Math.max(1, Math.round(meanShare * maxLong * LONG_PER_ENGINE_FLEETWIDE * engineCount));
   }
 
-  private boolean isAllowed(EngineState engine, QueuedItem queued, int maxLong) {
+  private boolean isAllowed(EngineState engine, QueuedItem queued, int maxLong, int clear) {
     if (engine.isReservedForSuspect() || engine.name().equals(queued.refusedBy())) {
       return false;
     }
     if (!queued.isLongPrefill()) {
       return true;
     }
-    return clearRank.getOrDefault(engine.name(), 0) >= clearEngines
+    return clearRank.getOrDefault(engine.name(), 0) >= clear
         && (engine.longPrefills() < maxLong || !options.has(SchedulerFeature.LONG_PREFILL_LIMIT));
   }
 
--- a/org.cranberrystand/src/main/java/org/cranberrystand/schedule/PoolDispatcher.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/schedule/PoolDispatcher.java
@@ -348,7 +348,7 @@
 
   private boolean isNextEntitled(Tier tier, long nowNanos) {
     FairQueue queue = queues.get(tier);
-    if (queue.isEmpty()) {
+    if (queue.isEmpty() || (isUncontended(tier) && !wasMoreUrgentShed(tier, nowNanos))) {
       return false;
     }
     String team = queue.peek(queue.isLongFirst()).item().team();
