Bound the wait in the queue to 8 s from the first request on

Cause: until a drain rate was measured, any backlog was accepted; deferrable work then waited up to 54 s and kept the engines full after a flood.

Change: an assumed rate applies until one is measured; waits above 8 s are rejected with the time to drain as retry delay.

--- a/org.cranberrystand/src/main/java/org/cranberrystand/schedule/DrainRates.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/schedule/DrainRates.java
@@ -75,9 +75,14 @@
     rate.queuedThroughout = queued;
   }
 
-  /** Returns how long an amount of work of a tier waits, or 0 when nothing was measured lately. */
-  double waitNanos(Tier tier, double costAhead) {
+  /**
+   * Returns how long an amount of work of a tier waits.
+   *
+   * @param assumedRate the rate in tokens per second when nothing was measured lately
+   */
+  double waitNanos(Tier tier, double costAhead, double assumedRate) {
     Rate rate = rates.get(tier);
-    return rate.known ? costAhead / Math.max(1, rate.tokensPerSecond) * NANOS_PER_SECOND : 0;
+    double tokensPerSecond = rate.known ? rate.tokensPerSecond : assumedRate;
+    return costAhead / Math.max(1, tokensPerSecond) * NANOS_PER_SECOND;
   }
 }
--- a/org.cranberrystand/src/main/java/org/cranberrystand/schedule/EnginePool.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/schedule/EnginePool.java
@@ -30,6 +30,9 @@
   private static final double LONG_PER_ENGINE_FLEETWIDE = 2;
   private static final int LONG_PER_ENGINE = 1;
 
+  /** Part of the time that an engine computes prompts under load, until a rate is measured. */
+  private static final double ASSUMED_PREFILL_FRACTION = 0.5;
+
   /**
    * What a tier below its guaranteed share may use on top of the window, of the pending prefill and
    * of the long prefills. So its requests find a slot although more urgent work fills the window.
@@ -196,6 +199,15 @@
         : (long) (item.promptTokens() / fastestPrefill * 1e9 + leastGapNanos);
   }
 
+  /** Returns a rough rate at which this node may dispatch work, in tokens per second. */
+  double assumedRate() {
+    double result = 0;
+    for (EngineState engine : usable) {
+      result += engine.usableShare() * engine.window().prefillRate() * ASSUMED_PREFILL_FRACTION;
+    }
+    return result;
+  }
+
   void addLongPrefill(EngineState engine, int change) {
     engine.addLongPrefills(change);
     longPrefills = Math.max(0, longPrefills + change);
--- a/org.cranberrystand/src/main/java/org/cranberrystand/schedule/PoolDispatcher.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/schedule/PoolDispatcher.java
@@ -30,6 +30,9 @@
   /** Part of the time to the deadline that the estimated wait may take; the estimate is rough. */
   private static final double MAX_WAIT_FRACTION = 0.6;
 
+  /** A longer queue of deferrable work would keep the engines full for long after a flood. */
+  private static final double MAX_WAIT_NANOS = 8e9;
+
   private static final long NANOS_PER_MILLI = 1_000_000;
   private static final long MIN_RETRY_MILLIS = 200;
   private static final long MAX_RETRY_MILLIS = 30_000;
@@ -176,10 +179,11 @@
   }
 
   private boolean isTooLate(QueuedItem queued, Tier tier, long nowNanos) {
-    double wait = rates.waitNanos(tier, queues.get(tier).costAhead(queued.item().team()));
+    double ahead = queues.get(tier).costAhead(queued.item().team());
+    double wait = rates.waitNanos(tier, ahead, engines.assumedRate());
     long slack = queued.item().deadlineNanos() - nowNanos;
-    return wait > 0
-        && wait + engines.leastFirstTokenNanos(queued.item()) > slack * MAX_WAIT_FRACTION;
+    double limit = Math.min(slack * MAX_WAIT_FRACTION, MAX_WAIT_NANOS);
+    return wait + engines.leastFirstTokenNanos(queued.item()) > limit;
   }
 
   private void evictLower(Tier tier, long nowNanos) {
@@ -221,7 +225,8 @@
 
   /** Returns when the present queue of a tier will have drained, with jitter. */
   long retryMillis(Tier tier, long nowNanos) {
-    double wait = rates.waitNanos(tier, queues.get(tier).cost()) / NANOS_PER_MILLI;
+    double wait =
+        rates.waitNanos(tier, queues.get(tier).cost(), engines.assumedRate()) / NANOS_PER_MILLI;
     double base = wait <= 0 ? DEFAULT_RETRY_MILLIS : wait;
     if (wasMoreUrgentShed(tier, nowNanos)) {
       base = Math.max(base, 2 * DEFAULT_RETRY_MILLIS);
