--- a/org.cranberrystand/src/main/java/org/cranberrystand/schedule/EnginePool.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/schedule/EnginePool.java
@@ -30,6 +30,9 @@
   private static final double LONG_PER_ENGINE_FLEETWIDE = 2;
   private static final int LONG_PER_ENGINE = 1;
 
+  /** Part of the time that an engine computes prompts under load, until a rate is measured. */
+  private static final double ASSUMED_PREFILL_FRACTION = 0.5;
+
   /**
    * What a tier below its guaranteed share may use on top of the window, of the pending prefill and
    * of the long prefills. So its requests find a slot although more urgent work fills the window.
@@ -196,6 +199,15 @@
         : (long) (item.promptTokens() / fastestPrefill * 1e9 + leastGapNanos);
   }
 
+  /** Returns a rough rate at which this node may dispatch work, in tokens per second. */
+  double assumedRate() {
+    double result = 0;
+    for (EngineState engine : usable) {
+      result += engine.usableShare() * engine.window().prefillRate() * ASSUMED_PREFILL_FRACTION;
+    }
+    return result;
+  }
+
   void addLongPrefill(EngineState engine, int change) {
     engine.addLongPrefills(change);
     longPrefills = Math.max(0, longPrefills + change);
@@ -216,10 +228,20 @@
     if (queued.isLongPrefill() && !isLongPrefillAllowed(maxLong)) {
       return null;
     }
+    double leastWork = collect(queued, reserved, maxLong, clearEngines, nowNanos);
+    Candidate best = best(queued.item(), leastWork);
+    return best == null
+        ? null
+        : new Choice(best.engine(), candidates.size(), best.cached(), best.work(), leastWork);
+  }
+
+  /** Collects the upstreams with room for a request; returns the least work among them. */
+  private double collect(
+      QueuedItem queued, boolean reserved, int maxLong, int clear, long nowNanos) {
     candidates.clear();
     double leastWork = Double.MAX_VALUE;
     for (EngineState engine : usable) {
-      if (!isAllowed(engine, queued, maxLong)) {
+      if (!isAllowed(engine, queued, maxLong, clear)) {
         continue;
       }
       double cached = cachedTokens(engine, queued.item());
@@ -233,10 +255,7 @@
         leastWork = Math.min(leastWork, work);
       }
     }
-    Candidate best = best(queued.item(), leastWork);
-    return best == null
-        ? null
-        : new Choice(best.engine(), candidates.size(), best.cached(), best.work(), leastWork);
+    return leastWork;
   }
 
   private Candidate best(WorkItem item, double leastWork) {
@@ -305,14 +324,14 @@
         < Math.max(1, Math.round(meanShare * maxLong * LONG_PER_ENGINE_FLEETWIDE * engineCount));
   }
 
-  private boolean isAllowed(EngineState engine, QueuedItem queued, int maxLong) {
+  private boolean isAllowed(EngineState engine, QueuedItem queued, int maxLong, int clear) {
     if (engine.isReservedForSuspect() || engine.name().equals(queued.refusedBy())) {
       return false;
     }
     if (!queued.isLongPrefill()) {
       return true;
     }
-    return clearRank.getOrDefault(engine.name(), 0) >= clearEngines
+    return clearRank.getOrDefault(engine.name(), 0) >= clear
         && (engine.longPrefills() < maxLong || !options.has(SchedulerFeature.LONG_PREFILL_LIMIT));
   }
 
