--- a/org.cranberrystand.bench/src/main/java/org/cranberrystand/bench/fleet/EmbeddedFleet.java
+++ b/org.cranberrystand.bench/src/main/java/org/cranberrystand/bench/fleet/EmbeddedFleet.java
@@ -108,6 +108,17 @@
    * @throws Exception if it cannot be started
    */
   public Node addNode() throws Exception {
+    return addNode(MonotonicClock.system());
+  }
+
+  /**
+   * Starts a node with a clock of its own and lists it.
+   *
+   * @param clock the clock of the node
+   * @return the node
+   * @throws Exception if the node cannot be started
+   */
+  public Node addNode(MonotonicClock clock) throws Exception {
     String name = "node-" + nodes.size();
     String domain = domain(nodes.size());
     NodeSettings settings =
@@ -124,7 +135,7 @@
             platform.address(),
             ImmutableList.of(),
             NodeSettings.Limits.defaults());
-    Node node = Node.start(settings, MonotonicClock.system());
+    Node node = Node.start(settings, clock);
     nodes.add(node);
     platform.addVm(
         new VmEntry(
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/Node.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/Node.java
@@ -3,6 +3,7 @@
 import com.google.common.net.HostAndPort;
 import java.net.InetAddress;
 import java.security.SecureRandom;
+import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 import org.cranberrystand.daemon.internal.AddressesHandler;
@@ -52,6 +53,7 @@
   private final RatpackServer callerServer;
   private final PeerServer peerServer;
   private final PeerClient peerClient;
+  private volatile ScheduledFuture<?> ledgerSweep;
 
   private Node(NodeSettings settings, MonotonicClock clock) throws Exception {
     this.state =
@@ -120,6 +122,7 @@
   public void close() throws Exception {
     watcher.close();
     poller.close();
+    ledgerSweep.cancel(false);
     callerServer.stop();
     peerServer.close();
     peerClient.close();
@@ -130,12 +133,13 @@
   private void startPeriodicTasks() {
     ExecController exec = callerServer.getRegistry().orElseThrow().get(ExecController.class);
     poller.start(exec);
-    exec.getExecutor()
-        .scheduleWithFixedDelay(
-            state.ledger()::evictExpired,
-            LEDGER_SWEEP_SECONDS,
-            LEDGER_SWEEP_SECONDS,
-            TimeUnit.SECONDS);
+    ledgerSweep =
+        exec.getExecutor()
+            .scheduleWithFixedDelay(
+                state.ledger()::evictExpired,
+                LEDGER_SWEEP_SECONDS,
+                LEDGER_SWEEP_SECONDS,
+                TimeUnit.SECONDS);
   }
 
   /**
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/HandOverAnswer.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/HandOverAnswer.java
@@ -27,20 +27,18 @@
           ? new Outcome.NotRun(NotRunReason.OVERLOADED, 0)
           : new Outcome.OutcomeUnknown(UnknownCause.HANDOVER_LOST);
     }
-    switch (label) {
-      case "answered":
-        ImmutableMap<String, String> headers =
-            ImmutableMap.of("Content-Type", type == null ? "application/octet-stream" : type);
-        return new Outcome.Answered(new RecordedAnswer(status, headers, body));
-      case "answer-not-retained":
-        return new Outcome.AnsweredNotRetained(200);
-      case "not-run":
-        return notRun(body);
-      case "upstream-failed":
-        return new Outcome.UpstreamFailed(0, "the upstream failed after a hand-over");
-      default:
-        return new Outcome.OutcomeUnknown(UnknownCause.HANDOVER_LOST);
-    }
+    return switch (label) {
+      case "answered" -> new Outcome.Answered(new RecordedAnswer(status, headers(type), body));
+      case "answer-not-retained" -> new Outcome.AnsweredNotRetained(200);
+      case "not-run" -> notRun(body);
+      case "upstream-failed" ->
+          new Outcome.UpstreamFailed(0, "the upstream failed after a hand-over");
+      default -> new Outcome.OutcomeUnknown(UnknownCause.HANDOVER_LOST);
+    };
+  }
+
+  private static ImmutableMap<String, String> headers(String type) {
+    return ImmutableMap.of("Content-Type", type == null ? "application/octet-stream" : type);
   }
 
   private static Outcome notRun(byte[] body) {
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/RequestHandler.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/RequestHandler.java
@@ -39,7 +39,7 @@
     ScheduledFuture<?> timer =
         channel
             .eventLoop()
-            .schedule(() -> channel.close(), BODY_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+            .schedule(() -> closeSlow(channel), BODY_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
     ctx.onClose(outcome -> timer.cancel(false));
     ctx.getRequest()
         .getBody(state.settings().limits().maxBodyBytes())
@@ -57,4 +57,8 @@
                   RequestService.Origin.CALLER);
             });
   }
+
+  private static void closeSlow(Channel channel) {
+    var unused = channel.close();
+  }
 }
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/RunningRequests.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/RunningRequests.java
@@ -23,7 +23,7 @@
 
   void add(RunningRequest running) {
     byId.put(running.request().id(), running);
-    running.reply().whenComplete((reply, cause) -> removeIfWhole(running, reply));
+    var unused = running.reply().whenComplete((reply, cause) -> removeIfWhole(running, reply));
   }
 
   private void removeIfWhole(RunningRequest running, Reply reply) {
