--- a/org.cranberrystand.bench/src/test/java/org/cranberrystand/bench/failure/TestFleet.java
+++ b/org.cranberrystand.bench/src/test/java/org/cranberrystand/bench/failure/TestFleet.java
@@ -22,6 +22,8 @@
 import org.cranberrystand.membership.MemberRecord;
 import org.cranberrystand.membership.MemberState;
 import org.cranberrystand.membership.MembershipView;
+import org.cranberrystand.schedule.DispatchPolicy;
+import org.cranberrystand.schedule.Scheduler;
 import org.cranberrystand.util.MonotonicClock;
 import org.cranberrystand.wire.Json;
 import org.cranberrystand.wire.http.AddressList;
@@ -50,21 +52,21 @@
       fleet.addService("orders");
     }
     for (int i = 0; i < nodes; i++) {
-      addNode(MonotonicClock.system());
+      addNode(MonotonicClock.system(), new Scheduler());
     }
     connectAll();
   }
 
-  Node addNode(MonotonicClock clock) throws Exception {
-    Node node = fleet.addNode(clock);
+  Node addNode(MonotonicClock clock, DispatchPolicy policy) throws Exception {
+    Node node = fleet.addNode(clock, policy);
     await(() -> request(node, "consultation", "{}", null).status() == 400);
-    await(() -> fleet.engines().isEmpty() || answersModelRequests(node));
+    await(() -> fleet.engines().isEmpty() || answers(node, "consultation"));
+    await(() -> fleet.services().isEmpty() || answers(node, "stock-check"));
     return node;
   }
 
-  private boolean answersModelRequests(Node node) {
-    int status = request(node, "counter-question", prompt("ready", 1), null).status();
-    return status == 200;
+  private boolean answers(Node node, String kind) {
+    return request(node, kind, prompt("ready", 1), null).status() == 200;
   }
 
   void connectAll() {
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/Node.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/Node.java
@@ -26,6 +26,7 @@
 import org.cranberrystand.event.LogEvent;
 import org.cranberrystand.identity.Incarnation;
 import org.cranberrystand.membership.MembershipView;
+import org.cranberrystand.schedule.DispatchPolicy;
 import org.cranberrystand.schedule.Scheduler;
 import org.cranberrystand.schedule.SchedulerEvent;
 import org.cranberrystand.util.MonotonicClock;
@@ -55,11 +56,12 @@
   private final PeerClient peerClient;
   private volatile ScheduledFuture<?> ledgerSweep;
 
-  private Node(NodeSettings settings, MonotonicClock clock) throws Exception {
+  private Node(NodeSettings settings, MonotonicClock clock, DispatchPolicy policy)
+      throws Exception {
     this.state =
         new NodeState(settings, Incarnation.draw(settings.node(), new SecureRandom()), clock);
     this.log = new EventLog(settings.node());
-    SchedulerLoop scheduler = new SchedulerLoop(new Scheduler(), log);
+    SchedulerLoop scheduler = new SchedulerLoop(policy, log);
     BundleIntake intake = new BundleIntake(state, scheduler, log);
     this.signals =
         new UpstreamSignals(
@@ -93,7 +95,21 @@
    * @throws Exception if a listener cannot be opened
    */
   public static Node start(NodeSettings settings, MonotonicClock clock) throws Exception {
-    Node node = new Node(settings, clock);
+    return start(settings, clock, new Scheduler());
+  }
+
+  /**
+   * Starts a node with a given dispatch policy.
+   *
+   * @param settings the settings; port 0 takes any free port
+   * @param clock the clock of the node
+   * @param policy the policy; used by this node only from now on
+   * @return the running node
+   * @throws Exception if a listener cannot be opened
+   */
+  public static Node start(NodeSettings settings, MonotonicClock clock, DispatchPolicy policy)
+      throws Exception {
+    Node node = new Node(settings, clock, policy);
     node.watcher.start();
     node.startPeriodicTasks();
     node.log.write(LogEvent.NODE_STARTED, "callers=" + node.callerAddress());
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/StreamRelay.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/StreamRelay.java
@@ -303,7 +303,9 @@
       for (SseEvent event : parser.feed(bytes)) {
         EventSequence.Verdict verdict = sequence.check(event);
         if (verdict != EventSequence.Verdict.ACCEPTED) {
-          onDropped.accept(verdict == EventSequence.Verdict.ERROR ? 0 : 1);
+          if (verdict != EventSequence.Verdict.ERROR) {
+            onDropped.accept(1);
+          }
           complete = false;
           break;
         }
