--- a/org.cranberrystand.bench/src/test/java/org/cranberrystand/bench/failure/IdentifierFailureTest.java
+++ b/org.cranberrystand.bench/src/test/java/org/cranberrystand/bench/failure/IdentifierFailureTest.java
@@ -160,8 +160,10 @@
 
   @Test
   public void handOverRunsOnTheReceiverOnly() throws Exception {
-    Node issuer = fleet.addNode(MonotonicClock.system(), new HandOverPolicy("node-1"));
+    HandOverPolicy policy = new HandOverPolicy("node-1");
+    Node issuer = fleet.addNode(MonotonicClock.system(), policy);
     fleet.connectAll();
+    policy.enabled = true;
     List<String> ids = fleet.identifiers(issuer);
     assertEquals(fleet.request(issuer, ONCE, BODY, ids.get(0)).outcome(), "answered");
     assertEquals(fleet.request(fleet.node(0), ONCE, BODY, ids.get(0)).outcome(), "answered");
@@ -176,8 +178,10 @@
 
   @Test
   public void handOverWhoseAnswerIsLostIsUnknown() throws Exception {
-    Node issuer = fleet.addNode(MonotonicClock.system(), new HandOverPolicy("node-1"));
+    HandOverPolicy policy = new HandOverPolicy("node-1");
+    Node issuer = fleet.addNode(MonotonicClock.system(), policy);
     fleet.connectAll();
+    policy.enabled = true;
     fleet.service(0).setDelay(Duration.ofMillis(500));
     String id = fleet.identifiers(issuer).get(0);
     CompletableFuture<Answer> answer =
@@ -193,7 +197,7 @@
   private static final class HandOverPolicy implements DispatchPolicy {
     private final Scheduler scheduler = new Scheduler();
     private final String receiver;
-    private boolean ready;
+    private volatile boolean enabled;
 
     HandOverPolicy(String receiver) {
       this.receiver = receiver;
@@ -203,11 +207,9 @@
     public List<SchedulerAction> handle(SchedulerEvent event) {
       if (event instanceof SchedulerEvent.Submitted submitted
           && submitted.item().tier() == Tier.URGENT
-          && ready) {
+          && enabled) {
         return List.of(new SchedulerAction.HandOver(submitted.item(), receiver));
       }
-      // The readiness check of the fleet sends one urgent request that is not to be handed over.
-      ready |= event instanceof SchedulerEvent.Finished;
       return scheduler.handle(event);
     }
   }
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/Node.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/Node.java
@@ -32,6 +32,7 @@
 import org.cranberrystand.util.MonotonicClock;
 import org.cranberrystand.wire.settings.NodeSettings;
 import ratpack.exec.ExecController;
+import ratpack.handling.ByMethodSpec;
 import ratpack.server.RatpackServer;
 import ratpack.server.ServerConfig;
 
@@ -48,6 +49,7 @@
   private final EventLog log;
   private final RequestRunner runner;
   private final RequestService requestService;
+  private final CancelHandler cancelHandler;
   private final UpstreamSignals signals;
   private final UpstreamPoller poller;
   private final PlatformWatcher watcher;
@@ -72,7 +74,7 @@
     this.peerClient = new PeerClient(state);
     this.runner = new RequestRunner(state, scheduler, peerClient, signals, log);
     this.requestService = new RequestService(state, runner);
-    CancelHandler cancelHandler = new CancelHandler(state, runner);
+    this.cancelHandler = new CancelHandler(state, runner);
     this.peerServer =
         new PeerServer(state, new PeerRequestEndpoints(state, requestService, cancelHandler));
     this.poller = new UpstreamPoller(state, scheduler, signals, log);
@@ -146,6 +148,11 @@
     log.write(LogEvent.NODE_STOPPED, "");
   }
 
+  // Ratpack answers 405 at the first handler of a path that has another method.
+  private void requests(ByMethodSpec spec) {
+    spec.post(new RequestHandler(state, requestService)).delete(cancelHandler);
+  }
+
   private void startPeriodicTasks() {
     ExecController exec = callerServer.getRegistry().orElseThrow().get(ExecController.class);
     poller.start(exec);
@@ -202,8 +209,7 @@
                     chain ->
                         chain
                             .get("v1/addresses", new AddressesHandler(state))
-                            .post("v1/requests/:kind", new RequestHandler(state, requestService))
-                            .get("v1/streams/:reference", new StreamHandler(state, runner))
-                            .delete("v1/requests/:id", new CancelHandler(state, runner))));
+                            .path("v1/requests/:name", ctx -> ctx.byMethod(this::requests))
+                            .get("v1/streams/:reference", new StreamHandler(state, runner))));
   }
 }
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/CancelHandler.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/CancelHandler.java
@@ -31,7 +31,7 @@
   @Override
   public void handle(Context ctx) {
     ctx.getResponse().getHeaders().set(ApiHeaders.NODE, state.settings().node());
-    String idText = ctx.getPathTokens().get("id");
+    String idText = ctx.getPathTokens().get("name");
     String shop = ctx.getRequest().getHeaders().get(ApiHeaders.SHOP);
     Optional<RequestId> id = state.idCodec().decode(idText);
     if (id.isEmpty() || shop == null) {
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/PlainCall.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/PlainCall.java
@@ -1,10 +1,12 @@
 package org.cranberrystand.daemon.internal;
 
 import com.google.common.collect.ImmutableMap;
+import java.io.IOException;
 import java.time.Duration;
 import org.cranberrystand.outcome.Outcome;
 import org.cranberrystand.outcome.RecordedAnswer;
 import org.cranberrystand.upstream.UpstreamRecord;
+import ratpack.http.Headers;
 import ratpack.http.client.StreamedResponse;
 
 /** One dispatch of a request to a plain service. Confined to the execution of the request. */
@@ -56,6 +58,7 @@
     boolean refusal = runner.isRefusal(upstream, response);
     long delay = RetryAfter.parseMillis(response.getHeaders().get("Retry-After"));
     String type = response.getHeaders().get("Content-Type");
+    boolean framed = isFramed(response.getHeaders());
     BodyCollector.collect(response, runner.state().settings().limits().maxBodyBytes())
         .onError(
             cause -> {
@@ -69,12 +72,18 @@
             body -> {
               if (refusal) {
                 execution.refused(true, delay);
+              } else if (!framed) {
+                broken(new IOException("the end of the answer cannot be told from a break"));
               } else {
                 answered(status, type, body);
               }
             });
   }
 
+  private static boolean isFramed(Headers headers) {
+    return headers.contains("Content-Length") || headers.contains("Transfer-Encoding");
+  }
+
   private void answered(int status, String type, byte[] body) {
     // Redirects are not followed, since the request would be sent a second time.
     if (status >= 500 || status / 100 == 3) {
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/Replies.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/Replies.java
@@ -95,6 +95,9 @@
             channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE));
     ctx.getResponse().getHeaders().set(ApiHeaders.OUTCOME, "answered");
     ctx.getResponse().contentType(ApiHeaders.EVENT_STREAM);
+    // To a caller that closes the connection, Ratpack would send a body that ends with it, and a
+    // broken answer would look like a complete one.
+    ctx.getResponse().getHeaders().set("Transfer-Encoding", "chunked");
     ctx.getResponse().sendStream(relay);
   }
 
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/RequestHandler.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/RequestHandler.java
@@ -49,7 +49,7 @@
               service.serve(
                   ctx,
                   new RequestReader.Raw(
-                      ctx.getPathTokens().get("kind"),
+                      ctx.getPathTokens().get("name"),
                       headers.get(ApiHeaders.SHOP),
                       headers.get(ApiHeaders.IDEMPOTENCY_KEY),
                       headers.get(ApiHeaders.DEADLINE_MILLIS),
--- a/org.cranberrystand.fake/src/main/java/org/cranberrystand/fake/FakeModelEngine.java
+++ b/org.cranberrystand.fake/src/main/java/org/cranberrystand/fake/FakeModelEngine.java
@@ -178,8 +178,9 @@
     return chain ->
         chain
             .post("v1/completions", this::complete)
-            .get("v1/streams/:id", this::resume)
-            .delete("v1/streams/:id", this::cancel)
+            .path(
+                "v1/streams/:id",
+                ctx -> ctx.byMethod(spec -> spec.get(this::resume).delete(this::cancel)))
             .get("v1/load", this::load)
             .get("v1/cache-events", this::cacheEvents)
             .get("v1/log", ctx -> ctx.getResponse().send("application/json", Json.toText(log())));
@@ -270,6 +271,7 @@
   private void send(Context ctx, EngineStream stream, int from, StreamFault fault) {
     Channel channel = FakeServer.channel(ctx);
     ctx.getResponse().contentType(ApiHeaders.EVENT_STREAM);
+    ctx.getResponse().getHeaders().set("Transfer-Encoding", "chunked");
     ctx.getResponse()
         .sendStream(
             new StreamConnection(
--- a/org.cranberrystand.fake/src/main/java/org/cranberrystand/fake/FakeOrderService.java
+++ b/org.cranberrystand.fake/src/main/java/org/cranberrystand/fake/FakeOrderService.java
@@ -34,6 +34,8 @@
    */
   public record Entry(String operation, String requestId, long number) {}
 
+  private static final int PARTIAL_LENGTH = 100;
+
   private final String name;
   private final FakeServer server;
   private final Queue<Entry> log = new ConcurrentLinkedQueue<>();
@@ -152,6 +154,11 @@
   private static void sendPart(Context ctx, String part) {
     ByteBuf bytes = Unpooled.copiedBuffer(part, StandardCharsets.UTF_8);
     ctx.getResponse().contentType("application/json");
+    if (part.isEmpty()) {
+      ctx.getResponse().getHeaders().set("Transfer-Encoding", "chunked");
+    } else {
+      ctx.getResponse().getHeaders().set("Content-Length", PARTIAL_LENGTH);
+    }
     ctx.getResponse()
         .sendStream(
             Streams.flatYield(
