--- a/org.cranberrystand.bench/src/main/java/org/cranberrystand/bench/Main.java
+++ b/org.cranberrystand.bench/src/main/java/org/cranberrystand/bench/Main.java
@@ -2,6 +2,7 @@
 
 import org.cranberrystand.bench.jmh.JmhCommand;
 import org.cranberrystand.bench.jmh.StateCommand;
+import org.cranberrystand.bench.overhead.OverheadCommand;
 import org.cranberrystand.bench.plot.PlotCommand;
 import org.cranberrystand.bench.policy.PolicyCommand;
 import org.cranberrystand.bench.rollout.RolloutCommand;
@@ -16,7 +17,14 @@
     name = "bench",
     mixinStandardHelpOptions = true,
     description = "Runs benchmarks and writes their measures.",
-    subcommands = {PolicyCommand.class, RolloutCommand.class, JmhCommand.class, StateCommand.class, PlotCommand.class})
+    subcommands = {
+      PolicyCommand.class,
+      RolloutCommand.class,
+      JmhCommand.class,
+      StateCommand.class,
+      PlotCommand.class,
+      OverheadCommand.class
+    })
 public final class Main implements Runnable {
   @Spec private CommandSpec spec;
 
--- a/org.cranberrystand.bench/src/test/java/org/cranberrystand/bench/rollout/LeavingTest.java
+++ b/org.cranberrystand.bench/src/test/java/org/cranberrystand/bench/rollout/LeavingTest.java
@@ -67,7 +67,7 @@
           LEAVING_KNOWN,
           () -> node.state().directory().get().inPool("assistant").size() == 2);
       leaving.setDraining(true);
-      node.state().leaveSignals().reported(leaving.name(), true);
+      node.state().leaveSignals().refused(leaving.name());
       for (Node each : fleet.nodes()) {
         FleetChecks.await(
             "marked as leaving",
@@ -81,7 +81,7 @@
             FleetChecks.post(each, "counter-question", QUESTION.formatted(1)).statusCode(), 200);
       }
       assertEquals(leaving.log().size(), before);
-      node.state().leaveSignals().reported(leaving.name(), false);
+      leaving.setDraining(false);
       FleetChecks.await(
           "healed after the report expired",
           Duration.ofSeconds(15),
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/Node.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/Node.java
@@ -5,12 +5,15 @@
 import java.security.SecureRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicReference;
 import org.cranberrystand.daemon.internal.ActiveExchanges;
 import org.cranberrystand.daemon.internal.AddressesHandler;
 import org.cranberrystand.daemon.internal.AuditLog;
 import org.cranberrystand.daemon.internal.BundleIntake;
+import org.cranberrystand.daemon.internal.CancelHandler;
 import org.cranberrystand.daemon.internal.ControlPlane;
 import org.cranberrystand.daemon.internal.EventLog;
 import org.cranberrystand.daemon.internal.Metrics;
@@ -21,18 +24,26 @@
 import org.cranberrystand.daemon.internal.OperatorServer;
 import org.cranberrystand.daemon.internal.PeerClient;
 import org.cranberrystand.daemon.internal.PeerEndpoints;
+import org.cranberrystand.daemon.internal.PeerRequestEndpoints;
 import org.cranberrystand.daemon.internal.PeerServer;
 import org.cranberrystand.daemon.internal.PublishedBundleReader;
 import org.cranberrystand.daemon.internal.RequestHandler;
 import org.cranberrystand.daemon.internal.RequestRunner;
+import org.cranberrystand.daemon.internal.RequestService;
 import org.cranberrystand.daemon.internal.SchedulerLoop;
+import org.cranberrystand.daemon.internal.StreamCounters;
+import org.cranberrystand.daemon.internal.StreamHandler;
+import org.cranberrystand.daemon.internal.UpstreamPoller;
 import org.cranberrystand.event.LogEvent;
 import org.cranberrystand.identity.Incarnation;
+import org.cranberrystand.membership.MembershipView;
+import org.cranberrystand.schedule.DispatchPolicy;
 import org.cranberrystand.schedule.Scheduler;
 import org.cranberrystand.util.MonotonicClock;
 import org.cranberrystand.wire.bundle.SignedBundle;
 import org.cranberrystand.wire.settings.NodeSettings;
 import ratpack.exec.ExecController;
+import ratpack.handling.ByMethodSpec;
 import ratpack.server.RatpackServer;
 import ratpack.server.ServerConfig;
 
@@ -47,36 +58,47 @@
   /** A leaving node stays at least this long, so that its announcement reaches the others. */
   private static final long MIN_DRAIN_MILLIS = 500;
 
+  private static final long LEDGER_SWEEP_SECONDS = 10;
+
   private final NodeState state;
+  private final NodeOptions options;
   private final EventLog log;
+  private final AuditLog audit;
+  private final Metrics metrics;
   private final BundleIntake intake;
   private final RequestRunner runner;
-  private final NodeOptions options;
+  private final RequestService requestService;
+  private final CancelHandler cancelHandler;
+  private final UpstreamPoller poller;
   private final ControlPlane control;
+  private final PublishedBundleReader published;
   private final RatpackServer callerServer;
   private final PeerServer peerServer;
+  private final OperatorServer operatorServer;
   private final PeerClient peerClient;
   private final ActiveExchanges activeExchanges = new ActiveExchanges();
   private final CompletableFuture<Void> drained = new CompletableFuture<>();
   private final AtomicBoolean draining = new AtomicBoolean();
   private final AtomicBoolean closed = new AtomicBoolean();
-  private final AuditLog audit;
-  private final Metrics metrics;
-  private final PublishedBundleReader published;
-  private final OperatorServer operatorServer;
+  private volatile ScheduledFuture<?> ledgerSweep;
 
-  private Node(NodeSettings settings, MonotonicClock clock, NodeOptions options) throws Exception {
+  private Node(
+      NodeSettings settings, MonotonicClock clock, NodeOptions options, DispatchPolicy dispatch)
+      throws Exception {
     this.options = options;
     this.state =
         new NodeState(settings, Incarnation.draw(settings.node(), new SecureRandom()), clock);
     this.log = new EventLog(settings.node());
     this.audit = new AuditLog(state.incarnation(), log);
     this.metrics = new Metrics(state.ledger());
-    ObservedPolicy policy = new ObservedPolicy(new Scheduler(), metrics);
+    ObservedPolicy policy = new ObservedPolicy(dispatch, metrics);
     SchedulerLoop scheduler = new SchedulerLoop(policy, log);
     this.intake = new BundleIntake(state, scheduler, log, audit);
-    this.runner = new RequestRunner(state, scheduler, log);
     this.peerClient = new PeerClient(state, options.peerFault());
+    this.runner = new RequestRunner(state, scheduler, peerClient, log);
+    this.requestService = new RequestService(state, runner);
+    this.cancelHandler = new CancelHandler(state, runner);
+    this.poller = new UpstreamPoller(state, scheduler, log);
     this.callerServer = startCallerServer(settings.callers());
     PeerEndpoints endpoints = new PeerEndpoints();
     this.peerServer =
@@ -98,8 +120,13 @@
             log,
             new OperatorReports(state, policy, metrics, audit, published),
             new OperatorCommands(state, audit, intake, this::drain));
+    PeerRequestEndpoints requests = new PeerRequestEndpoints(state, requestService, cancelHandler);
     endpoints.open(
-        callerServer.getRegistry().orElseThrow().get(ServerConfig.class), control::addEndpoints);
+        callerServer.getRegistry().orElseThrow().get(ServerConfig.class),
+        chain -> {
+          requests.execute(chain);
+          control.addEndpoints(chain);
+        });
   }
 
   /**
@@ -111,7 +138,7 @@
    * @throws Exception if a listener cannot be opened
    */
   public static Node start(NodeSettings settings, MonotonicClock clock) throws Exception {
-    return start(settings, clock, NodeOptions.defaults());
+    return start(settings, clock, NodeOptions.defaults(), new Scheduler());
   }
 
   /**
@@ -120,13 +147,16 @@
    * @param settings the settings; port 0 takes any free port
    * @param clock the clock of the node
    * @param options how the node is embedded
+   * @param policy the dispatch policy; used by this node only from now on
    * @return the running node
    * @throws Exception if a listener cannot be opened
    */
-  public static Node start(NodeSettings settings, MonotonicClock clock, NodeOptions options)
+  public static Node start(
+      NodeSettings settings, MonotonicClock clock, NodeOptions options, DispatchPolicy policy)
       throws Exception {
-    Node node = new Node(settings, clock, options);
+    Node node = new Node(settings, clock, options, policy);
     node.control.start();
+    node.startPeriodicTasks();
     node.audit.write(
         LogEvent.NODE_STARTED,
         AuditLog.SYSTEM,
@@ -219,6 +249,8 @@
       return;
     }
     control.close();
+    poller.close();
+    ledgerSweep.cancel(false);
     callerServer.stop();
     operatorServer.close();
     published.close();
@@ -246,6 +278,50 @@
     return callerServer.getRegistry().orElseThrow().get(ExecController.class);
   }
 
+  // Ratpack answers 405 at the first handler of a path that has another method.
+  private void requests(ByMethodSpec spec) {
+    spec.post(new RequestHandler(state, requestService)).delete(cancelHandler);
+  }
+
+  private void startPeriodicTasks() {
+    poller.start(exec());
+    ledgerSweep =
+        exec()
+            .getExecutor()
+            .scheduleWithFixedDelay(
+                state.ledger()::evictExpired,
+                LEDGER_SWEEP_SECONDS,
+                LEDGER_SWEEP_SECONDS,
+                TimeUnit.SECONDS);
+  }
+
+  /**
+   * Returns the counters of relayed streams.
+   *
+   * @return the counters, which change
+   */
+  public StreamCounters streamCounters() {
+    return runner.counters();
+  }
+
+  /**
+   * Returns the view of the other nodes, which can be replaced.
+   *
+   * @return the view by which requests are forwarded
+   */
+  public AtomicReference<MembershipView> membership() {
+    return state.membership();
+  }
+
+  /**
+   * Returns the incarnation of the node.
+   *
+   * @return the incarnation that issues identifiers
+   */
+  public Incarnation incarnation() {
+    return state.incarnation();
+  }
+
   private RatpackServer startCallerServer(HostAndPort address) throws Exception {
     ServerConfig config =
         ServerConfig.builder()
@@ -264,6 +340,7 @@
                         chain
                             .all(activeExchanges)
                             .get("v1/addresses", new AddressesHandler(state))
-                            .post("v1/requests/:kind", new RequestHandler(state, runner))));
+                            .path("v1/requests/:name", ctx -> ctx.byMethod(this::requests))
+                            .get("v1/streams/:reference", new StreamHandler(state, runner))));
   }
 }
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/LeaveSignals.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/LeaveSignals.java
@@ -71,9 +71,10 @@
    *
    * @param upstream the name of the upstream
    * @param draining whether it says that it is leaving
+   * @param observedAtNanos when its figures were taken, on the clock of the node
    */
-  public void reported(String upstream, boolean draining) {
-    serial.execute(() -> publish(tracker.reported(upstream, draining)));
+  public void reported(String upstream, boolean draining, long observedAtNanos) {
+    serial.execute(() -> publish(tracker.reported(upstream, draining, observedAtNanos)));
   }
 
   /**
--- a/org.cranberrystand/src/main/java/org/cranberrystand/upstream/DrainTracker.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/upstream/DrainTracker.java
@@ -88,23 +88,26 @@
   /**
    * Takes the upstream's own load report into account.
    *
-   * <p>A report that it is not leaving ends all signals but the VM list, because the upstream knows
-   * best.
+   * <p>A report that it is not leaving ends all older signals but the VM list, because the upstream
+   * knows best. Reports lag, so a signal that is newer than the figures of the report stays.
    *
    * @param upstream the name of the upstream
    * @param draining what the report says
+   * @param reportedAtNanos when its figures were taken, on the clock of the node
    * @return true if the upstream counts as leaving now and did not before
    */
-  public boolean reported(String upstream, boolean draining) {
+  public boolean reported(String upstream, boolean draining, long reportedAtNanos) {
     if (draining) {
       return observe(upstream, Source.LOAD_REPORT, clock.nowNanos());
     }
     EnumMap<Source, Long> signals = observedAtNanos.get(upstream);
     if (signals != null) {
-      signals.keySet().retainAll(ImmutableSet.of(Source.VM_LIST));
+      signals
+          .entrySet()
+          .removeIf(e -> e.getKey() != Source.VM_LIST && reportedAtNanos - e.getValue() > 0);
     }
     if (stayingAtNanos.size() < MAX_UPSTREAMS || stayingAtNanos.containsKey(upstream)) {
-      stayingAtNanos.put(upstream, clock.nowNanos());
+      stayingAtNanos.put(upstream, reportedAtNanos);
     }
     return false;
   }
--- a/org.cranberrystand/src/test/java/org/cranberrystand/upstream/DrainTrackerTest.java
+++ b/org.cranberrystand/src/test/java/org/cranberrystand/upstream/DrainTrackerTest.java
@@ -26,10 +26,10 @@
   @Test
   public void firstSignalOfAnySourceIsSufficient() {
     assertTrue(tracker.listed(ImmutableSet.of("a")));
-    assertTrue(tracker.reported("b", true));
+    assertTrue(tracker.reported("b", true, clock.nowNanos()));
     assertTrue(tracker.refused("c"));
     assertTrue(tracker.reportedByPeer(new DrainTracker.Report("d", 0)));
-    assertFalse(tracker.reported("a", true));
+    assertFalse(tracker.reported("a", true, clock.nowNanos()));
     for (String upstream : ImmutableList.of("a", "b", "c", "d")) {
       assertTrue(tracker.isLeaving(upstream), upstream);
     }
@@ -63,7 +63,7 @@
   public void ownStatementOfTheUpstreamEndsAnOlderPeerReport() {
     tracker.reportedByPeer(new DrainTracker.Report("a", 0));
     clock.advance(Duration.ofSeconds(1));
-    tracker.reported("a", false);
+    tracker.reported("a", false, clock.nowNanos());
     assertFalse(tracker.isLeaving("a"));
     tracker.reportedByPeer(new DrainTracker.Report("a", Duration.ofSeconds(2).toNanos()));
     assertFalse(tracker.isLeaving("a"));
@@ -76,10 +76,20 @@
   public void listIsBelievedUntilItChanges() {
     tracker.listed(ImmutableSet.of("a"));
     clock.advance(Duration.ofHours(1));
-    tracker.reported("a", false);
+    tracker.reported("a", false, clock.nowNanos());
     assertTrue(tracker.isLeaving("a"));
     tracker.listed(ImmutableSet.of());
     assertFalse(tracker.isLeaving("a"));
     assertEquals(tracker.reports(10).size(), 0);
   }
+
+  /** Guards against a lagging load report that hides a refusal which came after its figures. */
+  @Test
+  public void reportOlderThanARefusalDoesNotEndIt() {
+    long reportedAtNanos = clock.nowNanos();
+    clock.advance(Duration.ofSeconds(1));
+    tracker.refused("a");
+    tracker.reported("a", false, reportedAtNanos);
+    assertTrue(tracker.isLeaving("a"));
+  }
 }
