Bound the wait in the queue to 4 s

Cause: after a flood the queue of deferrable work took longer to drain than urgent work may need to recover.

Change: the bound on the estimated wait is 4 s instead of 8 s.

--- a/org.cranberrystand/src/main/java/org/cranberrystand/schedule/PoolDispatcher.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/schedule/PoolDispatcher.java
@@ -31,7 +31,7 @@
   private static final double MAX_WAIT_FRACTION = 0.6;
 
   /** A longer queue of deferrable work would keep the engines full for long after a flood. */
-  private static final double MAX_WAIT_NANOS = 8e9;
+  private static final double MAX_WAIT_NANOS = 4e9;
 
   private static final long NANOS_PER_MILLI = 1_000_000;
   private static final long MIN_RETRY_MILLIS = 200;
