--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/Main.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/Main.java
@@ -5,7 +5,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
-import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.CompletableFuture;
 import java.util.logging.Level;
 import org.cranberrystand.daemon.internal.EventLog;
 import org.cranberrystand.event.LogEvent;
@@ -35,6 +35,9 @@
   private static final int EXIT_FAILED = 1;
   private static final int EXIT_INVALID = 2;
 
+  /** 128 plus the number of SIGTERM, as shells report it. */
+  private static final int EXIT_TERMINATED = 143;
+
   @Spec private CommandSpec spec;
 
   @Option(
@@ -89,15 +92,31 @@
 
   private static int run(NodeSettings settings) {
     EventLog log = new EventLog(settings.node());
-    CountDownLatch drained = new CountDownLatch(1);
-    try (Node node = Node.start(settings, MonotonicClock.system())) {
-      TerminationSignal.install(node::drain);
-      node.whenDrained().thenRun(drained::countDown);
-      drained.await();
+    CompletableFuture<Void> terminated = new CompletableFuture<>();
+    try {
+      // Installed first, so that a signal during the start also ends in a regular shutdown.
+      TerminationSignal.handle(() -> terminate(terminated));
+      runUntilDrained(terminated, settings);
     } catch (Exception e) {
       log.write(LogEvent.TASK_FAILED, "task=node", e);
       return EXIT_FAILED;
     }
     return 0;
   }
+
+  /** Ends when the node was drained, by a signal or by an operator. */
+  private static void runUntilDrained(CompletableFuture<Void> terminated, NodeSettings settings)
+      throws Exception {
+    try (Node node = Node.start(settings, MonotonicClock.system())) {
+      CompletableFuture<Void> drain = terminated.thenRun(node::drain);
+      node.whenDrained().toCompletableFuture().join();
+      drain.cancel(false);
+    }
+  }
+
+  private static void terminate(CompletableFuture<Void> terminated) {
+    if (!terminated.complete(null)) {
+      Runtime.getRuntime().halt(EXIT_TERMINATED);
+    }
+  }
 }
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/Node.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/Node.java
@@ -12,6 +12,7 @@
 import org.cranberrystand.daemon.internal.ActiveExchanges;
 import org.cranberrystand.daemon.internal.AddressesHandler;
 import org.cranberrystand.daemon.internal.AuditLog;
+import org.cranberrystand.daemon.internal.AuditedPolicy;
 import org.cranberrystand.daemon.internal.BundleIntake;
 import org.cranberrystand.daemon.internal.CancelHandler;
 import org.cranberrystand.daemon.internal.ControlPlane;
@@ -91,7 +92,7 @@
     this.log = new EventLog(settings.node());
     this.audit = new AuditLog(state.incarnation(), log);
     this.metrics = new Metrics(state.ledger());
-    ObservedPolicy policy = new ObservedPolicy(dispatch, metrics);
+    ObservedPolicy policy = new ObservedPolicy(new AuditedPolicy(dispatch, audit), metrics);
     SchedulerLoop scheduler = new SchedulerLoop(policy, log);
     this.intake = new BundleIntake(state, scheduler, log, audit);
     this.peerClient = new PeerClient(state, options.peerFault());
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/BundleIntake.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/BundleIntake.java
@@ -265,10 +265,8 @@
       // Parts of a version that is being fetched may be dropped here; they are fetched again.
       parts.retain(BundleParser.partDigests(signed.bundle()));
       hold(new Held(bundle, new RequestBody(Json.toBytes(signed))));
-      audit.write(
+      log.write(
           LogEvent.BUNDLE_IN_FORCE,
-          AuditLog.SYSTEM,
-          "newer version",
           "version=" + bundle.version() + " digest=" + bundle.digest() + " source=" + source);
       scheduler.feed(new SchedulerEvent.BundleChanged(bundle, state.clock().nowNanos()));
       onAccepted.run();
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/ControlPlane.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/ControlPlane.java
@@ -144,7 +144,6 @@
   /** Announces that the node is leaving and stops taking new work. */
   public void startLeaving() {
     if (state.leaving().compareAndSet(false, true)) {
-      log.write(LogEvent.NODE_DRAINING, "");
       membership.leave();
       scheduler.feed(new SchedulerEvent.DrainStarted(state.clock().nowNanos()));
     }
