--- a/org.cranberrystand/src/main/java/org/cranberrystand/placement/ShareAllocator.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/placement/ShareAllocator.java
@@ -14,8 +14,8 @@
  * Not thread-safe.
  */
 public final class ShareAllocator {
-  /** Bound on the change of a weight per second, as the natural logarithm of the factor 1.16. */
-  private static final double MAX_LOG_SLOPE = 0.15;
+  /** Bound on the change of a weight per second, as the natural logarithm of the factor 1.1. */
+  private static final double MAX_LOG_SLOPE = 0.1;
 
   /** Keeps a share for nodes without demand so that their first requests need not wait. */
   private static final double FLOOR_FRACTION = 0.25;
@@ -39,8 +39,11 @@
   private final String self;
   private final Map<String, Weight> weights = new HashMap<>();
   private boolean started;
+  private boolean alone = true;
+  private double mean;
+  private long observedNanos;
   private long updatedNanos;
-  private long startedNanos;
+  private double startFactor = 1;
 
   /**
    * Creates an allocator of a node that knows of no other node.
@@ -60,9 +63,14 @@
   public void observe(Map<String, Double> demandByNode, long nowNanos) {
     advance(nowNanos);
     weights.values().forEach(w -> w.present = false);
-    double mean = demandByNode.values().stream().mapToDouble(d -> d).average().orElse(0);
+    double seconds = started ? Math.max(0, (nowNanos - observedNanos) / NANOS_PER_SECOND) : 0;
+    observedNanos = nowNanos;
+    double seenMean = demandByNode.values().stream().mapToDouble(d -> d).average().orElse(0);
+    double step = Math.exp(MAX_LOG_SLOPE * seconds);
+    // The floor and the cap must not jump either, since all shares depend on them.
+    mean = alone || mean <= 1 ? seenMean : Math.max(mean / step, Math.min(mean * step, seenMean));
+    alone = demandByNode.size() == 1;
     double floor = Math.max(1, mean * FLOOR_FRACTION);
-    boolean alone = demandByNode.size() == 1;
     for (Map.Entry<String, Double> entry : demandByNode.entrySet()) {
       double demand = Math.max(0, Math.min(mean * CAP_FRACTION, entry.getValue())) + floor;
       Weight weight = weights.computeIfAbsent(entry.getKey(), name -> new Weight());
@@ -76,11 +84,7 @@
     }
     if (!started) {
       started = true;
-      startedNanos = nowNanos;
-      Weight own = weights.get(self);
-      if (own != null && demandByNode.size() > 1) {
-        own.value *= START_FRACTION;
-      }
+      startFactor = demandByNode.size() > 1 ? START_FRACTION : 1;
     }
   }
 
@@ -93,11 +97,7 @@
     double seconds = started ? Math.max(0, (nowNanos - updatedNanos) / NANOS_PER_SECOND) : 0;
     updatedNanos = nowNanos;
     double factor = Math.exp(MAX_LOG_SLOPE * seconds);
-    boolean starting = (nowNanos - startedNanos) / NANOS_PER_SECOND < START_SECONDS;
-    if (starting && weights.containsKey(self)) {
-      Weight own = weights.get(self);
-      own.value = Math.min(own.demand, own.value * Math.pow(2, seconds));
-    }
+    startFactor = Math.min(1, startFactor + seconds * (1 - START_FRACTION) / START_SECONDS);
     for (Weight weight : weights.values()) {
       double target = weight.present ? weight.demand : 0;
       weight.value = Math.max(weight.value / factor, Math.min(weight.value * factor, target));
@@ -122,7 +122,7 @@
       Weight weight = weights.get(user);
       total += weight == null ? 0 : weight.value;
     }
-    return total <= 0 ? 1 : Math.min(1, own.value / Math.max(total, own.value));
+    return total <= 0 ? 1 : startFactor * Math.min(1, own.value / Math.max(total, own.value));
   }
 
   /**
