Send only the latest changes to members without an earlier exchange

In the first round over its peers a node sent each of them all records. In a fleet of 64 nodes this made 28.9 KB/s per node, against a budget of 13.3 KB/s. Without an earlier exchange the 8 latest changes are sent now; all records follow only when the summary hashes differ. Loads per message are reduced from 24 to 16 and the VM list is read at 3 KB/s instead of 4 KB/s.

--- a/org.cranberrystand.bench/src/main/java/org/cranberrystand/bench/fleet/EmbeddedFleet.java
+++ b/org.cranberrystand.bench/src/main/java/org/cranberrystand/bench/fleet/EmbeddedFleet.java
@@ -213,6 +213,43 @@
     return node;
   }
 
+  /**
+   * Returns settings for a node that runs in a process of its own.
+   *
+   * @param name the name of the node
+   * @return the settings in TOML
+   */
+  public String settingsText(String name) {
+    return """
+        node = "%s"
+        failure_domain = "domain-a"
+        [listen]
+        callers = "%s"
+        peers = "%s"
+        operators = "%s"
+        [platform]
+        config_service = "%s"
+        vm_list = "%s"
+        [security]
+        operator_token = "%s"
+        fleet_keys = ["%s"]
+        [[security.trusted_keys]]
+        id = "%s"
+        public_key = "%s"
+        """
+        .formatted(
+            name,
+            ANY_PORT,
+            ANY_PORT,
+            ANY_PORT,
+            platform().address(),
+            platform().address(),
+            OPERATOR_TOKEN,
+            FLEET_KEY,
+            KEY_ID,
+            BundleSignatures.encode(operatorKeys.getPublic()));
+  }
+
   /**
    * Ends a node without a drain, as a crash does; it stays listed.
    *
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/MembershipService.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/MembershipService.java
@@ -46,8 +46,11 @@
 
   private static final int INDIRECT_PROBES = 2;
 
-  /** Loads per message; with 55 bytes each this is a tenth of the budget for control traffic. */
-  private static final int MAX_LOADS = 24;
+  /** Records sent to a member without an earlier exchange. */
+  private static final int MAX_LATEST = 8;
+
+  /** Loads per message; 4 messages a second with 55 bytes per load are 3.5 KB/s. */
+  private static final int MAX_LOADS = 16;
 
   private static final long LOAD_MAX_AGE_NANOS = 10 * NANOS_PER_SECOND;
   private static final long SUSPECT_CONTENT_NANOS = 60 * NANOS_PER_SECOND;
@@ -215,8 +218,8 @@
           PeerDigest received = Json.read(body, PeerDigest.class);
           apply(received);
           boolean wantsAll = received.hash() == 0;
-          long since = wantsAll ? 0 : sentVersions.getOrDefault(received.from(), 0L);
-          byte[] reply = Json.toBytes(digest(received.from(), since, !received.loads().isEmpty()));
+          byte[] reply =
+              Json.toBytes(digest(received.from(), wantsAll, !received.loads().isEmpty()));
           sentVersions.put(received.from(), table.version());
           return reply;
         });
@@ -308,8 +311,7 @@
       String address, String expected, boolean withLoads, boolean all) {
     return inTable(
             () -> {
-              long since = all ? 0 : sentVersions.getOrDefault(expected, 0L);
-              PeerDigest digest = digest(expected, since, withLoads);
+              PeerDigest digest = digest(expected, all, withLoads);
               return new Sent(
                   table.version(),
                   new RequestBody(Json.toBytes(all ? digest.askingForAll() : digest)));
@@ -350,10 +352,10 @@
     return differs && !all && fullExchanges.tryAcquire(records) ? Next.EXCHANGE_ALL : Next.DONE;
   }
 
-  private PeerDigest digest(String receiver, long since, boolean withLoads) {
+  private PeerDigest digest(String receiver, boolean all, boolean withLoads) {
     List<PeerDigest.Member> members = new ArrayList<>();
     members.add(PeerDigest.Member.of(table.self()));
-    for (MemberRecord record : table.changedSince(since)) {
+    for (MemberRecord record : recordsFor(receiver, all)) {
       if (!record.node().equals(table.self().node()) && !record.node().equals(receiver)) {
         members.add(PeerDigest.Member.of(record));
       }
@@ -382,6 +384,21 @@
         suspects.remaining());
   }
 
+  /**
+   * Returns the records to send.
+   *
+   * <p>To a member without an earlier exchange go the latest changes only: sending it all records
+   * made a node of a fleet of 64 exchange 29 KB/s. If it lacks more, the hashes differ and all
+   * records are exchanged.
+   */
+  private List<MemberRecord> recordsFor(String receiver, boolean all) {
+    if (all) {
+      return table.changedSince(0);
+    }
+    Long since = sentVersions.get(receiver);
+    return since == null ? table.latestChanges(MAX_LATEST) : table.changedSince(since);
+  }
+
   private void apply(PeerDigest received) {
     long refutations = table.refutations();
     boolean changed = false;
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/PlatformWatcher.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/PlatformWatcher.java
@@ -47,7 +47,7 @@
    * Part of the budget of 13 KB/s that reading the VM list may use. The list of the largest fleet
    * has about 0.5 MB, so each node reads it every 2 minutes there and learns the rest from peers.
    */
-  private static final int VM_BYTES_PER_SECOND = 4_096;
+  private static final int VM_BYTES_PER_SECOND = 3_072;
 
   /**
    * What the service published when it last answered.
--- a/org.cranberrystand/src/main/java/org/cranberrystand/membership/MembershipTable.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/membership/MembershipTable.java
@@ -256,6 +256,20 @@
         .collect(ImmutableList.toImmutableList());
   }
 
+  /**
+   * Returns the records that changed last.
+   *
+   * @param limit the largest number to return
+   * @return the records, the latest change first
+   */
+  public ImmutableList<MemberRecord> latestChanges(int limit) {
+    return entries.values().stream()
+        .sorted(Comparator.comparingLong((Entry e) -> e.version).reversed())
+        .limit(limit)
+        .map(e -> e.record)
+        .collect(ImmutableList.toImmutableList());
+  }
+
   /**
    * Returns the loads that changed lately, the latest first.
    *
