Set up the decision benchmark once per trial

Filling 3,100 windows of 32 requests before each iteration made the run exceed 500 s. Windows of 4 requests, filled once, give the same steady state.

--- a/org.cranberrystand.bench/src/main/java/org/cranberrystand/bench/jmh/DecisionBenchmark.java
+++ b/org.cranberrystand.bench/src/main/java/org/cranberrystand/bench/jmh/DecisionBenchmark.java
@@ -31,7 +31,7 @@
   private SchedulerLoad load;
 
   /** Fills the scheduler. */
-  @Setup(Level.Iteration)
+  @Setup(Level.Trial)
   public void setUp() {
     load = new SchedulerLoad(engines, teams);
     load.fillQueue(queued);
--- a/org.cranberrystand.bench/src/main/java/org/cranberrystand/bench/jmh/SchedulerLoad.java
+++ b/org.cranberrystand.bench/src/main/java/org/cranberrystand/bench/jmh/SchedulerLoad.java
@@ -19,6 +19,7 @@
 import org.cranberrystand.schedule.WorkItem;
 import org.cranberrystand.upstream.UpstreamDirectory;
 import org.cranberrystand.upstream.UpstreamRecord;
+import org.cranberrystand.upstream.WindowSettings;
 
 /** Scheduler in a steady state with a given number of engines, teams and queued requests. */
 final class SchedulerLoad {
@@ -29,6 +30,10 @@
   private static final int PROMPT_TOKENS = 1_100;
   private static final int OUTPUT_TOKENS = 60;
   private static final int MAX_QUEUED = 1_000_000;
+  /** Small windows that do not adapt, so that a few requests saturate many engines. */
+  private static final WindowSettings SMALL_WINDOWS =
+      new WindowSettings(false, 4, 200_000, 62, 7, 600, 600_000);
+
   private static final int SHOPS = 64;
   private static final long STEP_NANOS = 20_000;
 
@@ -45,7 +50,10 @@
     this.teams = teams;
     this.scheduler =
         new Scheduler(
-            SchedulerOptions.builder().queueLimits(MAX_QUEUED, Long.MAX_VALUE / 2).build());
+            SchedulerOptions.builder()
+                .queueLimits(MAX_QUEUED, Long.MAX_VALUE / 2)
+                .windowSettings(SMALL_WINDOWS)
+                .build());
     scheduler.handle(new SchedulerEvent.BundleChanged(bundle(), nowNanos));
     scheduler.handle(new SchedulerEvent.DirectoryChanged(directory(engines), nowNanos));
     scheduler.handle(new SchedulerEvent.PeersChanged("node-1", ImmutableList.of(), nowNanos));
