--- a/org.cranberrystand.bench/src/main/java/org/cranberrystand/bench/jmh/JmhCommand.java
+++ b/org.cranberrystand.bench/src/main/java/org/cranberrystand/bench/jmh/JmhCommand.java
@@ -49,6 +49,7 @@
         new OptionsBuilder()
             .include(DecisionBenchmark.class.getName())
             .forks(1)
+            .shouldFailOnError(true)
             .warmupIterations(WARMUP_ITERATIONS)
             .warmupTime(TimeValue.milliseconds(millis))
             .measurementIterations(ITERATIONS)
--- a/org.cranberrystand.bench/src/main/java/org/cranberrystand/bench/jmh/SchedulerLoad.java
+++ b/org.cranberrystand.bench/src/main/java/org/cranberrystand/bench/jmh/SchedulerLoad.java
@@ -15,6 +15,7 @@
 import org.cranberrystand.schedule.Scheduler;
 import org.cranberrystand.schedule.SchedulerAction;
 import org.cranberrystand.schedule.SchedulerEvent;
+import org.cranberrystand.schedule.SchedulerFeature;
 import org.cranberrystand.schedule.SchedulerOptions;
 import org.cranberrystand.schedule.WorkItem;
 import org.cranberrystand.upstream.UpstreamDirectory;
@@ -53,6 +54,7 @@
             SchedulerOptions.builder()
                 .queueLimits(MAX_QUEUED, Long.MAX_VALUE / 2)
                 .windowSettings(SMALL_WINDOWS)
+                .without(SchedulerFeature.EARLY_REJECTION)
                 .build());
     scheduler.handle(new SchedulerEvent.BundleChanged(bundle(), nowNanos));
     scheduler.handle(new SchedulerEvent.DirectoryChanged(directory(engines), nowNanos));
