--- a/org.cranberrystand/src/main/java/org/cranberrystand/placement/SubsetSelector.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/placement/SubsetSelector.java
@@ -3,7 +3,6 @@
 import com.google.common.collect.ImmutableSet;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -93,7 +92,7 @@
     for (int i = 0; i < nodeHashes.length; i++) {
       result.add(new Candidate(i, RendezvousHash.score(key, nodeHashes[i])));
     }
-    result.sort(Comparator.comparingLong(Candidate::score).reversed());
+    result.sort((a, b) -> Long.compareUnsigned(b.score(), a.score()));
     return result;
   }
 }
