--- a/org.cranberrystand/src/main/java/org/cranberrystand/schedule/EnginePool.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/schedule/EnginePool.java
@@ -306,7 +306,7 @@
     long bestScore = Long.MIN_VALUE;
     for (EngineState engine : engines.values()) {
       long score = RendezvousHash.score(key, engine.hash());
-      if (best == null || score > bestScore) {
+      if (best == null || Long.compareUnsigned(score, bestScore) > 0) {
         best = engine;
         bestScore = score;
       }
@@ -360,7 +360,9 @@
       return engine.isReservedForSuspect();
     }
     long key = RendezvousHash.hash(node);
-    return RendezvousHash.score(key, engine.hash()) > RendezvousHash.score(key, other.hash());
+    return Long.compareUnsigned(
+            RendezvousHash.score(key, engine.hash()), RendezvousHash.score(key, other.hash()))
+        > 0;
   }
 
   /** Ends the reservation of upstreams that were being emptied for suspects that are gone. */
