--- a/org.cranberrystand.bench/src/main/java/org/cranberrystand/bench/jmh/SchedulerLoad.java
+++ b/org.cranberrystand.bench/src/main/java/org/cranberrystand/bench/jmh/SchedulerLoad.java
@@ -31,6 +31,7 @@
   private static final int PROMPT_TOKENS = 1_100;
   private static final int OUTPUT_TOKENS = 60;
   private static final int MAX_QUEUED = 1_000_000;
+
   /** Small windows that do not adapt, so that a few requests saturate many engines. */
   private static final WindowSettings SMALL_WINDOWS =
       new WindowSettings(false, 4, 200_000, 62, 7, 600, 600_000);
