--- a/org.cranberrystand/src/main/java/org/cranberrystand/schedule/EnginePool.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/schedule/EnginePool.java
@@ -244,9 +244,13 @@
       if (!isAllowed(engine, queued, maxLong, clear)) {
         continue;
       }
+      double share = engine.usableShare() * (reserved ? RESERVED_OVERDRAFT : 1);
+      if (!engine.window().hasSequence(share, nowNanos)) {
+        // Checked first, since looking up the prefix costs more than all the rest.
+        continue;
+      }
       double cached = cachedTokens(engine, queued.item());
       double prefill = queued.item().promptTokens() - cached;
-      double share = engine.usableShare() * (reserved ? RESERVED_OVERDRAFT : 1);
       if (engine
           .window()
           .admits(share, prefill, queued.cost(), reserved ? RESERVED_PREFILL : 1, nowNanos)) {
--- a/org.cranberrystand/src/main/java/org/cranberrystand/schedule/FairQueue.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/schedule/FairQueue.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
+import java.util.Set;
 import java.util.TreeSet;
 import java.util.function.ToDoubleFunction;
 
@@ -106,24 +107,29 @@
   /** Adds a request at the end of its team's queue, or at the front when it is tried again. */
   void add(QueuedItem queued, boolean first) {
     TeamEntry team = team(queued.item().team());
-    detach(team);
     if (team.size == 0) {
       team.virtualTime = Math.max(team.virtualTime, systemVirtualTime);
       activeWeight += team.weight;
+    } else {
+      byBacklog.remove(team);
     }
     ArrayDeque<QueuedItem> lane = lane(team, queued);
+    boolean laneWasEmpty = lane.isEmpty();
     if (first) {
       lane.addFirst(queued);
     } else {
       lane.addLast(queued);
     }
+    if (laneWasEmpty) {
+      lanesByService(queued).add(team);
+    }
     team.size++;
     team.backlog += queued.cost();
+    byBacklog.add(team);
     size++;
     cost += queued.cost();
     queued.setQueued(true);
     byDeadline.add(queued);
-    attach(team);
   }
 
   /** Returns the next request of a lane, or null. */
@@ -161,7 +167,7 @@
     if (team == null || !queued.isQueued()) {
       return;
     }
-    detach(team);
+    byBacklog.remove(team);
     ArrayDeque<QueuedItem> lane = lane(team, queued);
     if (lane.peekFirst() == queued) {
       lane.removeFirst();
@@ -170,6 +176,9 @@
     } else {
       lane.remove(queued);
     }
+    if (lane.isEmpty()) {
+      lanesByService(queued).remove(team);
+    }
     queued.setQueued(false);
     team.size--;
     team.backlog = team.size == 0 ? 0 : team.backlog - queued.cost();
@@ -177,8 +186,9 @@
     cost = size == 0 ? 0 : cost - queued.cost();
     if (team.size == 0) {
       activeWeight = size == 0 ? 0 : activeWeight - team.weight;
+    } else {
+      byBacklog.add(team);
     }
-    attach(team);
     if (size == 0) {
       byDeadline.clear();
     }
@@ -205,9 +215,7 @@
   /** Charges a team, or gives back with a negative amount. */
   void charge(String name, double tokens) {
     TeamEntry team = team(name);
-    detach(team);
-    team.virtualTime += tokens / team.weight;
-    attach(team);
+    moveTo(team, team.virtualTime + tokens / team.weight);
   }
 
   /** Charges a team for service on other nodes, up to a bounded lead over the others. */
@@ -216,11 +224,9 @@
     if (!fair || team == null) {
       return;
     }
-    detach(team);
     double limit = systemVirtualTime + MAX_LEAD_TOKENS / team.weight;
-    team.virtualTime =
-        Math.max(team.virtualTime, Math.min(limit, team.virtualTime + tokens / team.weight));
-    attach(team);
+    double charged = Math.min(limit, team.virtualTime + tokens / team.weight);
+    moveTo(team, Math.max(team.virtualTime, charged));
   }
 
   /** Returns the cost that is served before a new request of a team, in tokens. */
@@ -306,6 +312,24 @@
     return team.lanes.get(queued.isLongPrefill() ? 1 : 0);
   }
 
+  private Set<TeamEntry> lanesByService(QueuedItem queued) {
+    return byService.get(queued.isLongPrefill() ? 1 : 0);
+  }
+
+  private void moveTo(TeamEntry team, double virtualTime) {
+    for (int i = 0; i < LANES; i++) {
+      if (!team.lanes.get(i).isEmpty()) {
+        byService.get(i).remove(team);
+      }
+    }
+    team.virtualTime = virtualTime;
+    for (int i = 0; i < LANES; i++) {
+      if (!team.lanes.get(i).isEmpty()) {
+        byService.get(i).add(team);
+      }
+    }
+  }
+
   private void detach(TeamEntry team) {
     if (team.size > 0) {
       byBacklog.remove(team);
--- a/org.cranberrystand/src/main/java/org/cranberrystand/upstream/EngineWindow.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/upstream/EngineWindow.java
@@ -289,7 +289,7 @@
       double contextTokens,
       double prefillLimitFactor,
       long nowNanos) {
-    if (draining || nowNanos < blockedUntilNanos) {
+    if (!hasSequence(share, nowNanos)) {
       return false;
     }
     if (ownSequences == 0) {
@@ -302,11 +302,23 @@
             * prefillLimitFactor
             * settings.maxPrefillMillis()
             / MILLIS_PER_SECOND;
-    return ownSequences + 1 <= share * sequences
-        && ownTokens + contextTokens <= share * tokens
+    return ownTokens + contextTokens <= share * tokens
         && pendingPrefillTokens + Math.min(prefillTokens, prefillLimit / 2) <= prefillLimit;
   }
 
+  /**
+   * Tells whether one more request fits the share of this node, whatever its length.
+   *
+   * @param share the share of this node
+   * @param nowNanos the time
+   * @return false if no request may be dispatched
+   */
+  public boolean hasSequence(double share, long nowNanos) {
+    return !draining
+        && nowNanos >= blockedUntilNanos
+        && (ownSequences == 0 || ownSequences + 1 <= share * sequences);
+  }
+
   /**
    * Returns the number of requests that this node may still start.
    *
--- a/org.cranberrystand/src/main/java/org/cranberrystand/upstream/WindowSettings.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/upstream/WindowSettings.java
@@ -21,6 +21,5 @@
     double maxPrefillMillis) {
 
   /** Settings for the planned latency of 74 ms between tokens and 1.7 s to the first token. */
-  public static final WindowSettings DEFAULT =
-      new WindowSettings(true, 8, 50_000, 62, 7, 600, 600);
+  public static final WindowSettings DEFAULT = new WindowSettings(true, 8, 50_000, 62, 7, 600, 600);
 }
