Log the first of several platform failures and test an asymmetric cut

A watcher logged one warning a second while the configuration service was down; it now logs the first failure after a success. A new test separates two nodes that a third one reaches: neither may become suspect, and a rollout reaches both.

--- a/org.cranberrystand.bench/src/main/java/org/cranberrystand/bench/fleet/FleetFaults.java
+++ b/org.cranberrystand.bench/src/main/java/org/cranberrystand/bench/fleet/FleetFaults.java
@@ -17,6 +17,7 @@
   private final Random random;
   private volatile double lossProbability;
   private volatile ImmutableSet<String> cutOff = ImmutableSet.of();
+  private volatile ImmutableSet<String> pair = ImmutableSet.of();
 
   FleetFaults(long seed) {
     this.random = new Random(seed);
@@ -44,10 +45,21 @@
     this.cutOff = ImmutableSet.copyOf(nodes);
   }
 
+  /**
+   * Loses all messages between two nodes that both reach the others.
+   *
+   * @param first the name of one node
+   * @param second the name of the other one
+   */
+  public void separate(String first, String second) {
+    this.pair = ImmutableSet.of(first, second);
+  }
+
   @Override
   public boolean drops(String node, String address) {
     String other = nodeByAddress.getOrDefault(address, "");
     boolean cut = cutOff.contains(node) != cutOff.contains(other);
-    return cut || (lossProbability > 0 && random.nextDouble() < lossProbability);
+    boolean separated = pair.contains(node) && pair.contains(other);
+    return cut || separated || (lossProbability > 0 && random.nextDouble() < lossProbability);
   }
 }
--- a/org.cranberrystand.bench/src/test/java/org/cranberrystand/bench/rollout/RolloutFailureTest.java
+++ b/org.cranberrystand.bench/src/test/java/org/cranberrystand/bench/rollout/RolloutFailureTest.java
@@ -155,6 +155,22 @@
     }
   }
 
+  /** Guards against a member held for gone because one other node cannot reach it. */
+  @Test
+  public void memberThatOthersReachIsNotSuspected() throws Exception {
+    try (EmbeddedFleet fleet = new EmbeddedFleet()) {
+      FleetChecks.start(fleet, 3);
+      fleet.faults().separate("node-0", "node-1");
+      for (int i = 0; i < 60; i++) {
+        Thread.sleep(100);
+        assertEquals(stateOf(fleet.nodes().get(0), "node-1"), MemberState.ALIVE);
+        assertEquals(stateOf(fleet.nodes().get(1), "node-0"), MemberState.ALIVE);
+      }
+      fleet.publish(RolloutFleet.bundleText(2));
+      FleetChecks.await("version 2", ROLLOUT, () -> FleetChecks.allHave(fleet, 2));
+    }
+  }
+
   /** Guards against a bundle that is lost when almost all nodes are replaced in an outage. */
   @Test
   public void oneSurvivorPassesTheBundleToItsReplacedPeers() throws Exception {
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/ControlPlane.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/ControlPlane.java
@@ -230,8 +230,7 @@
               }
               state.readiness().pauses().confirm(pauses);
               refreshing.set(false);
-              // No further round: the next pause starts a new loop.
-              return Promise.async(down -> {});
+              return Promise.value(Retry.STOP);
             });
   }
 
@@ -248,7 +247,7 @@
               }
               state.readiness().setStarted();
               membership.spread();
-              return Promise.async(down -> {});
+              return Promise.value(Retry.STOP);
             });
   }
 
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/PlatformWatcher.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/PlatformWatcher.java
@@ -7,6 +7,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Arrays;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BooleanSupplier;
@@ -65,6 +66,8 @@
   private final Function<SignedBundle, Promise<Long>> onBundle;
   private final AtomicLong revision = new AtomicLong();
   private final AtomicReference<Published> published = new AtomicReference<>(new Published(0, ""));
+  private final AtomicBoolean configFailing = new AtomicBoolean();
+  private final AtomicBoolean listFailing = new AtomicBoolean();
   private volatile boolean answering;
 
   /**
@@ -101,9 +104,13 @@
 
   /** Starts to read and watch; the first reading is done by the starting node. */
   void start() {
-    retry.loop("vm-list", MIN_VM_POLL, () -> readVms().mapError(this::failed));
+    retry.loop(
+        "vm-list", MIN_VM_POLL, () -> readVms().mapError(cause -> failed(listFailing, cause)));
     retry.loop("watch", ROLE_CHECK, this::watchIfAssigned);
-    retry.loop("poll", SLOW_POLL, () -> readHead().map(any -> SLOW_POLL).mapError(this::failed));
+    retry.loop(
+        "poll",
+        SLOW_POLL,
+        () -> readHead().map(any -> SLOW_POLL).mapError(cause -> failed(configFailing, cause)));
   }
 
   Published published() {
@@ -156,11 +163,12 @@
     String query = "?after=" + revision.get() + "&timeoutMillis=" + WATCH.toMillis();
     return head("/v1/watch/" + HEAD_KEY + query, CLIENT_TIMEOUT)
         .map(any -> Duration.ZERO)
-        .mapError(this::failed);
+        .mapError(cause -> failed(configFailing, cause));
   }
 
-  private Duration failed(Throwable cause) {
-    if (!retry.isClosed()) {
+  /** Logs the first of several failures in a row. */
+  private Duration failed(AtomicBoolean failing, Throwable cause) {
+    if (!retry.isClosed() && failing.compareAndSet(false, true)) {
       log.write(LogEvent.CONFIG_UNAVAILABLE, "cause=" + cause);
     }
     return AFTER_FAILURE;
@@ -171,7 +179,13 @@
     return client
         .request(URI.create("http://" + service + path), spec -> spec.readTimeout(timeout))
         .flatMap(this::applyHead)
-        .wiretap(result -> answering = result.isSuccess());
+        .wiretap(
+            result -> {
+              answering = result.isSuccess();
+              if (answering) {
+                configFailing.set(false);
+              }
+            });
   }
 
   private Promise<Boolean> applyHead(ReceivedResponse response) throws IOException {
@@ -198,6 +212,7 @@
 
   private Duration applyVms(byte[] body) throws IOException {
     state.controlCost().platformCall(body.length);
+    listFailing.set(false);
     VmEntry[] vms = Json.read(body, VmEntry[].class);
     state
         .entryVms()
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/Retry.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/Retry.java
@@ -14,6 +14,9 @@
  * <p>Safe for use by several threads.
  */
 final class Retry implements AutoCloseable {
+  /** Returned by a call that is not to be run again. */
+  static final Duration STOP = Duration.ofMillis(-1);
+
   private static final double JITTER = 0.2;
 
   private final ExecController exec;
@@ -52,9 +55,9 @@
     }
   }
 
-  /** Runs a call, then again after the pause that it returns. */
+  /** Runs a call, then again after the pause that it returns, until it returns {@link #STOP}. */
   void loop(String task, Duration firstDelay, Supplier<Promise<Duration>> call) {
-    if (closed) {
+    if (closed || firstDelay.isNegative()) {
       return;
     }
     long delayMillis = vary(firstDelay);
