--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/MembershipService.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/MembershipService.java
@@ -4,7 +4,6 @@
 import com.google.common.util.concurrent.RateLimiter;
 import java.io.IOException;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -46,16 +45,6 @@
 
   private static final int INDIRECT_PROBES = 2;
 
-  /** Records sent to a member without an earlier exchange. */
-  private static final int MAX_LATEST = 8;
-
-  /** A change reaches a fleet of 460 nodes in less; older ones would only repeat what is known. */
-  private static final long LATEST_MAX_AGE_NANOS = 30 * NANOS_PER_SECOND;
-
-  /** Loads per message; 4 messages a second with 55 bytes per load are 3.5 KB/s. */
-  private static final int MAX_LOADS = 16;
-
-  private static final long LOAD_MAX_AGE_NANOS = 10 * NANOS_PER_SECOND;
   private static final long SUSPECT_CONTENT_NANOS = 60 * NANOS_PER_SECOND;
 
   /** Records per second that full exchanges may send; a record has about 120 bytes. */
@@ -71,7 +60,7 @@
   private final ProbeOrder order;
   private final ContentSignals quarantined;
   private final ContentSignals suspects;
-  private final Map<String, Long> sentVersions = new HashMap<>();
+  private final DigestWriter writer;
   private final RateLimiter fullExchanges = RateLimiter.create(FULL_RECORDS_PER_SECOND);
   private final AtomicBoolean newsScheduled = new AtomicBoolean();
   private int nextContact;
@@ -94,6 +83,7 @@
     this.order = new ProbeOrder(new Random(state.incarnation().id()));
     this.quarantined = new ContentSignals(state.clock());
     this.suspects = new ContentSignals(state.clock());
+    this.writer = new DigestWriter(state, table, quarantined, suspects);
   }
 
   /**
@@ -170,7 +160,7 @@
     serial.execute(
         () -> {
           table.tick();
-          sentVersions.keySet().removeIf(node -> table.find(node).isEmpty());
+          writer.forgetRemovedMembers();
           quarantined.expire();
           suspects.expire();
           refreshOwnLoad();
@@ -222,8 +212,8 @@
           apply(received);
           boolean wantsAll = received.hash() == 0;
           byte[] reply =
-              Json.toBytes(digest(received.from(), wantsAll, !received.loads().isEmpty()));
-          sentVersions.put(received.from(), table.version());
+              Json.toBytes(writer.write(received.from(), wantsAll, !received.loads().isEmpty()));
+          writer.sent(received.from(), table.version());
           return reply;
         });
   }
@@ -314,7 +304,7 @@
       String address, String expected, boolean withLoads, boolean all) {
     return inTable(
             () -> {
-              PeerDigest digest = digest(expected, all, withLoads);
+              PeerDigest digest = writer.write(expected, all, withLoads);
               return new Sent(
                   table.version(),
                   new RequestBody(Json.toBytes(all ? digest.askingForAll() : digest)));
@@ -346,7 +336,7 @@
     }
     PeerDigest received = Json.read(response.getBody().getBytes(), PeerDigest.class);
     apply(received);
-    sentVersions.put(received.from(), sentVersion);
+    writer.sent(received.from(), sentVersion);
     if (!expected.isEmpty() && !expected.equals(received.from())) {
       return Next.OTHER_NODE;
     }
@@ -355,55 +345,6 @@
     return differs && !all && fullExchanges.tryAcquire(records) ? Next.EXCHANGE_ALL : Next.DONE;
   }
 
-  private PeerDigest digest(String receiver, boolean all, boolean withLoads) {
-    List<PeerDigest.Member> members = new ArrayList<>();
-    members.add(PeerDigest.Member.of(table.self()));
-    for (MemberRecord record : recordsFor(receiver, all)) {
-      if (!record.node().equals(table.self().node()) && !record.node().equals(receiver)) {
-        members.add(PeerDigest.Member.of(record));
-      }
-    }
-    // The receiver must learn when it is held for suspect or gone, however long ago that was.
-    table
-        .find(receiver)
-        .filter(r -> r.state() != MemberState.ALIVE)
-        .ifPresent(r -> members.add(PeerDigest.Member.of(r)));
-    Optional<Bundle> bundle = state.bundles().current();
-    return new PeerDigest(
-        table.self().node(),
-        members,
-        table.summaryHash(),
-        withLoads
-            ? table.recentLoads(LOAD_MAX_AGE_NANOS, MAX_LOADS).stream()
-                .map(PeerDigest.Load::of)
-                .toList()
-            : List.of(),
-        bundle.map(Bundle::version).orElse(0L),
-        bundle.map(Bundle::digest).orElse(""),
-        state.leaveSignals().reports().stream()
-            .map(r -> new PeerDigest.Timed(r.upstream(), r.ageNanos() / NANOS_PER_MILLI + 1))
-            .toList(),
-        quarantined.remaining(),
-        suspects.remaining());
-  }
-
-  /**
-   * Returns the records to send.
-   *
-   * <p>To a member without an earlier exchange go the latest changes only: sending it all records
-   * made a node of a fleet of 64 exchange 29 KB/s. If it lacks more, the hashes differ and all
-   * records are exchanged.
-   */
-  private List<MemberRecord> recordsFor(String receiver, boolean all) {
-    if (all) {
-      return table.changedSince(0);
-    }
-    Long since = sentVersions.get(receiver);
-    return since == null
-        ? table.latestChanges(LATEST_MAX_AGE_NANOS, MAX_LATEST)
-        : table.changedSince(since);
-  }
-
   private void apply(PeerDigest received) {
     long refutations = table.refutations();
     boolean changed = false;
