Record changes the scheduler is told of and send loads to issuers first

Cause: audit entries for bundles needed changes in the bundle intake, which is in other hands; bundles above 1 MB could not be signed although nodes read parts; the load tool sent identifiers through nodes that did not issue them; a SIGTERM during the start ended the daemon with 143 and without shutdown.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/Main.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/Main.java
@@ -6,6 +6,7 @@
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.logging.Level;
 import org.cranberrystand.daemon.internal.EventLog;
 import org.cranberrystand.event.LogEvent;
@@ -35,6 +36,9 @@
   private static final int EXIT_FAILED = 1;
   private static final int EXIT_INVALID = 2;
 
+  /** 128 plus the number of SIGTERM, as shells report it. */
+  private static final int EXIT_TERMINATED = 143;
+
   @Spec private CommandSpec spec;
 
   @Option(
@@ -90,14 +94,30 @@
   private static int run(NodeSettings settings) {
     EventLog log = new EventLog(settings.node());
     CountDownLatch terminated = new CountDownLatch(1);
-    TerminationSignal.install(terminated::countDown);
-    try (Node node = Node.start(settings, MonotonicClock.system())) {
-      terminated.await();
-      // Graceful shutdown: Node.drain() belongs here, before close() ends the listeners.
+    AtomicBoolean leaving = new AtomicBoolean();
+    try {
+      // Installed first, so that a signal during the start also ends in a regular shutdown.
+      TerminationSignal.handle(() -> terminate(leaving, terminated));
+      runUntil(terminated, settings);
     } catch (Exception e) {
       log.write(LogEvent.TASK_FAILED, "task=node", e);
       return EXIT_FAILED;
     }
     return 0;
   }
+
+  private static void runUntil(CountDownLatch terminated, NodeSettings settings) throws Exception {
+    try (Node node = Node.start(settings, MonotonicClock.system())) {
+      terminated.await();
+      // Graceful shutdown: Node.drain() belongs here, before close() ends the listeners.
+    }
+  }
+
+  private static void terminate(AtomicBoolean leaving, CountDownLatch terminated) {
+    if (leaving.compareAndSet(false, true)) {
+      terminated.countDown();
+    } else {
+      Runtime.getRuntime().halt(EXIT_TERMINATED);
+    }
+  }
 }
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/Node.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/Node.java
@@ -5,6 +5,7 @@
 import java.security.SecureRandom;
 import org.cranberrystand.daemon.internal.AddressesHandler;
 import org.cranberrystand.daemon.internal.AuditLog;
+import org.cranberrystand.daemon.internal.AuditedPolicy;
 import org.cranberrystand.daemon.internal.BundleIntake;
 import org.cranberrystand.daemon.internal.EventLog;
 import org.cranberrystand.daemon.internal.Metrics;
@@ -56,9 +57,9 @@
     this.log = new EventLog(settings.node());
     this.audit = new AuditLog(state.incarnation(), log);
     this.metrics = new Metrics(state.ledger());
-    ObservedPolicy policy = new ObservedPolicy(new Scheduler(), metrics);
+    ObservedPolicy policy = new ObservedPolicy(new AuditedPolicy(new Scheduler(), audit), metrics);
     this.scheduler = new SchedulerLoop(policy, log);
-    BundleIntake intake = new BundleIntake(state, scheduler, log, audit);
+    BundleIntake intake = new BundleIntake(state, scheduler, log);
     this.runner = new RequestRunner(state, scheduler, log);
     this.peerClient = new PeerClient(state);
     this.peerServer = new PeerServer(state, chain -> {});
@@ -69,7 +70,8 @@
             state,
             log,
             new OperatorReports(state, policy, metrics, audit, published),
-            new OperatorCommands(state, audit, intake, this::startLeaving));
+            new OperatorCommands(
+                state, audit, signed -> intake.offer("operator", signed), this::startLeaving));
     this.watcher =
         new PlatformWatcher(
             state,
@@ -141,7 +143,6 @@
 
   private void startLeaving() {
     if (state.leaving().compareAndSet(false, true)) {
-      log.write(LogEvent.NODE_DRAINING, "");
       scheduler.feed(new SchedulerEvent.DrainStarted(state.clock().nowNanos()));
     }
   }
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/TerminationSignal.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/TerminationSignal.java
@@ -1,65 +1,39 @@
 package org.cranberrystand.daemon;
 
-import java.lang.reflect.InvocationHandler;
 import java.lang.reflect.Proxy;
-import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * Handles the signals that end a process.
+ * Runs an action on each SIGTERM instead of ending the process.
  *
- * <p>The first one starts a graceful shutdown and the second one ends the process at once. A
- * shutdown hook cannot do this: the Java runtime ignores further signals while hooks run, and
- * closes the log. {@code sun.misc.Signal} is the only API for signals; it is called by reflection
- * because the compiler warns of it and offers no way to suppress that.
+ * <p>A shutdown hook cannot be used, because the runtime ignores a second signal while hooks run.
+ * The runtime's signal API is not part of the Java platform API, so it is called by reflection.
  */
 final class TerminationSignal {
-  /** Exit code of a process ended by SIGTERM. */
-  private static final int EXIT_TERMINATED = 143;
+  private static final String SIGNAL_CLASS = "sun.misc.Signal";
+  private static final String HANDLER_CLASS = "sun.misc.SignalHandler";
 
-  private final AtomicInteger received = new AtomicInteger();
-  private final Runnable onFirst;
-
-  private TerminationSignal(Runnable onFirst) {
-    this.onFirst = onFirst;
-  }
+  private TerminationSignal() {}
 
   /**
-   * Handles the signals from now on.
+   * Installs the action.
    *
-   * @param onFirst starts the graceful shutdown; must not block
+   * @param action called on a thread of the runtime for each signal
+   * @throws ReflectiveOperationException if the runtime has no signal API
    */
-  static void install(Runnable onFirst) {
-    TerminationSignal handler = new TerminationSignal(onFirst);
-    try {
-      handler.handle("TERM");
-      handler.handle("INT");
-    } catch (ReflectiveOperationException e) {
-      throw new IllegalStateException("the Java runtime cannot handle signals", e);
-    }
-  }
-
-  private void handle(String name) throws ReflectiveOperationException {
-    Class<?> signal = Class.forName("sun.misc.Signal");
-    Class<?> handler = Class.forName("sun.misc.SignalHandler");
-    InvocationHandler onSignal =
-        (proxy, method, args) -> {
-          if (method.getName().equals("handle")) {
-            received();
-          }
-          return null;
-        };
-    Object proxy =
-        Proxy.newProxyInstance(handler.getClassLoader(), new Class<?>[] {handler}, onSignal);
-    signal
-        .getMethod("handle", signal, handler)
-        .invoke(null, signal.getConstructor(String.class).newInstance(name), proxy);
-  }
-
-  private void received() {
-    if (received.getAndIncrement() == 0) {
-      onFirst.run();
-    } else {
-      Runtime.getRuntime().halt(EXIT_TERMINATED);
-    }
+  static void handle(Runnable action) throws ReflectiveOperationException {
+    Class<?> signalClass = Class.forName(SIGNAL_CLASS);
+    Class<?> handlerClass = Class.forName(HANDLER_CLASS);
+    Object handler =
+        Proxy.newProxyInstance(
+            handlerClass.getClassLoader(),
+            new Class<?>[] {handlerClass},
+            (proxy, method, arguments) -> {
+              if (method.getName().equals("handle")) {
+                action.run();
+              }
+              return null;
+            });
+    Object signal = signalClass.getConstructor(String.class).newInstance("TERM");
+    signalClass.getMethod("handle", signalClass, handlerClass).invoke(null, signal, handler);
   }
 }
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/AuditLog.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/AuditLog.java
@@ -48,6 +48,17 @@
     return entry;
   }
 
+  /**
+   * Records a change whose event was already logged.
+   *
+   * @param event what sort of change it was
+   * @param why the reason
+   * @param what the change in this case, as {@code key=value} pairs
+   */
+  public void recordLogged(LogEvent event, String why, String what) {
+    trail.append(event, SYSTEM, why, what);
+  }
+
   public AuditTrail trail() {
     return trail;
   }
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/OperatorCommands.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/OperatorCommands.java
@@ -1,14 +1,20 @@
 package org.cranberrystand.daemon.internal;
 
+import static org.cranberrystand.bundle.BundleRegister.Acceptance.ALREADY_IN_FORCE;
+
 import com.google.common.collect.ImmutableList;
 import java.io.IOException;
 import java.net.URLDecoder;
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
+import java.util.function.Consumer;
+import org.cranberrystand.bundle.Bundle;
 import org.cranberrystand.bundle.BundleRegister;
 import org.cranberrystand.event.LogEvent;
+import org.cranberrystand.util.Checked;
 import org.cranberrystand.util.Finding;
 import org.cranberrystand.wire.Json;
+import org.cranberrystand.wire.bundle.BundleSignatures;
 import org.cranberrystand.wire.bundle.SignedBundle;
 import org.cranberrystand.wire.http.ProblemType;
 import org.cranberrystand.wire.operator.ChangeReport;
@@ -21,7 +27,8 @@
 
   private final NodeState state;
   private final AuditLog audit;
-  private final BundleIntake intake;
+  private final Consumer<SignedBundle> intake;
+  private final BundleSignatures signatures;
   private final DrainControl drain;
 
   /**
@@ -29,14 +36,15 @@
    *
    * @param state the state of the node
    * @param audit receives each command that is carried out
-   * @param intake takes pushed bundles
+   * @param intake takes pushed bundles that would come into force
    * @param drain starts the graceful shutdown
    */
   public OperatorCommands(
-      NodeState state, AuditLog audit, BundleIntake intake, DrainControl drain) {
+      NodeState state, AuditLog audit, Consumer<SignedBundle> intake, DrainControl drain) {
     this.state = state;
     this.audit = audit;
     this.intake = intake;
+    this.signatures = new BundleSignatures(state.settings().trustedKeys());
     this.drain = drain;
   }
 
@@ -82,26 +90,40 @@
   }
 
   private void take(Context ctx, SignedBundle signed, String who, String why, boolean dryRun) {
-    BundleIntake.Result result = intake.check(SOURCE, signed);
-    if (!dryRun && result.acceptance() == BundleRegister.Acceptance.ACCEPTED) {
+    Checked<Bundle> checked = signatures.verify(SOURCE, signed);
+    if (!(checked instanceof Checked.Valid<Bundle> valid)) {
+      ImmutableList<String> findings =
+          checked.findingsOrEmpty().stream()
+              .map(Finding::toString)
+              .collect(ImmutableList.toImmutableList());
+      OperatorReports.send(ctx, new ChangeReport(node(), "refused", false, dryRun, findings));
+      return;
+    }
+    Bundle bundle = valid.value();
+    BundleRegister.Acceptance acceptance = judge(bundle);
+    if (!dryRun && acceptance == BundleRegister.Acceptance.ACCEPTED) {
       // The push is the cause of what follows, so it is recorded first.
-      String what = "version=" + result.bundle().version() + " digest=" + result.bundle().digest();
+      String what = "version=" + bundle.version() + " digest=" + bundle.digest();
       audit.write(LogEvent.BUNDLE_PUSHED, who, why, what);
-    }
-    if (!dryRun) {
-      result = intake.offer(SOURCE, signed);
+      intake.accept(signed);
+      // Another bundle may have come into force in between.
+      acceptance = judge(bundle) == ALREADY_IN_FORCE ? acceptance : judge(bundle);
     }
     boolean inForce =
-        result.acceptance() == BundleRegister.Acceptance.ACCEPTED
-            || result.acceptance() == BundleRegister.Acceptance.ALREADY_IN_FORCE;
-    String label =
-        result.acceptance() == null
-            ? "refused"
-            : result.acceptance().name().toLowerCase(Locale.ROOT).replace('_', '-');
-    ImmutableList<String> findings =
-        result.findings().stream().map(Finding::toString).collect(ImmutableList.toImmutableList());
-    OperatorReports.send(
-        ctx, new ChangeReport(state.settings().node(), label, inForce, dryRun, findings));
+        acceptance == ALREADY_IN_FORCE || acceptance == BundleRegister.Acceptance.ACCEPTED;
+    String label = acceptance.name().toLowerCase(Locale.ROOT).replace('_', '-');
+    OperatorReports.send(ctx, new ChangeReport(node(), label, inForce, dryRun, ImmutableList.of()));
+  }
+
+  /** Tells what the register would do with a bundle now. */
+  private BundleRegister.Acceptance judge(Bundle bundle) {
+    BundleRegister trial = new BundleRegister();
+    state.bundles().current().ifPresent(trial::offer);
+    return trial.offer(bundle);
+  }
+
+  private String node() {
+    return state.settings().node();
   }
 
   private static void refuseAnonymous(Context ctx) {
--- a/org.cranberrystand.pgm/src/main/java/org/cranberrystand/pgm/BundleFiles.java
+++ b/org.cranberrystand.pgm/src/main/java/org/cranberrystand/pgm/BundleFiles.java
@@ -9,6 +9,8 @@
 import org.cranberrystand.util.Checked;
 import org.cranberrystand.wire.Json;
 import org.cranberrystand.wire.bundle.BundleParser;
+import org.cranberrystand.wire.bundle.BundlePart;
+import org.cranberrystand.wire.bundle.BundlePartCache;
 import org.cranberrystand.wire.bundle.SignedBundle;
 
 /** Reads and writes the files of the tool. Stateless. */
@@ -27,6 +29,8 @@
   /**
    * Reads a bundle from TOML or from the signed form.
    *
+   * <p>Parts are read from the directory that {@link #partDirectory} names.
+   *
    * @param file the file
    * @return the content; a signature is not verified
    */
@@ -35,7 +39,8 @@
     if (text.stripLeading().startsWith("{")) {
       text = readSigned(file).bundle();
     }
-    Checked<Bundle> checked = BundleParser.parse(file.toString(), text);
+    BundlePartCache parts = readParts(file, text);
+    Checked<Bundle> checked = BundleParser.parse(file.toString(), text, parts::find);
     if (checked instanceof Checked.Invalid<Bundle> invalid) {
       throw CommandFailure.invalid(invalid.findings());
     }
@@ -63,6 +68,29 @@
         file + " has no signature", "create one with \"cranberrystand bundle sign\"");
   }
 
+  /**
+   * Returns the directory with the parts of a bundle, each named by its digest.
+   *
+   * @param file the file of the bundle
+   * @return the directory beside the file; exists only for a bundle in parts
+   */
+  static Path partDirectory(Path file) {
+    return file.resolveSibling(file.getFileName() + ".parts");
+  }
+
+  private static BundlePartCache readParts(Path file, String text) {
+    BundlePartCache parts = new BundlePartCache();
+    for (String digest : BundleParser.partDigests(text)) {
+      Path part = partDirectory(file).resolve(digest);
+      if (digest.matches("[0-9a-f]{64}")
+          && Files.exists(part)
+          && parts.add(digest, readText(part)) instanceof Checked.Invalid<BundlePart> invalid) {
+        throw CommandFailure.invalid(invalid.findings());
+      }
+    }
+    return parts;
+  }
+
   static String readText(Path file) {
     try {
       return Files.readString(file);
--- a/org.cranberrystand.pgm/src/main/java/org/cranberrystand/pgm/BundleRevertCommand.java
+++ b/org.cranberrystand.pgm/src/main/java/org/cranberrystand/pgm/BundleRevertCommand.java
@@ -3,6 +3,8 @@
 import com.google.common.collect.ImmutableMap;
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
+import org.cranberrystand.wire.bundle.BundleParser;
+import org.cranberrystand.wire.bundle.BundleRenderer;
 import org.cranberrystand.wire.bundle.BundleRevision;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Mixin;
@@ -49,7 +51,9 @@
     BundleFiles.Content inForce = BundleFiles.read(current);
     String text;
     try {
-      text = BundleRevision.succeed(old.text(), old.bundle(), inForce.bundle());
+      boolean inParts = !BundleParser.partDigests(old.text()).isEmpty();
+      String whole = inParts ? BundleRenderer.render(old.bundle()) : old.text();
+      text = BundleRevision.succeed(whole, old.bundle(), inForce.bundle());
     } catch (IllegalArgumentException e) {
       throw CommandFailure.invalid(wanted + " cannot be revised", e.getMessage());
     }
--- a/org.cranberrystand.pgm/src/main/java/org/cranberrystand/pgm/BundleSignCommand.java
+++ b/org.cranberrystand.pgm/src/main/java/org/cranberrystand/pgm/BundleSignCommand.java
@@ -2,13 +2,17 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.Callable;
 import org.cranberrystand.bundle.Bundle;
 import org.cranberrystand.wire.Json;
+import org.cranberrystand.wire.bundle.BundleParser;
 import org.cranberrystand.wire.bundle.BundleSignatures;
+import org.cranberrystand.wire.bundle.BundleSplitter;
 import org.cranberrystand.wire.bundle.SignedBundle;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Mixin;
@@ -52,6 +56,15 @@
       description = "The bundle in force; the version must be higher and name it as predecessor.")
   private Path previous;
 
+  @Option(
+      names = "--parts",
+      paramLabel = "N",
+      description = {
+        "Split teams and shops into N parts, for bundles above 1 MB.",
+        "The parts are written to the directory OUT.parts; publish each as bundle/part/NAME."
+      })
+  private int partCount;
+
   @Option(names = "--force", description = "Replace an existing file.")
   private boolean force;
 
@@ -64,34 +77,62 @@
     if (previous != null) {
       compare(content.bundle(), BundleFiles.read(previous).bundle());
     }
+    BundleSplitter.Split split =
+        partCount > 0
+            ? BundleSplitter.split(content.text(), partCount)
+            : new BundleSplitter.Split(content.text(), ImmutableMap.of());
+    SignedBundle signed = sign(split.main());
+    String published = Json.toText(signed) + "\n";
+    checkSize(published);
+    split.parts().values().forEach(BundleSignCommand::checkSize);
+    BundleFiles.write(target, published, force, dryRun);
+    writeParts(split.parts());
+    report(content.bundle().version(), BundleParser.digestOf(split.main()));
+    return ExitCode.DONE;
+  }
+
+  private SignedBundle sign(String text) {
     ImmutableList.Builder<SignedBundle.Signature> signatures = ImmutableList.builder();
     for (Path path : keys) {
       KeyFile key = KeyFile.read(path);
-      signatures.addAll(BundleSignatures.sign(content.text(), key.id(), key.key()).signatures());
+      signatures.addAll(BundleSignatures.sign(text, key.id(), key.key()).signatures());
     }
-    SignedBundle signed = new SignedBundle(content.text(), signatures.build());
-    String published = Json.toText(signed) + "\n";
+    return new SignedBundle(text, signatures.build());
+  }
+
+  private void writeParts(ImmutableMap<String, String> parts) {
+    Path directory = BundleFiles.partDirectory(target);
+    if (parts.isEmpty() || dryRun) {
+      return;
+    }
+    try {
+      Files.createDirectories(directory);
+    } catch (IOException e) {
+      throw CommandFailure.failed("cannot create " + directory + ": " + e, "choose another --out");
+    }
+    parts.forEach(
+        (digest, text) -> BundleFiles.write(directory.resolve(digest), text, true, false));
+  }
+
+  private static void checkSize(String published) {
     int size = published.getBytes(StandardCharsets.UTF_8).length;
     if (size > MAX_PUBLISHED_BYTES) {
       throw CommandFailure.invalid(
-          "the signed bundle has " + size + " bytes; the configuration service holds 1 MB",
-          "shorten the bundle, for example by grouping shops into fewer teams");
+          "a value has " + size + " bytes; the configuration service holds 1 MB",
+          "split teams and shops with --parts 128, or more parts");
     }
-    BundleFiles.write(target, published, force, dryRun);
-    Bundle bundle = content.bundle();
+  }
+
+  private void report(long version, String digest) {
     output.print(
         ImmutableMap.of(
-            "file", target.toString(),
-            "version", bundle.version(),
-            "digest", bundle.digest(),
-            "dryRun", dryRun),
+            "file", target.toString(), "version", version, "digest", digest, "dryRun", dryRun),
         () ->
             output
                 .out()
                 .printf(
                     "%s version %d, digest %s, to %s%n",
-                    dryRun ? "would write" : "wrote", bundle.version(), bundle.digest(), target));
-    return ExitCode.DONE;
+                    dryRun ? "would write" : "wrote", version, digest, target));
   }
 
   private void compare(Bundle bundle, Bundle inForce) {
--- a/org.cranberrystand.pgm/src/main/java/org/cranberrystand/pgm/load/FleetDirectory.java
+++ b/org.cranberrystand.pgm/src/main/java/org/cranberrystand/pgm/load/FleetDirectory.java
@@ -32,7 +32,13 @@
   private static final Duration TIMEOUT = Duration.ofSeconds(3);
   private static final long NANOS_PER_SECOND = 1_000_000_000;
 
-  private record Cached(ImmutableList<String> addresses, long expiresNanos) {}
+  private record Cached(ImmutableList<AddressList.Address> nodes, long expiresNanos) {
+    ImmutableList<String> addresses() {
+      return nodes.stream()
+          .map(AddressList.Address::address)
+          .collect(ImmutableList.toImmutableList());
+    }
+  }
 
   private record Identifier(String text, long issuedNanos) {}
 
@@ -66,6 +72,37 @@
     return refreshed().thenApply(this::pick);
   }
 
+  /**
+   * Returns the address of the node that issued an identifier, which spares a forward.
+   *
+   * @param identifier the identifier; its first part is the name of the node
+   * @return host and port; those of another node if the list does not name the issuer
+   */
+  CompletableFuture<String> issuerAddress(String identifier) {
+    String node = nodeOf(identifier);
+    for (AddressList.Address address : cached.get().nodes()) {
+      if (address.node().equals(node)) {
+        return CompletableFuture.completedFuture(address.address());
+      }
+    }
+    return nextAddress();
+  }
+
+  /**
+   * Drops the unused identifiers of a node that cannot be reached.
+   *
+   * @param identifier an identifier of the node
+   */
+  void forgetIssuer(String identifier) {
+    String node = nodeOf(identifier);
+    identifiers.removeIf(unused -> nodeOf(unused.text()).equals(node));
+    forgetAddresses();
+  }
+
+  private static String nodeOf(String identifier) {
+    return identifier.substring(0, Math.max(0, identifier.indexOf('.')));
+  }
+
   /**
    * Returns an identifier that was not used before.
    *
@@ -95,7 +132,7 @@
 
   /** Drops the list, so that the next attempt asks again, as after a failed connection. */
   void forgetAddresses() {
-    cached.updateAndGet(c -> new Cached(c.addresses(), 0));
+    cached.updateAndGet(c -> new Cached(c.nodes(), 0));
   }
 
   private String pick(ImmutableList<String> addresses) {
@@ -150,16 +187,14 @@
     try {
       AddressList list = Json.read(response.body(), AddressList.class);
       long now = clock.nowNanos();
-      ImmutableList<String> addresses =
-          list.addresses().stream()
-              .map(AddressList.Address::address)
-              .collect(ImmutableList.toImmutableList());
-      if (addresses.isEmpty()) {
-        addresses = ImmutableList.of(asked);
+      ImmutableList<AddressList.Address> nodes = ImmutableList.copyOf(list.addresses());
+      if (nodes.isEmpty()) {
+        nodes = ImmutableList.of(new AddressList.Address(asked, "", ""));
       }
       list.identifiers().forEach(text -> identifiers.add(new Identifier(text, now)));
-      cached.set(new Cached(addresses, now + list.ttlSeconds() * NANOS_PER_SECOND));
-      return addresses;
+      Cached fresh = new Cached(nodes, now + list.ttlSeconds() * NANOS_PER_SECOND);
+      cached.set(fresh);
+      return fresh.addresses();
     } catch (IOException e) {
       throw new IllegalStateException("no address list from " + asked, e);
     }
--- a/org.cranberrystand.pgm/src/main/java/org/cranberrystand/pgm/load/RequestSender.java
+++ b/org.cranberrystand.pgm/src/main/java/org/cranberrystand/pgm/load/RequestSender.java
@@ -1,14 +1,17 @@
 package org.cranberrystand.pgm.load;
 
 import com.google.common.base.Strings;
+import java.net.ConnectException;
 import java.net.URI;
 import java.net.http.HttpClient;
+import java.net.http.HttpConnectTimeoutException;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import org.cranberrystand.wire.Json;
@@ -46,6 +49,7 @@
     private final byte[] body;
     private String identifier;
     private int attempts;
+    private boolean perhapsSent;
 
     Sending(ArrivalPlan.Arrival arrival, LoadRunner.Recorder recorder) {
       this.requestClass = arrival.requestClass();
@@ -74,7 +78,7 @@
     private void attempt() {
       attempts++;
       then(
-          directory.nextAddress(),
+          firstToIssuer(),
           recorder,
           (address, failure) -> {
             if (failure != null) {
@@ -85,6 +89,15 @@
           });
     }
 
+    /**
+     * Any node can take an identifier that was sent before; its issuer takes it without forward.
+     */
+    private CompletableFuture<String> firstToIssuer() {
+      return identifier == null || perhapsSent
+          ? directory.nextAddress()
+          : directory.issuerAddress(identifier);
+    }
+
     private void send(String address) {
       HttpRequest.Builder request =
           HttpRequest.newBuilder(
@@ -118,8 +131,20 @@
         recorder.ended(INCOMPLETE);
       } else {
         directory.forgetAddresses();
-        follow(ResendRule.afterBrokenConnection(requestClass));
+        follow(afterFailure(failure));
+      }
+    }
+
+    private ResendRule afterFailure(Throwable failure) {
+      Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+      boolean connected =
+          !(cause instanceof ConnectException || cause instanceof HttpConnectTimeoutException);
+      if (!connected && !perhapsSent && identifier != null) {
+        directory.forgetIssuer(identifier);
+        return ResendRule.afterFailedConnection();
       }
+      perhapsSent |= connected;
+      return ResendRule.afterBrokenConnection(requestClass);
     }
 
     private void follow(ResendRule rule) {
--- a/org.cranberrystand.pgm/src/main/java/org/cranberrystand/pgm/load/ResendRule.java
+++ b/org.cranberrystand.pgm/src/main/java/org/cranberrystand/pgm/load/ResendRule.java
@@ -39,6 +39,15 @@
         "connection-broken");
   }
 
+  /**
+   * Decides after no connection to the issuer was established and nothing was ever sent.
+   *
+   * @return fresh identifier, since the request cannot have run
+   */
+  static ResendRule afterFailedConnection() {
+    return new ResendRule(Action.FRESH_IDENTIFIER, 0, null, "connection-failed");
+  }
+
   /**
    * Decides after a problem document.
    *
--- a/org.cranberrystand.pgm/src/test/java/org/cranberrystand/pgm/ToolTest.java
+++ b/org.cranberrystand.pgm/src/test/java/org/cranberrystand/pgm/ToolTest.java
@@ -63,6 +63,12 @@
         run("bundle", "sign", path("big.toml"), "--key", path("ops.key"), "--out", path("s")), 2);
     assertTrue(err.contains("1 MB"), err);
     assertFalse(Files.exists(directory.resolve("s")));
+    String[] inParts = {
+      "bundle", "sign", path("big.toml"), "--key", path("ops.key"), "--out", path("s"), "--parts",
+    };
+    assertEquals(run(with(inParts, "16")), 0);
+    assertEquals(run("bundle", "diff", path("big.toml"), path("s")), 0);
+    assertTrue(out.contains("the same"), out);
   }
 
   /** Guards against a revert to a version number that nodes refuse. */
--- a/org.cranberrystand.wire/src/main/java/org/cranberrystand/wire/bundle/BundleDiff.java
+++ b/org.cranberrystand.wire/src/main/java/org/cranberrystand/wire/bundle/BundleDiff.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Objects;
 import org.cranberrystand.bundle.Bundle;
+import org.cranberrystand.bundle.ModelDeployment;
 import org.cranberrystand.bundle.Shop;
 import org.cranberrystand.bundle.Team;
 import org.cranberrystand.bundle.Tier;
@@ -25,6 +26,8 @@
     SHOP,
     /** Teams. */
     TEAM,
+    /** Models that the engines should serve. */
+    MODEL,
     /** Guaranteed shares of the tiers. */
     SHARE
   }
@@ -100,6 +103,7 @@
       case POOL -> bundle.pools().values().forEach(p -> elements.put(p.name(), properties(p)));
       case SHOP -> bundle.shops().values().forEach(s -> elements.put(s.name(), properties(s)));
       case TEAM -> bundle.teams().values().forEach(t -> elements.put(t.name(), properties(t)));
+      case MODEL -> bundle.pools().keySet().forEach(p -> putDeployments(bundle, p, elements));
       case SHARE -> {
         for (Tier tier : Tier.values()) {
           elements.put(tier.label(), properties("guaranteed_share", bundle.guaranteedShare(tier)));
@@ -110,6 +114,15 @@
     return elements;
   }
 
+  private static void putDeployments(
+      Bundle bundle, String pool, Map<String, Map<String, String>> elements) {
+    for (ModelDeployment d : bundle.deployments(pool)) {
+      elements.put(
+          String.join("/", pool, d.model(), d.version(), d.role().label()),
+          properties("adapters", d.adapters(), "share", d.share()));
+    }
+  }
+
   private static Map<String, String> properties(WorkKind kind) {
     return properties(
         "tier", kind.tier().label(),
--- a/org.cranberrystand.wire/src/main/java/org/cranberrystand/wire/bundle/BundleRenderer.java
+++ b/org.cranberrystand.wire/src/main/java/org/cranberrystand/wire/bundle/BundleRenderer.java
@@ -3,6 +3,7 @@
 import java.util.Collection;
 import java.util.stream.Collectors;
 import org.cranberrystand.bundle.Bundle;
+import org.cranberrystand.bundle.ModelDeployment;
 import org.cranberrystand.bundle.PoolType;
 import org.cranberrystand.bundle.Shop;
 import org.cranberrystand.bundle.Team;
@@ -31,6 +32,9 @@
     }
     bundle.pools().values().forEach(pool -> append(text, pool));
     bundle.kinds().values().forEach(kind -> append(text, kind));
+    bundle.pools().keySet().stream()
+        .flatMap(pool -> bundle.deployments(pool).stream())
+        .forEach(deployment -> append(text, deployment));
     bundle.teams().values().forEach(team -> append(text, team));
     bundle.shops().values().forEach(shop -> append(text, shop));
     return text.toString();
@@ -59,6 +63,16 @@
     line(text, "expected_output_tokens", kind.expectedOutputTokens());
   }
 
+  private static void append(StringBuilder text, ModelDeployment deployment) {
+    text.append("\n[[deployments]]\n");
+    line(text, "pool", quote(deployment.pool()));
+    line(text, "model", quote(deployment.model()));
+    line(text, "version", quote(deployment.version()));
+    line(text, "adapters", quoteAll(deployment.adapters()));
+    line(text, "role", quote(deployment.role().label()));
+    line(text, "share", deployment.share());
+  }
+
   private static void append(StringBuilder text, Team team) {
     text.append("\n[[teams]]\n");
     line(text, "name", quote(team.name()));
--- a/org.cranberrystand/src/main/java/org/cranberrystand/event/LogEvent.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/event/LogEvent.java
@@ -13,9 +13,11 @@
   /** Settings have defects. */
   SETTINGS_INVALID(1005, Severity.ERROR, "settings are invalid"),
   /** An operator asked the node to drain. */
-  DRAIN_REQUESTED(1006, Severity.INFO, "drain requested by an operator"),
+  DRAIN_REQUESTED(1011, Severity.INFO, "drain requested by an operator"),
   /** A call to the operator listener had no valid token. */
-  OPERATOR_REFUSED(1007, Severity.WARNING, "operator call refused"),
+  OPERATOR_REFUSED(1012, Severity.WARNING, "operator call refused"),
+  /** Other nodes came, left or were replaced. */
+  MEMBERS_CHANGED(1013, Severity.INFO, "members changed"),
   /** A bundle came into force. */
   BUNDLE_IN_FORCE(2001, Severity.INFO, "bundle in force"),
   /** A bundle was refused. */
@@ -25,13 +27,17 @@
   /** The configuration service does not answer. */
   CONFIG_UNAVAILABLE(2004, Severity.WARNING, "configuration service unavailable"),
   /** An operator pushed a bundle to this node. */
-  BUNDLE_PUSHED(2005, Severity.INFO, "bundle pushed by an operator"),
+  BUNDLE_PUSHED(2011, Severity.INFO, "bundle pushed by an operator"),
   /** An upstream refused a request before running it. */
   UPSTREAM_REFUSED(3001, Severity.DEBUG, "upstream refused a request"),
   /** A connection to an upstream broke. */
   UPSTREAM_BROKEN(3002, Severity.WARNING, "connection to upstream broke"),
   /** A stream event was out of sequence or belonged to another request. */
   STREAM_MISMATCH(3003, Severity.WARNING, "stream event does not belong to the answer"),
+  /** Upstreams were listed, removed or began to leave. */
+  UPSTREAMS_CHANGED(3011, Severity.INFO, "upstreams changed"),
+  /** Content that crashed upstreams is not run for a time. */
+  CONTENT_QUARANTINED(3012, Severity.WARNING, "content quarantined"),
   /** An engine was ordered to serve a model. */
   ENGINE_ORDERED(4001, Severity.INFO, "engine ordered"),
   /** The rollout of a model version stopped because goodput fell. */
