Close gaps through which an identifier could be dispatched twice

Cause: four faults of the ledger and issuer. A claim that was paused between the validity check and its insertion could be granted after the entry of an earlier run was evicted. A late not-run released an identifier whose outcome was already recorded as unknown. The future of an entry kept a dropped answer reachable, so the byte limit did not bound memory. Identifiers of an idle or paused node never expired, since an interval ended only when the next one was opened.

Change: the claim checks validity again after the insertion, the future decides between concurrent outcomes, a dropped answer is replaced in the future, and an interval ends after its length.

--- a/org.cranberrystand/src/main/java/org/cranberrystand/identity/Claim.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/identity/Claim.java
@@ -22,9 +22,10 @@
   /**
    * The request ended earlier.
    *
+   * @param entry the entry of the first claim
    * @param outcome the recorded outcome
    */
-  record Completed(Outcome outcome) implements Claim {}
+  record Completed(LedgerEntry entry, Outcome outcome) implements Claim {}
 
   /** Another shop or another body used the identifier before. */
   record Mismatch() implements Claim {}
--- a/org.cranberrystand/src/main/java/org/cranberrystand/identity/IdentifierIssuer.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/identity/IdentifierIssuer.java
@@ -103,6 +103,8 @@
    * @return a number that never decreases
    */
   public long firstValidSequence() {
+    // Read before the intervals: identifiers issued in between must not be taken for expired.
+    long next = nextSequence.get();
     long now = clock.nowNanos();
     ImmutableList<Interval> current = intervals.get();
     for (int i = 0; i < current.size(); i++) {
@@ -110,11 +112,15 @@
         return current.get(i).firstSequence();
       }
     }
-    return nextSequence.get();
+    return next;
   }
 
-  private static long endNanos(ImmutableList<Interval> list, int index, long now) {
-    return index + 1 < list.size() ? list.get(index + 1).startNanos() : now;
+  // An interval ends even if no identifier is issued after it, so that the identifiers of a node
+  // that was paused or idle expire as well.
+  private long endNanos(ImmutableList<Interval> list, int index, long now) {
+    long limit = list.get(index).startNanos() + intervalNanos;
+    long end = index + 1 < list.size() ? list.get(index + 1).startNanos() : now;
+    return end - limit < 0 ? end : limit;
   }
 
   private void openInterval() {
--- a/org.cranberrystand/src/main/java/org/cranberrystand/identity/LedgerEntry.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/identity/LedgerEntry.java
@@ -14,6 +14,7 @@
   private final String bodyDigest;
   private final CompletableFuture<Outcome> done = new CompletableFuture<>();
   private volatile Outcome retained;
+  private volatile String resumeReference;
 
   LedgerEntry(RequestId id, String shop, String bodyDigest) {
     this.id = id;
@@ -51,18 +52,45 @@
     return shop.equals(otherShop) && bodyDigest.equals(otherBodyDigest);
   }
 
+  /**
+   * Returns the reference under which the answer can be read from its engine.
+   *
+   * @return the text form, or null if the request has no stream
+   */
+  public String resumeReference() {
+    return resumeReference;
+  }
+
+  /**
+   * Records where the answer can be read.
+   *
+   * @param reference the text form of the resume reference
+   */
+  public void setResumeReference(String reference) {
+    this.resumeReference = reference;
+  }
+
+  /**
+   * Sets the outcome unless there is one.
+   *
+   * <p>The future decides between concurrent calls, so that a late outcome never replaces the one
+   * that callers were told.
+   */
   boolean finish(Outcome outcome) {
-    if (done.isDone()) {
+    if (!done.complete(outcome)) {
       return false;
     }
     retained = outcome;
-    return done.complete(outcome);
+    return true;
   }
 
   /** Drops the recorded answer and keeps only the fact that the request was answered. */
   void dropAnswer() {
     if (retained instanceof Outcome.Answered answered) {
-      retained = new Outcome.AnsweredNotRetained(answered.answer().status());
+      Outcome outcome = new Outcome.AnsweredNotRetained(answered.answer().status());
+      retained = outcome;
+      // The future would otherwise keep the answer reachable beyond the ledger's byte limit.
+      done.obtrudeValue(outcome);
     }
   }
 }
--- a/org.cranberrystand/src/main/java/org/cranberrystand/identity/RequestLedger.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/identity/RequestLedger.java
@@ -50,13 +50,23 @@
     LedgerEntry fresh = new LedgerEntry(id, shop, bodyDigest);
     LedgerEntry existing = entries.putIfAbsent(id.sequence(), fresh);
     if (existing == null) {
-      return new Claim.Granted(fresh);
+      return confirm(fresh);
     }
     if (!existing.matches(shop, bodyDigest)) {
       return new Claim.Mismatch();
     }
     Outcome outcome = existing.retained();
-    return outcome == null ? new Claim.InFlight(existing) : new Claim.Completed(outcome);
+    return outcome == null ? new Claim.InFlight(existing) : new Claim.Completed(existing, outcome);
+  }
+
+  // The first check and the insertion are not one step: a thread that was paused between them could
+  // claim an identifier whose entry was evicted meanwhile, and so run the request a second time.
+  private Claim confirm(LedgerEntry fresh) {
+    if (issuer.validityOf(fresh.id()) == IdentifierIssuer.Validity.VALID) {
+      return new Claim.Granted(fresh);
+    }
+    entries.remove(fresh.id().sequence(), fresh);
+    return new Claim.Expired();
   }
 
   /**
@@ -69,10 +79,12 @@
    * @param outcome what became of the request
    */
   public void complete(LedgerEntry entry, Outcome outcome) {
+    if (!entry.finish(outcome)) {
+      return;
+    }
     if (outcome instanceof Outcome.NotRun) {
       entries.remove(entry.id().sequence(), entry);
-    }
-    if (entry.finish(outcome) && outcome instanceof Outcome.Answered answer) {
+    } else if (outcome instanceof Outcome.Answered answer) {
       answered.add(entry);
       answerBytes.addAndGet(answer.answer().sizeBytes());
       dropOldAnswers();
--- a/org.cranberrystand/src/test/java/org/cranberrystand/identity/RequestLedgerTest.java
+++ b/org.cranberrystand/src/test/java/org/cranberrystand/identity/RequestLedgerTest.java
@@ -5,10 +5,13 @@
 
 import com.google.common.collect.ImmutableMap;
 import java.time.Duration;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.cranberrystand.outcome.NotRunReason;
 import org.cranberrystand.outcome.Outcome;
 import org.cranberrystand.outcome.RecordedAnswer;
+import org.cranberrystand.outcome.UnknownCause;
 import org.cranberrystand.util.ManualClock;
+import org.cranberrystand.util.MonotonicClock;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
@@ -76,6 +79,43 @@
     assertTrue(ledger.claim(unused, SHOP, "a") instanceof Claim.Expired);
   }
 
+  @Test
+  public void identifierExpiresOnAnIdleNode() {
+    RequestId unused = issuer.next();
+    clock.advance(LIFETIME.multipliedBy(2));
+    assertTrue(ledger.claim(unused, SHOP, "a") instanceof Claim.Expired);
+  }
+
+  @Test
+  public void lateNotRunDoesNotReleaseAnIdentifierThatMayHaveRun() {
+    RequestId id = issuer.next();
+    Claim.Granted granted = (Claim.Granted) ledger.claim(id, SHOP, "a");
+    ledger.complete(granted.entry(), new Outcome.OutcomeUnknown(UnknownCause.CONNECTION_LOST));
+    ledger.complete(granted.entry(), new Outcome.NotRun(NotRunReason.OVERLOADED, 0));
+    assertTrue(ledger.claim(id, SHOP, "a") instanceof Claim.Completed);
+  }
+
+  @Test
+  public void claimThatIsPausedAcrossTheExpiryIsNotGranted() {
+    AtomicInteger readings = new AtomicInteger();
+    MonotonicClock pausing =
+        () -> readings.incrementAndGet() > 3 ? LIFETIME.multipliedBy(3).toNanos() : 0;
+    IdentifierIssuer pausingIssuer =
+        new IdentifierIssuer(new Incarnation("node-0", 7), pausing, LIFETIME.toNanos());
+    RequestLedger pausingLedger = new RequestLedger(pausingIssuer, 10);
+    RequestId id = pausingIssuer.next();
+    assertTrue(pausingLedger.claim(id, SHOP, "a") instanceof Claim.Expired);
+    assertEquals(readings.get(), 4, "the pause must fall between the check and the insertion");
+  }
+
+  @Test
+  public void droppedAnswerIsNotReachableThroughItsFuture() {
+    Claim.Granted granted = (Claim.Granted) ledger.claim(issuer.next(), SHOP, "a");
+    ledger.complete(granted.entry(), answer("12345678"));
+    complete(issuer.next(), answer("12345678"));
+    assertTrue(granted.entry().whenDone().join() instanceof Outcome.AnsweredNotRetained);
+  }
+
   @Test
   public void identifierThatWasNeverIssuedIsRefused() {
     RequestId invented = new RequestId(issuer.incarnation(), 99);
