Make the fakes fail in the ways that upstreams do

Cause: the fake engine tied an answer to its connection, so that resume, cancellation and cut streams could not be tested.

Change: streams are generated by a batch that slows down with its size, apart from the connections that read them. The engine has a prefix cache with late and lost events, lagging load reports, and crashes on a given content.

--- a/org.cranberrystand.fake/src/main/java/org/cranberrystand/fake/FakeModelEngine.java
+++ b/org.cranberrystand.fake/src/main/java/org/cranberrystand/fake/FakeModelEngine.java
@@ -1,49 +1,52 @@
 package org.cranberrystand.fake;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import com.google.common.collect.ImmutableList;
 import com.google.common.net.HostAndPort;
-import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
-import java.nio.charset.StandardCharsets;
-import java.time.Duration;
+import com.google.common.primitives.ImmutableLongArray;
+import io.netty.channel.Channel;
 import java.util.List;
 import java.util.Map;
 import java.util.Queue;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import org.cranberrystand.wire.Json;
 import org.cranberrystand.wire.http.ApiHeaders;
-import org.reactivestreams.Publisher;
+import org.cranberrystand.wire.http.CompletionRequest;
+import org.cranberrystand.wire.http.EngineLoad;
+import org.cranberrystand.wire.http.PrefixBlocks;
+import ratpack.exec.Promise;
 import ratpack.func.Action;
 import ratpack.handling.Chain;
 import ratpack.handling.Context;
 import ratpack.http.TypedData;
-import ratpack.stream.Streams;
 
 /**
- * Language-model engine that streams one event per token.
+ * Language-model engine with continuous batching that streams one event per token.
  *
- * <p>Speeds, slow-down, refusals and crashes can be set at any time. Safe for use by several
- * threads.
+ * <p>Streams go on when their connection ends, and can be resumed and cancelled. Speeds, faults,
+ * refusals and crashes can be set at any time. Safe for use by several threads.
  */
 public final class FakeModelEngine implements AutoCloseable {
   private static final int CHARS_PER_TOKEN = 4;
   private static final int DEFAULT_OUTPUT_TOKENS = 16;
-
-  private record Stream(String requestId, int tokens) {}
+  private static final int CACHE_BLOCKS = 4_096;
 
   private final String name;
-  private final EngineSpeed speed;
+  private final EngineBatch batch;
   private final FakeServer server;
+  private final PrefixCache cache = new PrefixCache(CACHE_BLOCKS);
   private final Queue<String> log = new ConcurrentLinkedQueue<>();
-  private final Map<String, Stream> streams = new ConcurrentHashMap<>();
+  private final Queue<String> cancelled = new ConcurrentLinkedQueue<>();
+  private final AtomicInteger resumes = new AtomicInteger();
+  private final Map<String, EngineStream> streams = new ConcurrentHashMap<>();
   private final AtomicLong nextStream = new AtomicLong();
-  private final AtomicInteger running = new AtomicInteger();
+  private final FaultQueue<CallFault> callFaults = new FaultQueue<>(CallFault.NONE);
+  private final FaultQueue<StreamFault> streamFaults = new FaultQueue<>(StreamFault.NONE);
   private volatile boolean draining;
-  private volatile double slowdown = 1;
+  private volatile String crashContent;
 
   /**
    * Starts an engine.
@@ -54,7 +57,7 @@
    */
   public FakeModelEngine(String name, EngineSpeed speed) throws Exception {
     this.name = name;
-    this.speed = speed;
+    this.batch = new EngineBatch(speed);
     this.server = new FakeServer(handlers());
   }
 
@@ -75,6 +78,24 @@
     return ImmutableList.copyOf(log);
   }
 
+  /**
+   * Returns the identifiers of all requests whose streams were cancelled.
+   *
+   * @return the identifiers in the order of cancellation
+   */
+  public List<String> cancelled() {
+    return ImmutableList.copyOf(cancelled);
+  }
+
+  /**
+   * Returns how many calls asked for the rest of a stream.
+   *
+   * @return the number since the start
+   */
+  public int resumes() {
+    return resumes.get();
+  }
+
   /**
    * Makes the engine report that it is leaving and refuse new requests.
    *
@@ -90,11 +111,66 @@
    * @param factor how many times longer everything takes
    */
   public void setSlowdown(double factor) {
-    this.slowdown = factor;
+    batch.setSlowdown(factor);
+  }
+
+  /**
+   * Sets how old the figures of load reports are.
+   *
+   * @param millis the age in milliseconds
+   */
+  public void setLoadReportLagMillis(long millis) {
+    batch.setReportLagMillis(millis);
+  }
+
+  /**
+   * Sets how cache events are published.
+   *
+   * @param lagMillis how late they become visible, in milliseconds
+   * @param loseEvery every n-th event is lost; 0 for none
+   */
+  public void setCacheReporting(long lagMillis, int loseEvery) {
+    cache.setReporting(lagMillis, loseEvery);
+  }
+
+  /**
+   * Makes the engine crash when a prompt contains a text.
+   *
+   * @param text the text; null for none
+   */
+  public void setCrashContent(String text) {
+    this.crashContent = text;
+  }
+
+  /**
+   * Plans a fault of the next completions calls.
+   *
+   * @param fault the fault
+   * @param times how many calls it happens to
+   */
+  public void planCallFault(CallFault fault, int times) {
+    callFaults.add(fault, times);
+  }
+
+  /**
+   * Plans a fault of the next connections that carry a stream.
+   *
+   * @param fault the fault
+   * @param times how many connections it happens to
+   */
+  public void planStreamFault(StreamFault fault, int times) {
+    streamFaults.add(fault, times);
+  }
+
+  /** Simulates the death of the process. */
+  public void crash() {
+    batch.close();
+    server.crash();
   }
 
   @Override
   public void close() throws Exception {
+    batch.close();
     server.close();
   }
 
@@ -102,80 +178,129 @@
     return chain ->
         chain
             .post("v1/completions", this::complete)
-            .get("v1/streams/:id", this::resume)
+            .path(
+                "v1/streams/:id",
+                ctx -> ctx.byMethod(spec -> spec.get(this::resume).delete(this::cancel)))
             .get("v1/load", this::load)
+            .get("v1/cache-events", this::cacheEvents)
             .get("v1/log", ctx -> ctx.getResponse().send("application/json", Json.toText(log())));
   }
 
   private void complete(Context ctx) {
-    if (draining) {
+    ctx.getRequest()
+        .getBody()
+        .then(body -> accept(ctx, body, draining ? CallFault.REFUSE_LEAVING : callFaults.next()));
+  }
+
+  private void accept(Context ctx, TypedData body, CallFault fault) throws Exception {
+    if (fault == CallFault.REFUSE_LEAVING || fault == CallFault.REFUSE_FULL) {
       ctx.getResponse().getHeaders().set(ApiHeaders.NOT_RUN, "true");
-      ctx.getResponse().status(503).send();
-      return;
+      ctx.getResponse().status(fault == CallFault.REFUSE_FULL ? 429 : 503).send();
+    } else if (fault == CallFault.DIE_BEFORE_RUN) {
+      FakeServer.closeNow(ctx);
+    } else {
+      run(ctx, CompletionRequest.parse(body.getBytes()), fault);
     }
-    ctx.getRequest().getBody().then(body -> run(ctx, body));
   }
 
-  private void run(Context ctx, TypedData body) throws Exception {
-    JsonNode request = Json.readTree(body.getBytes());
+  private void run(Context ctx, CompletionRequest request, CallFault fault) {
     String requestId = ctx.getRequest().getHeaders().get(ApiHeaders.UPSTREAM_REQUEST_ID);
-    int promptTokens = request.path("prompt").asText().length() / CHARS_PER_TOKEN + 1;
-    int outputTokens = request.path("max_tokens").asInt(DEFAULT_OUTPUT_TOKENS);
     log.add(String.valueOf(requestId));
+    String poison = crashContent;
+    if (poison != null && request.prompt().contains(poison)) {
+      crash();
+      return;
+    }
+    if (fault == CallFault.DIE_AFTER_RUN) {
+      FakeServer.closeNow(ctx);
+      return;
+    }
+    EngineStream stream = start(requestId, request);
+    if (request.stream()) {
+      ctx.getResponse().getHeaders().set(ApiHeaders.STREAM_ID, stream.id());
+      send(ctx, stream, 0, streamFault(fault));
+    } else {
+      sendWhole(ctx, stream);
+    }
+  }
+
+  private EngineStream start(String requestId, CompletionRequest request) {
+    int outputTokens = request.maxTokens() > 0 ? request.maxTokens() : DEFAULT_OUTPUT_TOKENS;
+    int promptTokens = request.prompt().length() / CHARS_PER_TOKEN + 1;
+    ImmutableLongArray blocks = PrefixBlocks.of(request.prompt());
+    int cachedTokens = cache.use(blocks) * (PrefixBlocks.BLOCK_CHARS / CHARS_PER_TOKEN);
     String streamId = name + "-" + nextStream.incrementAndGet();
-    streams.put(streamId, new Stream(requestId, outputTokens));
-    ctx.getResponse().getHeaders().set(ApiHeaders.STREAM_ID, streamId);
-    send(ctx, streamId, 0, speed.prefill(promptTokens));
+    EngineStream stream = new EngineStream(streamId, requestId, outputTokens);
+    streams.put(streamId, stream);
+    batch.run(stream, promptTokens, cachedTokens);
+    return stream;
+  }
+
+  private StreamFault streamFault(CallFault fault) {
+    return switch (fault) {
+      case DIE_AFTER_HEAD -> new StreamFault(StreamFault.Type.CUT_EVENTS, 0);
+      case DIE_IN_BODY -> new StreamFault(StreamFault.Type.CUT_BYTES, 10);
+      default -> streamFaults.next();
+    };
   }
 
   private void resume(Context ctx) {
-    String streamId = ctx.getPathTokens().get("id");
-    if (!streams.containsKey(streamId)) {
+    EngineStream stream = streams.get(ctx.getPathTokens().get("id"));
+    resumes.incrementAndGet();
+    int from = Integer.parseInt(ctx.getRequest().getQueryParams().getOrDefault("from", "0"));
+    if (stream == null || stream.isCancelled()) {
       ctx.getResponse().status(404).send();
-      return;
+    } else if (from > stream.tokens()) {
+      ctx.getResponse().status(416).send();
+    } else {
+      ctx.getResponse().getHeaders().set(ApiHeaders.STREAM_ID, stream.id());
+      send(ctx, stream, from, streamFaults.next());
     }
-    int from = Integer.parseInt(ctx.getRequest().getQueryParams().getOrDefault("from", "0"));
-    ctx.getResponse().getHeaders().set(ApiHeaders.STREAM_ID, streamId);
-    send(ctx, streamId, from, Duration.ZERO);
-  }
-
-  private void send(Context ctx, String streamId, int from, Duration prefill) {
-    Stream stream = streams.get(streamId);
-    running.incrementAndGet();
-    ctx.onClose(outcome -> running.decrementAndGet());
-    Duration gap = Duration.ofNanos((long) (speed.tokenGap().toNanos() * slowdown));
-    Duration wait = Duration.ofNanos((long) (prefill.toNanos() * slowdown));
-    Publisher<ByteBuf> events =
-        Streams.periodically(
-            ctx.getExecution().getController().getExecutor(),
-            gap,
-            i -> from + i <= stream.tokens() ? event(stream, from + i) : null);
+  }
+
+  private void cancel(Context ctx) {
+    EngineStream stream = streams.get(ctx.getPathTokens().get("id"));
+    if (stream != null && stream.cancel()) {
+      cancelled.add(stream.requestId());
+      ctx.getResponse().status(204).send();
+    } else {
+      ctx.getResponse().status(404).send();
+    }
+  }
+
+  private void send(Context ctx, EngineStream stream, int from, StreamFault fault) {
+    Channel channel = FakeServer.channel(ctx);
     ctx.getResponse().contentType(ApiHeaders.EVENT_STREAM);
-    ratpack.exec.Promise.value(events)
-        .defer(wait)
-        .then(publisher -> ctx.getResponse().sendStream(publisher));
+    ctx.getResponse().getHeaders().set("Transfer-Encoding", "chunked");
+    ctx.getResponse()
+        .sendStream(
+            new StreamConnection(
+                stream, from, channel, fault, () -> FakeServer.closeAfterWrites(ctx)));
   }
 
-  private static ByteBuf event(Stream stream, int index) {
-    String data =
-        index < stream.tokens()
-            ? Json.toText(new Token(stream.requestId(), "t" + index + " "))
-            : "[DONE]";
-    String text = "id: " + index + "\ndata: " + data + "\n\n";
-    return Unpooled.copiedBuffer(text, StandardCharsets.UTF_8);
+  private static void sendWhole(Context ctx, EngineStream stream) {
+    CompletableFuture<String> text = new CompletableFuture<>();
+    Runnable listener =
+        () -> {
+          if (stream.isEnded()) {
+            text.complete(stream.wholeText());
+          }
+        };
+    stream.addListener(listener);
+    listener.run();
+    Promise.toPromise(text).then(t -> ctx.getResponse().send("application/json", t));
   }
 
   private void load(Context ctx) {
-    Load load = new Load(0, running.get(), 0, 0, draining);
+    EngineBatch.Snapshot snapshot = batch.lagging();
+    EngineLoad load =
+        new EngineLoad(
+            batch.reportLagMillis(), snapshot.sequences(), 0, snapshot.tokens(), draining);
     ctx.getResponse().send("application/json", Json.toText(load));
   }
 
-  private record Token(String request, String text) {}
-
-  private record Load(
-      long asOfMillisAgo,
-      int runningSequences,
-      int waitingSequences,
-      long runningTokens,
-      boolean draining) {}
+  private void cacheEvents(Context ctx) {
+    long after = Long.parseLong(ctx.getRequest().getQueryParams().getOrDefault("after", "0"));
+    ctx.getResponse().send("application/json", Json.toText(cache.after(after)));
+  }
 }
--- a/org.cranberrystand.fake/src/main/java/org/cranberrystand/fake/FakeServer.java
+++ b/org.cranberrystand.fake/src/main/java/org/cranberrystand/fake/FakeServer.java
@@ -1,9 +1,16 @@
 package org.cranberrystand.fake;
 
 import com.google.common.net.HostAndPort;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
 import java.net.InetAddress;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicBoolean;
 import ratpack.func.Action;
 import ratpack.handling.Chain;
+import ratpack.handling.Context;
 import ratpack.server.RatpackServer;
 import ratpack.server.ServerConfig;
 
@@ -17,6 +24,9 @@
   private static final int MAX_CONTENT_BYTES = 16 << 20;
 
   private final RatpackServer server;
+  private final HostAndPort address;
+  private final Set<Channel> channels = ConcurrentHashMap.newKeySet();
+  private final AtomicBoolean stopped = new AtomicBoolean();
 
   FakeServer(Action<? super Chain> handlers) throws Exception {
     this(0, handlers);
@@ -32,15 +42,76 @@
             .threads(THREADS)
             .maxContentLength(MAX_CONTENT_BYTES)
             .build();
-    this.server = RatpackServer.start(spec -> spec.serverConfig(config).handlers(handlers));
+    this.server =
+        RatpackServer.start(
+            spec ->
+                spec.serverConfig(config)
+                    .handlers(chain -> chain.all(this::track).insert(handlers)));
+    this.address = HostAndPort.fromParts("127.0.0.1", server.getBindPort());
   }
 
   HostAndPort address() {
-    return HostAndPort.fromParts("127.0.0.1", server.getBindPort());
+    return address;
+  }
+
+  /**
+   * Simulates the death of the process: closes all connections and the listener at once.
+   *
+   * <p>Returns before the listener is closed when called by a thread of the server; until then, new
+   * connections are closed as they arrive.
+   */
+  void crash() {
+    if (!stopped.compareAndSet(false, true)) {
+      return;
+    }
+    channels.forEach(FakeServer::close);
+    Thread stopper = new Thread(this::stopQuietly, "fake-crash");
+    stopper.setDaemon(true);
+    stopper.start();
+  }
+
+  /** Closes a connection after what was written to it so far. */
+  static void closeAfterWrites(Context ctx) {
+    channel(ctx).writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+  }
+
+  /** Closes a connection at once. */
+  static void closeNow(Context ctx) {
+    close(channel(ctx));
+  }
+
+  private static void close(Channel channel) {
+    var unused = channel.close();
+  }
+
+  static Channel channel(Context ctx) {
+    return ctx.getDirectChannelAccess().getChannel();
   }
 
   @Override
   public void close() throws Exception {
-    server.stop();
+    if (stopped.compareAndSet(false, true)) {
+      server.stop();
+    }
+  }
+
+  private void track(Context ctx) {
+    Channel channel = channel(ctx);
+    if (channels.add(channel)) {
+      channel.closeFuture().addListener(future -> channels.remove(channel));
+    }
+    if (stopped.get()) {
+      close(channel);
+    } else {
+      ctx.next();
+    }
+  }
+
+  private void stopQuietly() {
+    try {
+      server.stop();
+    } catch (Exception e) {
+      throw new IllegalStateException("the fake cannot be stopped", e);
+    }
   }
 }
