Relay, resume, forward, hand over and cancel requests

Cause: the thin request path ended broken streams like complete ones, followed redirects of upstreams (a second dispatch), used the sequence number of identifiers as scheduler key (which collides for work of other incarnations), and answered unknown for every foreign identifier.

Change: requests run in executions of their own. Events are checked, relayed with back pressure and resumed on the same engine; a stream that cannot be resumed ends with an error event and no final chunk. Foreign identifiers are forwarded to their issuer. Hand-over, cancellation, resume references, load and cache polling, and the leaving signals of upstreams are added. Idempotent plain calls are repeated as declared.

Found with Ratpack 1.9: an error signal on a streamed response writes the final chunk, so the connection is closed directly. A response to a caller that closes its connection is not chunked unless asked to be, and then looks complete when it breaks. The client loses the signal of a connection that breaks between the response head and the first request for body, so that one is made at once. A path with two methods answers 405 unless both are registered together.

--- /dev/null
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/PeerRequestEndpoints.java
@@ -0,0 +1,53 @@
+package org.cranberrystand.daemon.internal;
+
+import org.cranberrystand.wire.http.ApiHeaders;
+import ratpack.func.Action;
+import ratpack.handling.Chain;
+import ratpack.handling.Context;
+import ratpack.util.MultiValueMap;
+
+/** Calls of other nodes about single requests. Safe for use by several threads. */
+public final class PeerRequestEndpoints implements Action<Chain> {
+  private final NodeState state;
+  private final RequestService service;
+  private final CancelHandler cancelHandler;
+
+  /**
+   * Creates the endpoints.
+   *
+   * @param state the state of the node
+   * @param service serves the requests
+   * @param cancelHandler cancels requests
+   */
+  public PeerRequestEndpoints(
+      NodeState state, RequestService service, CancelHandler cancelHandler) {
+    this.state = state;
+    this.service = service;
+    this.cancelHandler = cancelHandler;
+  }
+
+  @Override
+  public void execute(Chain chain) {
+    chain
+        .post("peer/v1/forward/:kind", ctx -> serve(ctx, RequestService.Origin.FORWARDED))
+        .post("peer/v1/handover/:kind", ctx -> serve(ctx, RequestService.Origin.HANDED_OVER))
+        .delete("peer/v1/requests/:id", cancelHandler::cancelHere);
+  }
+
+  private void serve(Context ctx, RequestService.Origin origin) {
+    ctx.getResponse().getHeaders().set(ApiHeaders.NODE, state.settings().node());
+    MultiValueMap<String, String> query = ctx.getRequest().getQueryParams();
+    byte[] body = ctx.get(PeerServer.PeerBody.class).bytes();
+    // A forwarded request always has an identifier; without one it would get a fresh one here.
+    String id = query.get("id") == null ? "" : query.get("id");
+    service.serve(
+        ctx,
+        new RequestReader.Raw(
+            ctx.getPathTokens().get("kind"),
+            query.get("shop"),
+            id,
+            query.get("deadline"),
+            new RequestBody(body)),
+        origin);
+  }
+}
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/Replies.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/Replies.java
@@ -1,5 +1,8 @@
 package org.cranberrystand.daemon.internal;
 
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
 import org.cranberrystand.outcome.Outcome;
 import org.cranberrystand.outcome.RecordedAnswer;
 import org.cranberrystand.wire.Json;
@@ -7,9 +10,10 @@
 import org.cranberrystand.wire.http.ProblemDocument;
 import org.cranberrystand.wire.http.ProblemType;
 import ratpack.handling.Context;
+import ratpack.http.MutableHeaders;
 import ratpack.http.Response;
 
-/** Writes outcomes and problem documents. Stateless. */
+/** Writes replies, outcomes and problem documents. Stateless. */
 public final class Replies {
   private Replies() {}
 
@@ -56,6 +60,57 @@
     }
   }
 
+  /**
+   * Sends a reply to a request.
+   *
+   * @param ctx the exchange
+   * @param request the request
+   * @param reply the reply
+   */
+  static void reply(Context ctx, IncomingRequest request, Reply reply) {
+    MutableHeaders headers = ctx.getResponse().getHeaders();
+    if (reply instanceof Reply.Whole whole) {
+      setDispatchHeaders(headers, whole.upstream(), whole.resumeReference());
+      outcome(ctx, whole.outcome(), request.kind().isRepeatable(), request.idText());
+    } else if (reply instanceof Reply.Streamed streamed) {
+      setDispatchHeaders(headers, streamed.upstream(), streamed.resumeReference());
+      stream(ctx, streamed.relay());
+    } else if (reply instanceof Reply.Passed passed) {
+      passed.headers().forEach(headers::set);
+      ctx.getResponse().status(passed.status());
+      ctx.getResponse().send(passed.body().bytes());
+    }
+  }
+
+  /**
+   * Sends an answer as it arrives.
+   *
+   * @param ctx the exchange
+   * @param relay the events
+   */
+  static void stream(Context ctx, StreamRelay relay) {
+    Channel channel = ctx.getDirectChannelAccess().getChannel();
+    relay.setAbort(
+        () ->
+            channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE));
+    ctx.getResponse().getHeaders().set(ApiHeaders.OUTCOME, "answered");
+    ctx.getResponse().contentType(ApiHeaders.EVENT_STREAM);
+    // To a caller that closes the connection, Ratpack would send a body that ends with it, and a
+    // broken answer would look like a complete one.
+    ctx.getResponse().getHeaders().set("Transfer-Encoding", "chunked");
+    ctx.getResponse().sendStream(relay);
+  }
+
+  private static void setDispatchHeaders(
+      MutableHeaders headers, String upstream, String resumeReference) {
+    if (upstream != null) {
+      headers.set(ApiHeaders.UPSTREAM, upstream);
+    }
+    if (resumeReference != null) {
+      headers.set(ApiHeaders.RESUME, resumeReference);
+    }
+  }
+
   private static void answer(Context ctx, RecordedAnswer answer) {
     Response response = ctx.getResponse();
     answer.headers().forEach((name, value) -> response.getHeaders().set(name, value));
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/RequestRunner.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/RequestRunner.java
@@ -1,286 +1,251 @@
 package org.cranberrystand.daemon.internal;
 
-import com.fasterxml.jackson.databind.JsonNode;
-import com.google.common.collect.ImmutableMap;
-import io.netty.buffer.ByteBuf;
-import java.io.ByteArrayOutputStream;
-import java.io.IOException;
-import java.net.ConnectException;
-import java.net.URI;
-import java.nio.charset.StandardCharsets;
+import io.netty.channel.EventLoop;
 import java.time.Duration;
 import java.util.Optional;
-import org.cranberrystand.bundle.Bundle;
+import java.util.function.Consumer;
 import org.cranberrystand.bundle.UpstreamPool;
 import org.cranberrystand.event.LogEvent;
-import org.cranberrystand.identity.LedgerEntry;
+import org.cranberrystand.identity.ResumeReference;
+import org.cranberrystand.identity.ResumeReferenceCodec;
 import org.cranberrystand.outcome.Outcome;
-import org.cranberrystand.outcome.RecordedAnswer;
 import org.cranberrystand.outcome.UnknownCause;
 import org.cranberrystand.schedule.SchedulerEvent;
 import org.cranberrystand.schedule.WorkItem;
 import org.cranberrystand.upstream.UpstreamRecord;
-import org.cranberrystand.wire.Json;
 import org.cranberrystand.wire.http.ApiHeaders;
+import org.cranberrystand.wire.http.CompletionRequest;
+import org.cranberrystand.wire.http.PrefixBlocks;
+import org.cranberrystand.wire.http.ProblemDocument;
+import org.cranberrystand.wire.security.FleetKeys;
+import ratpack.exec.ExecController;
+import ratpack.exec.Execution;
 import ratpack.exec.Promise;
-import ratpack.handling.Context;
-import ratpack.http.client.HttpClient;
-import ratpack.http.client.ReceivedResponse;
-import ratpack.http.client.RequestSpec;
 import ratpack.http.client.StreamedResponse;
-import ratpack.stream.TransformablePublisher;
 
 /**
- * Runs claimed requests: submits them to the scheduler, sends them upstream and relays the answer.
+ * Runs claimed requests: submits them to the scheduler and has them sent where it decides.
  *
- * <p>Safe for use by several threads.
+ * <p>Each request runs in an execution of its own, so that it ends regularly when its caller
+ * disconnects. Safe for use by several threads.
  */
 public final class RequestRunner implements AutoCloseable {
   private static final int CHARS_PER_TOKEN = 4;
   private static final long NANOS_PER_MILLI = 1_000_000;
-  private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
-  private static final byte[] END_OF_STREAM = "data: [DONE]".getBytes(StandardCharsets.UTF_8);
 
   private final NodeState state;
   private final SchedulerLoop scheduler;
   private final EventLog log;
-  private final HttpClient client;
+  private final EngineClient engines;
+  private final PeerRequests peers;
+  private final UpstreamSignals signals;
+  private final RunningRequests running;
+  private final ResumeReferenceCodec resumeCodec;
+  private final StreamCounters counters = new StreamCounters();
 
   /**
    * Creates a runner.
    *
    * @param state the state of the node
    * @param scheduler decides where requests go
+   * @param peerClient calls other nodes
+   * @param signals receives refusals that show that an upstream leaves
    * @param log receives failures of upstreams
    * @throws Exception if the client cannot be created
    */
-  public RequestRunner(NodeState state, SchedulerLoop scheduler, EventLog log) throws Exception {
+  public RequestRunner(
+      NodeState state,
+      SchedulerLoop scheduler,
+      PeerClient peerClient,
+      UpstreamSignals signals,
+      EventLog log)
+      throws Exception {
     this.state = state;
     this.scheduler = scheduler;
     this.log = log;
-    Duration timeout = Duration.ofMillis(state.settings().limits().upstreamTimeoutMillis());
-    this.client =
-        HttpClient.of(
-            spec ->
-                spec.useJdkAddressResolver().connectTimeout(CONNECT_TIMEOUT).readTimeout(timeout));
+    this.signals = signals;
+    this.engines =
+        new EngineClient(Duration.ofMillis(state.settings().limits().upstreamTimeoutMillis()));
+    this.running = new RunningRequests(scheduler, engines, state.clock());
+    this.resumeCodec = new ResumeReferenceCodec(state.fleetKeys().keysFor(FleetKeys.Use.RESUME));
+    this.peers = new PeerRequests(this, peerClient);
   }
 
   @Override
   public void close() {
-    client.close();
+    engines.close();
   }
 
   /**
-   * Runs a request and answers its caller.
+   * Returns the counters of relayed streams.
    *
-   * @param ctx the exchange with the caller
-   * @param request the request
-   * @param entry the claimed entry of its identifier
-   * @param contentDigest the digest of kind and body
+   * @return the counters, which change
    */
-  void run(Context ctx, IncomingRequest request, LedgerEntry entry, String contentDigest) {
-    long now = state.clock().nowNanos();
-    WorkItem item = workItem(request, contentDigest, now);
-    DecisionSlot slot = new DecisionSlot();
-    Exchange exchange = new Exchange(ctx, request, entry, item, slot);
-    slot.await(() -> scheduler.submit(item, now, slot::offer, () -> {})).then(exchange::carryOut);
+  public StreamCounters counters() {
+    return counters;
   }
 
-  private static WorkItem workItem(IncomingRequest request, String contentDigest, long now) {
-    int promptTokens = 0;
-    int maxTokens = 0;
-    if (request.poolType().isStreaming()) {
-      promptTokens = request.body().bytes().length / CHARS_PER_TOKEN + 1;
-      maxTokens = maxTokens(request.body().bytes());
-    }
-    return WorkItem.builder(request.id().sequence(), request.kind())
-        .shop(request.shop().name(), request.shop().team())
-        .tokens(promptTokens, maxTokens)
-        .contentDigest(contentDigest)
-        .times(now, now + request.deadlineMillis() * NANOS_PER_MILLI)
-        .build();
+  NodeState state() {
+    return state;
   }
 
-  private static int maxTokens(byte[] body) {
-    try {
-      JsonNode tree = Json.readTree(body);
-      return tree.path("max_tokens").asInt(0);
-    } catch (IOException e) {
-      return 0;
-    }
+  EventLog log() {
+    return log;
   }
 
-  /** One request on its way to an upstream and back. Confined to the execution of its caller. */
-  private final class Exchange {
-    private final Context ctx;
-    private final IncomingRequest request;
-    private final LedgerEntry entry;
-    private final WorkItem item;
-    private final DecisionSlot slot;
-
-    Exchange(
-        Context ctx, IncomingRequest request, LedgerEntry entry, WorkItem item, DecisionSlot slot) {
-      this.ctx = ctx;
-      this.request = request;
-      this.entry = entry;
-      this.item = item;
-      this.slot = slot;
-    }
-
-    void carryOut(Decision decision) {
-      if (decision instanceof Decision.Send send) {
-        ctx.getResponse().getHeaders().set(ApiHeaders.UPSTREAM, send.upstream().name());
-        if (request.poolType().isStreaming()) {
-          stream(send.upstream());
-        } else {
-          call(send.upstream());
-        }
-      } else if (decision instanceof Decision.Decline decline) {
-        end(new Outcome.NotRun(decline.reason(), decline.retryAfterMillis()));
-      }
-    }
-
-    private void call(UpstreamRecord upstream) {
-      URI uri = URI.create("http://" + upstream.address() + "/v1/" + request.kind().name());
-      client
-          .request(uri, this::fill)
-          .onError(this::failed)
-          .then(response -> received(upstream, response));
-    }
-
-    private void received(UpstreamRecord upstream, ReceivedResponse response) {
-      if (isRefusal(
-          upstream, response.getStatusCode(), response.getHeaders().get(ApiHeaders.NOT_RUN))) {
-        refused(true);
-        return;
-      }
-      if (response.getStatusCode() >= 500) {
-        finished(false);
-        end(
-            new Outcome.UpstreamFailed(
-                response.getStatusCode(), "upstream answered with an error"));
-        return;
-      }
-      finished(true);
-      String type = response.getHeaders().get("Content-Type");
-      end(
-          new Outcome.Answered(
-              new RecordedAnswer(
-                  response.getStatusCode(),
-                  ImmutableMap.of("Content-Type", type == null ? "application/octet-stream" : type),
-                  response.getBody().getBytes())));
-    }
+  EngineClient engines() {
+    return engines;
+  }
 
-    private void stream(UpstreamRecord upstream) {
-      URI uri = URI.create("http://" + upstream.address() + "/v1/completions");
-      client
-          .requestStream(uri, this::fill)
-          .onError(this::failed)
-          .then(response -> relay(upstream, response));
-    }
+  PeerRequests peers() {
+    return peers;
+  }
 
-    private void relay(UpstreamRecord upstream, StreamedResponse response) {
-      if (response.getStatusCode() != 200) {
-        response.getBody().toList().then(ignored -> rejectedStream(upstream, response));
-        return;
-      }
-      scheduler.feed(new SchedulerEvent.Started(item.key(), state.clock().nowNanos()));
-      ByteArrayOutputStream recorded = new ByteArrayOutputStream();
-      ctx.getResponse().getHeaders().set(ApiHeaders.OUTCOME, "answered");
-      ctx.getResponse().contentType(ApiHeaders.EVENT_STREAM);
-      TransformablePublisher<ByteBuf> body =
-          response
-              .getBody()
-              .wiretap(
-                  event -> {
-                    if (event.isData()) {
-                      record(event.getItem(), recorded);
-                    } else if (!event.isRequest()) {
-                      streamEnded(recorded.toByteArray());
-                    }
-                  });
-      ctx.getResponse().sendStream(body);
-    }
+  RunningRequests running() {
+    return running;
+  }
 
-    private void rejectedStream(UpstreamRecord upstream, StreamedResponse response) {
-      String notRun = response.getHeaders().get(ApiHeaders.NOT_RUN);
-      if (isRefusal(upstream, response.getStatusCode(), notRun)) {
-        refused(true);
-      } else {
-        finished(false);
-        end(
-            new Outcome.UpstreamFailed(
-                response.getStatusCode(), "upstream answered with an error"));
-      }
-    }
+  ResumeReferenceCodec resumeCodec() {
+    return resumeCodec;
+  }
 
-    private void record(ByteBuf chunk, ByteArrayOutputStream recorded) {
-      byte[] bytes = new byte[chunk.readableBytes()];
-      chunk.getBytes(chunk.readerIndex(), bytes);
-      recorded.writeBytes(bytes);
-      scheduler.feed(new SchedulerEvent.TokensProduced(item.key(), 1, state.clock().nowNanos()));
-    }
+  /**
+   * Starts to run a request that this node may dispatch.
+   *
+   * @param request the request
+   * @param handedOver whether another node handed it over
+   * @param recorder receives the outcome, once
+   * @param onResumeReference receives the resume reference when there is one
+   * @return the running request
+   */
+  RunningRequest start(
+      IncomingRequest request,
+      boolean handedOver,
+      Consumer<Outcome> recorder,
+      Consumer<String> onResumeReference) {
+    RunningRequest run = new RunningRequest(request, scheduler.nextKey(), recorder);
+    running.add(run);
+    ExecController exec = ExecController.require();
+    EventLoop loop = Execution.current().getEventLoop();
+    exec.fork()
+        .eventLoop(loop)
+        .onError(
+            cause -> {
+              log.write(LogEvent.TASK_FAILED, "task=request", cause);
+              scheduler.end(run.key(), new SchedulerEvent.Finished(run.key(), false, clockNanos()));
+              abandon(run);
+            })
+        .start(
+            execution ->
+                new RequestExecution(this, scheduler, run, handedOver, onResumeReference, exec)
+                    .submit());
+    return run;
+  }
 
-    private void streamEnded(byte[] recorded) {
-      boolean complete =
-          new String(recorded, StandardCharsets.UTF_8)
-              .contains(new String(END_OF_STREAM, StandardCharsets.UTF_8));
-      finished(complete);
-      Outcome outcome =
-          complete
-              ? new Outcome.Answered(
-                  new RecordedAnswer(
-                      200, ImmutableMap.of("Content-Type", ApiHeaders.EVENT_STREAM), recorded))
-              : new Outcome.UpstreamFailed(0, "the answer broke off");
-      state.ledger().complete(entry, outcome);
+  private void abandon(RunningRequest run) {
+    running.remove(run);
+    Outcome outcome = new Outcome.OutcomeUnknown(UnknownCause.CONNECTION_LOST);
+    run.end(outcome, null);
+    if (run.stream() != null) {
+      run.stream().relay().fail(ProblemDocument.of(outcome, true, run.request().idText()));
     }
+  }
 
-    private void fill(RequestSpec spec) throws Exception {
-      spec.post()
-          .body(body -> body.type("application/json").bytes(request.body().bytes()))
-          .headers(
-              headers ->
-                  headers.set(
-                      ApiHeaders.UPSTREAM_REQUEST_ID, state.idCodec().encode(request.id())));
-    }
+  WorkItem workItem(IncomingRequest request, long key, boolean handedOver, long now) {
+    WorkItem.Builder item =
+        WorkItem.builder(key, request.kind())
+            .shop(request.shop().name(), request.shop().team())
+            .contentDigest(request.contentDigest())
+            .handedOver(handedOver)
+            .times(now, now + request.deadlineMillis() * NANOS_PER_MILLI);
+    CompletionRequest completion = request.completion();
+    if (completion != null) {
+      item.tokens(completion.prompt().length() / CHARS_PER_TOKEN + 1, completion.maxTokens());
+      item.prefixBlocks(PrefixBlocks.of(completion.prompt()));
+    }
+    return item.build();
+  }
 
-    private void failed(Throwable cause) {
-      if (cause instanceof ConnectException) {
-        refused(false);
-        return;
-      }
-      log.write(LogEvent.UPSTREAM_BROKEN, "cause=" + cause);
-      scheduler.end(
-          item.key(), new SchedulerEvent.ConnectionBroken(item.key(), state.clock().nowNanos()));
-      end(new Outcome.OutcomeUnknown(UnknownCause.CONNECTION_LOST));
-    }
+  /**
+   * Tells whether a response means that the upstream did not run the request.
+   *
+   * @param upstream the upstream
+   * @param response its response
+   * @return true if the request may be dispatched elsewhere
+   */
+  boolean isRefusal(UpstreamRecord upstream, StreamedResponse response) {
+    int status = response.getStatusCode();
+    boolean declared = "true".equalsIgnoreCase(response.getHeaders().get(ApiHeaders.NOT_RUN));
+    Optional<UpstreamPool> pool =
+        state.bundles().current().map(bundle -> bundle.pools().get(upstream.pool()));
+    boolean refused =
+        (declared && (status == 429 || status == 503))
+            || pool.map(p -> p.refusalStatuses().contains(status)).orElse(false);
+    // Status 429 says that the upstream is full; only 503 says that it stops taking work.
+    if (refused && status == 503 && declared) {
+      signals.refused(upstream.name());
+    }
+    return refused;
+  }
 
-    private void refused(boolean connected) {
-      Promise<Decision> next =
-          slot.await(
-              () ->
-                  scheduler.feed(
-                      new SchedulerEvent.Refused(
-                          item.key(), connected, 0, state.clock().nowNanos())));
-      next.then(this::carryOut);
-    }
+  Optional<String> resumeReference(UpstreamRecord upstream, String streamId, IncomingRequest req) {
+    return streamId == null
+        ? Optional.empty()
+        : resumeCodec.encode(
+            new ResumeReference(upstream.name(), streamId, req.idText(), req.shop().name()));
+  }
 
-    private void finished(boolean succeeded) {
-      scheduler.end(
-          item.key(), new SchedulerEvent.Finished(item.key(), succeeded, state.clock().nowNanos()));
-    }
+  /**
+   * Creates a relay that resumes at an engine.
+   *
+   * @param retention what happens to the answer
+   * @param reference where the stream is; empty if it cannot be resumed
+   * @param sequence checks the events
+   * @param onEvents called with the number of events in each chunk
+   * @return the relay, for the event loop of the current execution
+   */
+  StreamRelay relay(
+      StreamRelay.Retention retention,
+      Optional<ResumeReference> reference,
+      EventSequence sequence,
+      java.util.function.IntConsumer onEvents) {
+    StreamRelay.Resumer resumer =
+        from ->
+            reference
+                .map(r -> openStream(r, from))
+                .orElseGet(() -> Promise.error(new java.io.IOException("no resume reference")));
+    return new StreamRelay(
+        Execution.current().getEventLoop(),
+        retention,
+        sequence,
+        from -> {
+          counters.addResumed();
+          return resumer.open(from);
+        },
+        onEvents,
+        dropped -> {
+          counters.addDropped(dropped);
+          log.write(LogEvent.STREAM_MISMATCH, "dropped=" + dropped);
+        });
+  }
 
-    private void end(Outcome outcome) {
-      state.ledger().complete(entry, outcome);
-      Replies.outcome(
-          ctx, outcome, request.kind().isRepeatable(), state.idCodec().encode(request.id()));
-    }
+  /**
+   * Reads a stream at its engine without dispatching anything.
+   *
+   * @param reference the stream
+   * @param from the first event
+   * @return the response
+   */
+  Promise<StreamedResponse> openStream(ResumeReference reference, long from) {
+    return state
+        .directory()
+        .get()
+        .find(reference.upstream())
+        .map(upstream -> engines.resume(upstream.address(), reference.streamId(), from))
+        .orElseGet(() -> Promise.error(new java.net.ConnectException("upstream not listed")));
+  }
 
-    private boolean isRefusal(UpstreamRecord upstream, int status, String notRun) {
-      Optional<Bundle> bundle = state.bundles().current();
-      UpstreamPool pool = bundle.map(b -> b.pools().get(upstream.pool())).orElse(null);
-      return (notRun != null && (status == 429 || status == 503))
-          || (pool != null && pool.refusalStatuses().contains(status));
-    }
+  long clockNanos() {
+    return state.clock().nowNanos();
   }
 }
