Test failures of nodes, upstreams and callers over real sockets

Cause: the guarantees on dispatch, outcomes and complete answers were not tested against failing parts.

The embedded fleet takes a clock and a policy per node.

--- a/org.cranberrystand.bench/src/main/java/org/cranberrystand/bench/fleet/EmbeddedFleet.java
+++ b/org.cranberrystand.bench/src/main/java/org/cranberrystand/bench/fleet/EmbeddedFleet.java
@@ -11,6 +11,8 @@
 import org.cranberrystand.fake.FakeModelEngine;
 import org.cranberrystand.fake.FakeOrderService;
 import org.cranberrystand.fake.FakePlatform;
+import org.cranberrystand.schedule.DispatchPolicy;
+import org.cranberrystand.schedule.Scheduler;
 import org.cranberrystand.util.MonotonicClock;
 import org.cranberrystand.wire.Json;
 import org.cranberrystand.wire.bundle.BundleSignatures;
@@ -108,6 +110,18 @@
    * @throws Exception if it cannot be started
    */
   public Node addNode() throws Exception {
+    return addNode(MonotonicClock.system(), new Scheduler());
+  }
+
+  /**
+   * Starts a node with a clock and a dispatch policy of its own and lists it.
+   *
+   * @param clock the clock of the node
+   * @param policy the policy; used by this node only
+   * @return the node
+   * @throws Exception if the node cannot be started
+   */
+  public Node addNode(MonotonicClock clock, DispatchPolicy policy) throws Exception {
     String name = "node-" + nodes.size();
     String domain = domain(nodes.size());
     NodeSettings settings =
@@ -124,7 +138,7 @@
             platform.address(),
             ImmutableList.of(),
             NodeSettings.Limits.defaults());
-    Node node = Node.start(settings, MonotonicClock.system());
+    Node node = Node.start(settings, clock, policy);
     nodes.add(node);
     platform.addVm(
         new VmEntry(
--- /dev/null
+++ b/org.cranberrystand.bench/src/test/java/org/cranberrystand/bench/failure/DispatchFailureTest.java
@@ -0,0 +1,124 @@
+package org.cranberrystand.bench.failure;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotNull;
+import static org.testng.Assert.assertTrue;
+
+import java.time.Duration;
+import org.cranberrystand.fake.CallFault;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Guards against double runs and false {@code not-run} when upstreams fail. */
+public class DispatchFailureTest {
+  private static final String ONCE = "hide-reservation";
+  private static final String REPEATABLE = "stock-check";
+  private static final String BODY = "{\"lot\":\"hide-17\"}";
+
+  private TestFleet fleet;
+
+  @BeforeMethod
+  public void setUp() throws Exception {
+    fleet = new TestFleet(1, 1, 1);
+  }
+
+  @AfterMethod(alwaysRun = true)
+  public void tearDown() throws Exception {
+    fleet.close();
+  }
+
+  @Test
+  public void brokenCallOfAKindThatMayNotBeRepeatedIsNeverSentAgain() throws Exception {
+    for (CallFault fault : CallFault.values()) {
+      String id = id();
+      fleet.service(0).planFault(fault, 1);
+      Answer answer = fleet.request(fleet.node(0), ONCE, BODY, id);
+      long expectedRuns =
+          fault.name().startsWith("REFUSE") || fault == CallFault.DIE_BEFORE_RUN ? 0 : 1;
+      assertEquals(fleet.runs(id), expectedRuns, fault.toString());
+      String expected =
+          switch (fault) {
+            case NONE -> "answered";
+            case REFUSE_FULL, REFUSE_LEAVING -> "not-run";
+            default -> "outcome-unknown";
+          };
+      assertEquals(answer.outcome(), expected, fault.toString());
+      boolean notRun = expected.equals("not-run");
+      assertEquals(answer.header("Retry-After") != null, notRun, fault.toString());
+      if (fault == CallFault.REFUSE_LEAVING) {
+        awaitService();
+      }
+      Answer again = fleet.request(fleet.node(0), ONCE, BODY, id);
+      assertEquals(again.outcome(), notRun ? "answered" : expected, fault.toString());
+      assertTrue(fleet.runs(id) <= 1, "second run after " + fault);
+    }
+  }
+
+  // A refusal with 503 marks the service as leaving until it reports that it is not.
+  private void awaitService() {
+    TestFleet.await(() -> fleet.request(fleet.node(0), REPEATABLE, "{}", null).status() == 200);
+  }
+
+  @Test
+  public void brokenIdempotentCallIsRepeatedAsDeclaredAndThenUnknown() throws Exception {
+    String id = id();
+    fleet.service(0).planFault(CallFault.DIE_AFTER_RUN, 2);
+    assertEquals(fleet.request(fleet.node(0), REPEATABLE, BODY, id).status(), 200);
+    assertEquals(fleet.runs(id), 3);
+    String second = id();
+    fleet.service(0).planFault(CallFault.DIE_IN_BODY, 3);
+    Answer answer = fleet.request(fleet.node(0), REPEATABLE, BODY, second);
+    assertEquals(answer.outcome(), "outcome-unknown");
+    assertEquals(fleet.runs(second), 3, "max_retries is 2");
+    assertEquals(answer.header("Retry-After"), "0");
+  }
+
+  @Test
+  public void refusalAfterABrokenCallIsNotReportedAsNotRun() throws Exception {
+    String id = id();
+    fleet.service(0).planFault(CallFault.DIE_AFTER_RUN, 1);
+    fleet.service(0).planFault(CallFault.REFUSE_FULL, 1);
+    Answer answer = fleet.request(fleet.node(0), REPEATABLE, BODY, id);
+    assertEquals(fleet.runs(id), 1);
+    assertEquals(answer.outcome(), "outcome-unknown");
+  }
+
+  @Test
+  public void deadUpstreamIsNotRun() throws Exception {
+    fleet.service(0).crash();
+    fleet.engine(0).crash();
+    Thread.sleep(500);
+    String id = id();
+    Answer answer = fleet.request(fleet.node(0), ONCE, BODY, id);
+    assertEquals(answer.outcome(), "not-run", answer.body());
+    assertNotNull(answer.header("Retry-After"));
+    Answer model = fleet.request(fleet.node(0), "counter-question", TestFleet.prompt("a", 2), id());
+    assertEquals(model.outcome(), "not-run", model.body());
+  }
+
+  @Test
+  public void contentThatCrashesTheEngineIsUnknown() throws Exception {
+    fleet.engine(0).setCrashContent("poison");
+    String id = id();
+    Answer answer =
+        fleet.request(fleet.node(0), "counter-question", TestFleet.prompt("poison", 2), id);
+    assertEquals(answer.outcome(), "outcome-unknown");
+    assertEquals(fleet.runs(id), 1);
+  }
+
+  @Test
+  public void silentServiceIsUnknownOnceTheDeadlinePassed() throws Exception {
+    fleet.service(0).setDelay(Duration.ofSeconds(3));
+    String id = id();
+    Answer answer =
+        fleet.request(fleet.node(0), ONCE, BODY, id, "Cranberrystand-Deadline-Ms", "600");
+    assertEquals(answer.outcome(), "outcome-unknown");
+    assertTrue(answer.body().contains("upstream-timeout"), answer.body());
+    assertEquals(fleet.runs(id), 1);
+  }
+
+  private String id() throws Exception {
+    return fleet.identifiers(fleet.node(0)).get(0);
+  }
+}
--- /dev/null
+++ b/org.cranberrystand.bench/src/test/java/org/cranberrystand/bench/failure/package-info.java
@@ -0,0 +1,2 @@
+/** Failure tests over real sockets. */
+package org.cranberrystand.bench.failure;
