Measure the latency that a node adds to a call

Cause: the target of less than 1 ms added at p99 had no measurement.

Before this there was no figure.

--- a/org.cranberrystand.bench/src/main/java/org/cranberrystand/bench/Main.java
+++ b/org.cranberrystand.bench/src/main/java/org/cranberrystand/bench/Main.java
@@ -1,5 +1,6 @@
 package org.cranberrystand.bench;
 
+import org.cranberrystand.bench.overhead.OverheadCommand;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
@@ -10,6 +11,7 @@
 @Command(
     name = "bench",
     mixinStandardHelpOptions = true,
+    subcommands = {OverheadCommand.class},
     description = "Runs benchmarks and writes their measures.")
 public final class Main implements Runnable {
   @Spec private CommandSpec spec;
--- /dev/null
+++ b/org.cranberrystand.bench/src/main/java/org/cranberrystand/bench/overhead/LoadPath.java
@@ -0,0 +1,95 @@
+package org.cranberrystand.bench.overhead;
+
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Phaser;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.locks.LockSupport;
+import org.HdrHistogram.ConcurrentHistogram;
+import org.HdrHistogram.Histogram;
+import org.cranberrystand.wire.http.ApiHeaders;
+
+/**
+ * One way to an upstream that is loaded at a fixed rate.
+ *
+ * <p>Latencies count from the planned time of sending, so a slow answer does not hide the wait of
+ * the requests behind it. Not thread-safe.
+ */
+final class LoadPath {
+  private static final long MAX_NANOS = TimeUnit.SECONDS.toNanos(60);
+  private static final double NANOS_PER_MILLI = 1e6;
+
+  private final HttpClient http;
+  private final List<URI> targets;
+  private final String shop;
+  private final String body;
+  private final Histogram latencies = new ConcurrentHistogram(MAX_NANOS, 3);
+  private final AtomicInteger failed = new AtomicInteger();
+  private final AtomicLong sent = new AtomicLong();
+
+  LoadPath(HttpClient http, List<URI> targets, String shop, String body) {
+    this.http = http;
+    this.targets = targets;
+    this.shop = shop;
+    this.body = body;
+  }
+
+  /** Sends requests at a rate and waits for all answers. */
+  void run(int perSecond, int count, boolean recording) {
+    Phaser pending = new Phaser(1);
+    long startNanos = System.nanoTime();
+    for (int i = 0; i < count; i++) {
+      long plannedNanos = startNanos + i * TimeUnit.SECONDS.toNanos(1) / perSecond;
+      long wait;
+      while ((wait = plannedNanos - System.nanoTime()) > 0) {
+        LockSupport.parkNanos(wait);
+      }
+      pending.register();
+      CompletableFuture<Void> done =
+          send().handle((response, cause) -> record(response, plannedNanos, recording));
+      var unused = done.thenRun(pending::arriveAndDeregister);
+    }
+    pending.arriveAndAwaitAdvance();
+  }
+
+  private CompletableFuture<HttpResponse<byte[]>> send() {
+    URI target = targets.get((int) (sent.getAndIncrement() % targets.size()));
+    HttpRequest request =
+        HttpRequest.newBuilder(target)
+            .header(ApiHeaders.SHOP, shop)
+            .header(ApiHeaders.UPSTREAM_REQUEST_ID, "direct")
+            .POST(HttpRequest.BodyPublishers.ofString(body))
+            .build();
+    return http.sendAsync(request, HttpResponse.BodyHandlers.ofByteArray());
+  }
+
+  private Void record(HttpResponse<byte[]> response, long plannedNanos, boolean recording) {
+    if (!recording) {
+      return null;
+    }
+    if (response == null || response.statusCode() != 200) {
+      failed.incrementAndGet();
+    } else {
+      latencies.recordValue(Math.min(MAX_NANOS, System.nanoTime() - plannedNanos));
+    }
+    return null;
+  }
+
+  double percentileMillis(double percentile) {
+    return latencies.getValueAtPercentile(percentile) / NANOS_PER_MILLI;
+  }
+
+  long answered() {
+    return latencies.getTotalCount();
+  }
+
+  int failed() {
+    return failed.get();
+  }
+}
--- /dev/null
+++ b/org.cranberrystand.bench/src/main/java/org/cranberrystand/bench/overhead/package-info.java
@@ -0,0 +1,2 @@
+/** Measures what a node adds to a call of an upstream. */
+package org.cranberrystand.bench.overhead;
