--- a/org.cranberrystand.bench/src/main/java/org/cranberrystand/bench/overhead/OverheadCommand.java
+++ b/org.cranberrystand.bench/src/main/java/org/cranberrystand/bench/overhead/OverheadCommand.java
@@ -10,6 +10,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.Callable;
 import org.cranberrystand.bench.demo.Demo;
@@ -33,7 +34,9 @@
   private static final int ENGINES = 4;
   private static final EngineSpeed INSTANT = new EngineSpeed(1e12, Duration.ZERO);
   private static final String PROMPT =
-      "{\"prompt\":\"Which cane suits a height of 1.62 m?\",\"max_tokens\":8}";
+      "{\"prompt\":\"Which cane suits a height of 1.62 m?\",\"max_tokens\":%d}";
+  // One token shows the cost of a call; eight at once show the cost of further events.
+  private static final int[] STREAM_TOKENS = {1, 8};
   private static final String ITEM = "{\"item\":\"rebana\"}";
 
   @Option(names = "--out", required = true, description = "File for the measures, in JSON.")
@@ -63,24 +66,27 @@
       fleet.addService("orders");
       Node node = fleet.addNode();
       awaitReady(node);
-      OverheadReport stream = measureStream(fleet, node);
-      OverheadReport plain = measurePlain(fleet, node);
-      List<OverheadReport> reports = List.of(stream, plain);
+      List<OverheadReport> reports = new ArrayList<>();
+      reports.add(measurePlain(fleet, node));
+      for (int tokens : STREAM_TOKENS) {
+        reports.add(measureStream(fleet, node, tokens));
+      }
       Files.write(out, Json.MAPPER.writerWithDefaultPrettyPrinter().writeValueAsBytes(reports));
       reports.forEach(report -> System.out.println(Json.toText(report)));
       return reports.stream().allMatch(report -> report.failed() == 0) ? 0 : 1;
     }
   }
 
-  private OverheadReport measureStream(EmbeddedFleet fleet, Node node) {
+  private OverheadReport measureStream(EmbeddedFleet fleet, Node node, int tokens) {
+    String prompt = PROMPT.formatted(tokens);
     List<URI> engines =
         fleet.engines().stream()
             .map(engine -> URI.create("http://" + engine.address() + "/v1/completions"))
             .toList();
     return measure(
-        "stream of 8 tokens",
-        new LoadPath(http, engines, SHOP, PROMPT),
-        new LoadPath(http, List.of(requests(node, "counter-question")), SHOP, PROMPT));
+        "stream, tokens=" + tokens,
+        new LoadPath(http, engines, SHOP, prompt),
+        new LoadPath(http, List.of(requests(node, "counter-question")), SHOP, prompt));
   }
 
   private OverheadReport measurePlain(EmbeddedFleet fleet, Node node) {
@@ -103,7 +109,7 @@
   private void awaitReady(Node node) throws Exception {
     long deadline = System.nanoTime() + READY_TIMEOUT.toNanos();
     while (status(node, "stock-check", ITEM) != 200
-        || status(node, "counter-question", PROMPT) != 200) {
+        || status(node, "counter-question", PROMPT.formatted(1)) != 200) {
       if (System.nanoTime() - deadline > 0) {
         throw new IOException("the node was not ready in time");
       }
--- a/org.cranberrystand.bench/src/test/java/org/cranberrystand/bench/failure/CancelFailureTest.java
+++ b/org.cranberrystand.bench/src/test/java/org/cranberrystand/bench/failure/CancelFailureTest.java
@@ -12,7 +12,14 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.cranberrystand.daemon.Node;
+import org.cranberrystand.schedule.DispatchPolicy;
+import org.cranberrystand.schedule.Scheduler;
+import org.cranberrystand.schedule.SchedulerAction;
+import org.cranberrystand.schedule.SchedulerEvent;
+import org.cranberrystand.util.MonotonicClock;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -49,6 +56,64 @@
     }
   }
 
+  @Test
+  public void cancelledOrSilentRequestIsNotReportedAsCrash() throws Exception {
+    List<SchedulerEvent> ends = new CopyOnWriteArrayList<>();
+    Scheduler scheduler = new Scheduler();
+    DispatchPolicy recording =
+        event -> {
+          if ((event instanceof SchedulerEvent.Finished finished && !finished.succeeded())
+              || event instanceof SchedulerEvent.ConnectionBroken) {
+            ends.add(event);
+          }
+          return scheduler.handle(event);
+        };
+    Node node = fleet.addNode(MonotonicClock.system(), recording);
+    ends.clear();
+    List<String> ids = fleet.identifiers(node);
+    CompletableFuture<Answer> answer =
+        CompletableFuture.supplyAsync(
+            () -> fleet.request(node, "consultation", TestFleet.prompt("a", LONG), ids.get(0)));
+    TestFleet.await(() -> fleet.cancel(node, ids.get(0)) == 204);
+    answer.join();
+    fleet.service(0).setDelay(Duration.ofSeconds(2));
+    Answer silent =
+        fleet.request(
+            node, "hide-reservation", "{}", ids.get(1), "Cranberrystand-Deadline-Ms", "100");
+    assertEquals(silent.outcome(), "outcome-unknown");
+    assertEquals(ends.size(), 2);
+    assertTrue(ends.stream().allMatch(SchedulerEvent.Finished.class::isInstance), ends.toString());
+  }
+
+  @Test
+  public void schedulerThatCancelsOnEachReportOfALostCallerDoesNotLoop() throws Exception {
+    AtomicInteger reports = new AtomicInteger();
+    Scheduler scheduler = new Scheduler();
+    DispatchPolicy cancelling =
+        event -> {
+          if (event instanceof SchedulerEvent.CallerGone gone) {
+            reports.incrementAndGet();
+            return List.of(new SchedulerAction.Cancel(gone.key()));
+          }
+          return scheduler.handle(event);
+        };
+    Node node = fleet.addNode(MonotonicClock.system(), cancelling);
+    String id = fleet.identifiers(node).get(0);
+    CompletableFuture<Answer> answer =
+        CompletableFuture.supplyAsync(
+            () -> fleet.request(node, "consultation", TestFleet.prompt("a", LONG), id));
+    TestFleet.await(() -> fleet.runs(id) == 1);
+    AtomicInteger attempts = new AtomicInteger();
+    TestFleet.await(
+        () -> {
+          attempts.incrementAndGet();
+          return fleet.cancel(node, id) == 204;
+        });
+    assertFalse(answer.join().ended());
+    assertEquals(reports.get(), attempts.get());
+    assertEquals(fleet.engine(0).cancelled(), List.of(id));
+  }
+
   @Test
   public void queuedRequestIsCancelledAndNeverRuns() throws Exception {
     List<CompletableFuture<Answer>> running = new ArrayList<>();
--- a/org.cranberrystand.bench/src/test/java/org/cranberrystand/bench/rollout/TerminationTest.java
+++ b/org.cranberrystand.bench/src/test/java/org/cranberrystand/bench/rollout/TerminationTest.java
@@ -26,7 +26,7 @@
 
 /** Signals to a daemon that runs in a process of its own. */
 public class TerminationTest {
-  private static final Pattern ADDRESS = Pattern.compile("callers=(127\\.0\\.0\\.1:\\d+)");
+  private static final Pattern ADDRESS = Pattern.compile("\"callers\":\"(127\\.0\\.0\\.1:\\d+)\"");
   private static final int LONG_ANSWER = 150;
 
   private final HttpClient http = HttpClient.newHttpClient();
@@ -34,7 +34,7 @@
   /**
    * Guards against a SIGTERM that interrupts an answer, and a process that never exits after it.
    */
-  @Test
+  @Test(timeOut = 60_000)
   public void firstSignalLetsTheAnswerInProgressFinish() throws Exception {
     try (EmbeddedFleet fleet = new EmbeddedFleet()) {
       FakeModelEngine engine = fleet.addEngine("assistant", EngineSpeed.SLOW);
@@ -53,7 +53,7 @@
   }
 
   /** Guards against a second SIGTERM that is ignored while a long answer is in progress. */
-  @Test
+  @Test(timeOut = 60_000)
   public void secondSignalEndsTheProcessAtOnce() throws Exception {
     try (EmbeddedFleet fleet = new EmbeddedFleet()) {
       FakeModelEngine engine = fleet.addEngine("assistant", EngineSpeed.SLOW);
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/ModelCall.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/ModelCall.java
@@ -132,7 +132,11 @@
     runner.running().remove(execution.running());
     if (!complete) {
       runner.counters().addBroken();
-      execution.connectionBroken();
+      if (relay.suggestsCrash()) {
+        execution.connectionBroken();
+      } else {
+        execution.finished(false);
+      }
       Outcome outcome = new Outcome.UpstreamFailed(0, "the answer broke off");
       execution.end(outcome, upstream);
       relay.fail(ProblemDocument.of(outcome, true, execution.request().idText()));
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/PlainCall.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/PlainCall.java
@@ -47,7 +47,7 @@
 
   private void broken(Throwable cause) {
     if (execution.mayRepeat()) {
-      execution.repeat();
+      execution.repeat(cause);
     } else {
       execution.broken(upstream, cause);
     }
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/RequestExecution.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/RequestExecution.java
@@ -9,6 +9,7 @@
 import org.cranberrystand.schedule.WorkItem;
 import org.cranberrystand.upstream.UpstreamRecord;
 import ratpack.exec.ExecController;
+import ratpack.http.client.HttpClientReadTimeoutException;
 
 /**
  * Carries out the decisions of the scheduler about one request.
@@ -55,9 +56,10 @@
         .then(this::carryOut);
   }
 
-  // Runs on any thread.
+  // Runs on any thread. The scheduler decided this itself and must not be told again: it would
+  // answer with the same action.
   private void cancelled() {
-    exec.fork().start(execution -> runner.running().cancel(running).then(done -> {}));
+    exec.fork().start(execution -> runner.running().cancelAtEngine(running).then(done -> {}));
   }
 
   private void carryOut(Decision decision) {
@@ -158,7 +160,7 @@
    */
   void broken(UpstreamRecord upstream, Throwable cause) {
     runner.log().write(LogEvent.UPSTREAM_BROKEN, "upstream=" + upstream.name() + " " + cause);
-    connectionBroken();
+    reportBroken(cause);
     end(new Outcome.OutcomeUnknown(unknownCause(cause)), upstream);
   }
 
@@ -169,9 +171,22 @@
         && remainingMillis() > 0;
   }
 
-  /** Submits a broken idempotent call again, as a new work item. */
-  void repeat() {
-    connectionBroken();
+  // Silence is not a crash: content must not be quarantined because an upstream was slow.
+  private void reportBroken(Throwable cause) {
+    if (cause instanceof HttpClientReadTimeoutException) {
+      finished(false);
+    } else {
+      connectionBroken();
+    }
+  }
+
+  /**
+   * Submits a broken idempotent call again, as a new work item.
+   *
+   * @param cause what happened
+   */
+  void repeat(Throwable cause) {
+    reportBroken(cause);
     brokenAttempts++;
     long newKey = scheduler.nextKey();
     running.markRepeated(newKey);
@@ -189,7 +204,7 @@
   }
 
   private static UnknownCause unknownCause(Throwable cause) {
-    return cause instanceof ratpack.http.client.HttpClientReadTimeoutException
+    return cause instanceof HttpClientReadTimeoutException
         ? UnknownCause.UPSTREAM_TIMEOUT
         : UnknownCause.CONNECTION_LOST;
   }
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/RequestRunner.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/RequestRunner.java
@@ -16,6 +16,7 @@
 import org.cranberrystand.wire.http.ApiHeaders;
 import org.cranberrystand.wire.http.CompletionRequest;
 import org.cranberrystand.wire.http.PrefixBlocks;
+import org.cranberrystand.wire.http.ProblemDocument;
 import org.cranberrystand.wire.security.FleetKeys;
 import ratpack.exec.ExecController;
 import ratpack.exec.Execution;
@@ -125,7 +126,7 @@
             cause -> {
               log.write(LogEvent.TASK_FAILED, "task=request", cause);
               scheduler.end(run.key(), new SchedulerEvent.Finished(run.key(), false, clockNanos()));
-              run.end(new Outcome.OutcomeUnknown(UnknownCause.CONNECTION_LOST), null);
+              abandon(run);
             })
         .start(
             execution ->
@@ -134,6 +135,15 @@
     return run;
   }
 
+  private void abandon(RunningRequest run) {
+    running.remove(run);
+    Outcome outcome = new Outcome.OutcomeUnknown(UnknownCause.CONNECTION_LOST);
+    run.end(outcome, null);
+    if (run.stream() != null) {
+      run.stream().relay().fail(ProblemDocument.of(outcome, true, run.request().idText()));
+    }
+  }
+
   WorkItem workItem(IncomingRequest request, long key, boolean handedOver, long now) {
     WorkItem.Builder item =
         WorkItem.builder(key, request.kind())
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/RunningRequest.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/RunningRequest.java
@@ -31,6 +31,7 @@
   private final AtomicReference<Phase> phase = new AtomicReference<>(Phase.QUEUED);
   private final AtomicInteger callers = new AtomicInteger(1);
   private final CompletableFuture<Reply> reply = new CompletableFuture<>();
+  private final AtomicReference<CompletableFuture<Boolean>> cancellation = new AtomicReference<>();
   private volatile RunningStream stream;
   private volatile long key;
   private volatile boolean possiblyRun;
@@ -102,6 +103,23 @@
     }
   }
 
+  /**
+   * Offers to cancel the stream.
+   *
+   * @param result completes with whether it was cancelled
+   * @return the result of an earlier cancellation that runs or succeeded; null if there is none
+   */
+  CompletableFuture<Boolean> shareCancellation(CompletableFuture<Boolean> result) {
+    CompletableFuture<Boolean> current =
+        cancellation.accumulateAndGet(
+            result, (earlier, offered) -> isFailed(earlier) ? offered : earlier);
+    return current == result ? null : current;
+  }
+
+  private static boolean isFailed(CompletableFuture<Boolean> earlier) {
+    return earlier == null || Boolean.FALSE.equals(earlier.getNow(true));
+  }
+
   void addCaller() {
     callers.incrementAndGet();
   }
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/RunningRequests.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/RunningRequests.java
@@ -2,6 +2,7 @@
 
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import org.cranberrystand.identity.RequestId;
 import org.cranberrystand.schedule.SchedulerEvent;
@@ -59,16 +60,33 @@
    * @return whether it was queued or its stream was cancelled
    */
   Promise<Boolean> cancel(RunningRequest running) {
+    // Before the scheduler is told: its rejection would otherwise look like nothing to cancel.
+    boolean wasQueued = running.cancelQueued();
     tellScheduler(running);
-    if (running.cancelQueued()) {
-      return Promise.value(true);
-    }
+    return wasQueued ? Promise.value(true) : cancelAtEngine(running);
+  }
+
+  /**
+   * Cancels the stream of a request. Several calls at once share one call to the engine.
+   *
+   * @param running the request
+   * @return whether its stream was cancelled
+   */
+  Promise<Boolean> cancelAtEngine(RunningRequest running) {
     RunningStream stream = running.stream();
     if (stream == null || stream.streamId() == null) {
       return Promise.value(false);
     }
+    CompletableFuture<Boolean> result = new CompletableFuture<>();
+    CompletableFuture<Boolean> earlier = running.shareCancellation(result);
+    if (earlier != null) {
+      return Promise.toPromise(earlier.copy());
+    }
     stream.relay().cancelResuming();
-    return engines.cancel(stream.address(), stream.streamId()).mapError(cause -> false);
+    return engines
+        .cancel(stream.address(), stream.streamId())
+        .mapError(cause -> false)
+        .wiretap(cancelled -> result.complete(cancelled.getValue()));
   }
 
   private void tellScheduler(RunningRequest running) {
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/StreamRelay.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/StreamRelay.java
@@ -59,6 +59,10 @@
   private long demand;
   private boolean detached;
   private boolean cancelled;
+  private boolean brokeByConnection;
+  // Accepted events that the caller has not asked for yet; at most one chunk.
+  private String held;
+  private boolean completed;
   private String pendingError;
 
   /**
@@ -105,6 +109,7 @@
     onLoop(
         () -> {
           detached = true;
+          held = null;
           if (retention == Retention.PASS) {
             cancelled = true;
           }
@@ -134,12 +139,19 @@
     return pump(first, MAX_RESUMES);
   }
 
+  /**
+   * Tells whether the end of the stream looks like a crash of the engine.
+   *
+   * @return false if the stream was cancelled or was left because of what it carried
+   */
+  boolean suggestsCrash() {
+    return brokeByConnection && !cancelled;
+  }
+
   /** Ends the answer regularly. */
   void complete() {
-    if (!detached && subscriber != null) {
-      subscriber.onComplete();
-    }
-    detached = true;
+    completed = true;
+    flush();
   }
 
   /**
@@ -148,8 +160,12 @@
    * @param problem what went wrong
    */
   void fail(ProblemDocument problem) {
-    pendingError = new SseEvent(-1, SseEvent.ERROR, Json.toText(problem)).toText();
-    emitPendingError();
+    String text = new SseEvent(-1, SseEvent.ERROR, Json.toText(problem)).toText();
+    onLoop(
+        () -> {
+          pendingError = text;
+          flush();
+        });
   }
 
   @Override
@@ -193,29 +209,51 @@
             });
   }
 
-  private void emit(String text) {
-    byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+  private void accepted(String text) {
+    record(text.getBytes(StandardCharsets.UTF_8));
+    held = text;
+    flush();
+  }
+
+  private void record(byte[] bytes) {
     if (recorded != null && recorded.size() + bytes.length <= MAX_RECORDED_BYTES) {
       recorded.writeBytes(bytes);
     } else {
       recorded = null;
     }
-    if (!detached && subscriber != null) {
-      demand--;
-      subscriber.onNext(Unpooled.wrappedBuffer(bytes));
+  }
+
+  private void flush() {
+    if (detached) {
+      held = null;
+    } else if (subscriber != null) {
+      if (held != null && demand > 0) {
+        String text = held;
+        held = null;
+        send(text);
+      }
+      if (held == null && !detached) {
+        flushEnd();
+      }
     }
   }
 
-  private void emitPendingError() {
-    if (pendingError == null || detached || demand == 0 || subscriber == null) {
-      return;
+  private void flushEnd() {
+    if (completed) {
+      detached = true;
+      subscriber.onComplete();
+    } else if (pendingError != null && demand > 0) {
+      detached = true;
+      send(pendingError);
+      // An error signal would make Ratpack write the final chunk, which callers take for a clean
+      // end.
+      abort.run();
     }
-    String text = pendingError;
-    pendingError = null;
-    detached = true;
+  }
+
+  private void send(String text) {
+    demand--;
     subscriber.onNext(Unpooled.copiedBuffer(text, StandardCharsets.UTF_8));
-    // An error signal would make Ratpack write the final chunk, which callers take for a clean end.
-    abort.run();
   }
 
   private void onLoop(Runnable task) {
@@ -233,7 +271,7 @@
       onLoop(
           () -> {
             demand = demand + n < 0 ? Long.MAX_VALUE : demand + n;
-            emitPendingError();
+            flush();
             if (source != null) {
               source.requestMore();
             }
@@ -261,11 +299,14 @@
     @Override
     public void onSubscribe(Subscription value) {
       subscription = value;
-      requestMore();
+      // Ratpack loses the signal of a connection that breaks between the response head and the
+      // first request, so that one is made at once and its chunk is held.
+      awaitingChunk = true;
+      value.request(1);
     }
 
     void requestMore() {
-      if (!awaitingChunk && !ended && subscription != null && (demand > 0 || detached)) {
+      if (!awaitingChunk && !ended && held == null && (demand > 0 || detached)) {
         awaitingChunk = true;
         subscription.request(1);
       }
@@ -273,7 +314,7 @@
 
     void continueDetached() {
       if (retention == Retention.PASS && subscription != null && !ended) {
-        stop(false);
+        stop();
       } else {
         requestMore();
       }
@@ -291,7 +332,7 @@
       try {
         accept(bytes);
       } catch (IOException e) {
-        stop(false);
+        stop();
       }
       requestMore();
     }
@@ -319,34 +360,47 @@
       if (count > 0) {
         onEvents.accept(count);
       }
+      // Sending makes the caller ask for more, which must not reach a source that ended.
+      if (complete != null) {
+        leave();
+      }
       if (text.length() > 0) {
-        emit(text.toString());
+        accepted(text.toString());
       }
       if (complete != null) {
-        stop(complete);
+        end.success(complete);
       }
     }
 
-    private void stop(boolean complete) {
-      subscription.cancel();
-      finish(complete);
-    }
-
-    private void finish(boolean complete) {
+    private void stop() {
       if (!ended) {
-        ended = true;
-        end.success(complete);
+        leave();
+        end.success(false);
       }
     }
 
+    private void leave() {
+      brokeByConnection = false;
+      ended = true;
+      subscription.cancel();
+    }
+
     @Override
     public void onError(Throwable cause) {
-      finish(false);
+      connectionEnded();
     }
 
     @Override
     public void onComplete() {
-      finish(false);
+      connectionEnded();
+    }
+
+    private void connectionEnded() {
+      if (!ended) {
+        brokeByConnection = true;
+        ended = true;
+        end.success(false);
+      }
     }
   }
 }
