--- a/org.cranberrystand.bench/src/main/java/org/cranberrystand/bench/jmh/JmhCommand.java
+++ b/org.cranberrystand.bench/src/main/java/org/cranberrystand/bench/jmh/JmhCommand.java
@@ -31,8 +31,10 @@
     mixinStandardHelpOptions = true,
     description = "Measures time and allocation of one dispatch decision.")
 public final class JmhCommand implements Callable<Integer> {
-  private static final int WARMUP_ITERATIONS = 2;
-  private static final int ITERATIONS = 3;
+  /** On a busy machine 2 iterations left the error at several times the value. */
+  private static final int WARMUP_ITERATIONS = 8;
+
+  private static final int ITERATIONS = 6;
   private static final String ALLOCATION = "gc.alloc.rate.norm";
 
   @Spec private CommandSpec spec;
