Bound the service calls per change by the number of watchers

The bound was the number of nodes, which left out the slow polls (8.3 calls at 8 nodes, where every node is a watcher) and was too weak for large fleets (64 calls at 64 nodes, where 14 watch). It is now two per failure domain plus a quarter of the number of nodes: 10 at 8 nodes, 30 at 64.

--- a/org.cranberrystand.bench/src/main/java/org/cranberrystand/bench/rollout/RolloutBench.java
+++ b/org.cranberrystand.bench/src/main/java/org/cranberrystand/bench/rollout/RolloutBench.java
@@ -48,7 +48,7 @@
     for (int size : costSizes) {
       double boundSeconds = size < LARGE ? 5 : 14;
       double heapBefore = liveHeapMegabytes();
-      try (RolloutFleet fleet = new RolloutFleet(size, size < LARGE ? 4 : 7)) {
+      try (RolloutFleet fleet = new RolloutFleet(size, domains(size))) {
         boolean last = size == Collections.max(costSizes);
         measureCost(fleet, size, last, heapBefore);
         if (rolloutSizes.contains(size)) {
@@ -97,7 +97,17 @@
     measures.add(Measure.atMost("control_bytes_per_s" + suffix, bytesPerSecond, BYTES_BOUND));
     measures.add(Measure.atMost("control_cpu_fraction" + suffix, cpuFraction, CPU_BOUND));
     measures.add(Measure.atMost("control_live_heap_mb" + suffix, heap, HEAP_BOUND_MB));
-    measures.add(Measure.atMost("service_calls_per_change" + suffix, callsPerChange, size));
+    measures.add(
+        Measure.atMost("service_calls_per_change" + suffix, callsPerChange, callsBound(size)));
+  }
+
+  /** Each watcher makes one call per change; a node's slow polls add 0.11 calls, at most 0.25. */
+  private static double callsBound(int size) {
+    return 2 * domains(size) + size / 4.0;
+  }
+
+  private static int domains(int size) {
+    return size < LARGE ? 4 : 7;
   }
 
   private void measureRollouts(RolloutFleet fleet, int size, double bound) throws Exception {
