Publish load and suspect content, tick the scheduler, explain by identifier

Cause: nothing told the scheduler that time passes while no request arrives, no node published its load or suspect content, a request refused by its only upstream blocked the queue until its deadline, and explain found traces by a number that belongs to another request.

Change: ticks each 100 ms with a publication each second, including the demand that shares are derived from; a refusing upstream is excluded only while there is another; the keys of recent requests are held by identifier.

Conclusion: the daemon now runs the policy with what it needs.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/Node.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/Node.java
@@ -32,6 +32,7 @@
 import org.cranberrystand.daemon.internal.RequestRunner;
 import org.cranberrystand.daemon.internal.RequestService;
 import org.cranberrystand.daemon.internal.SchedulerLoop;
+import org.cranberrystand.daemon.internal.SchedulerTicks;
 import org.cranberrystand.daemon.internal.StreamCounters;
 import org.cranberrystand.daemon.internal.StreamHandler;
 import org.cranberrystand.daemon.internal.UpstreamPoller;
@@ -73,6 +74,10 @@
   private final UpstreamPoller poller;
   private final ControlPlane control;
   private final PublishedBundleReader published;
+
+  /** Null when the node runs another policy than {@link Scheduler}. */
+  private final SchedulerTicks ticks;
+
   private final RatpackServer callerServer;
   private final PeerServer peerServer;
   private final OperatorServer operatorServer;
@@ -114,6 +119,10 @@
             intake,
             scheduler,
             log);
+    this.ticks =
+        dispatch instanceof Scheduler known
+            ? new SchedulerTicks(state, scheduler, known, control.membership())
+            : null;
     this.published = new PublishedBundleReader(state);
     this.operatorServer =
         new OperatorServer(
@@ -251,6 +260,9 @@
     }
     control.close();
     poller.close();
+    if (ticks != null) {
+      ticks.close();
+    }
     ledgerSweep.cancel(false);
     callerServer.stop();
     operatorServer.close();
@@ -286,6 +298,9 @@
 
   private void startPeriodicTasks() {
     poller.start(exec());
+    if (ticks != null) {
+      ticks.start(exec());
+    }
     ledgerSweep =
         exec()
             .getExecutor()
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/NodeState.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/NodeState.java
@@ -1,11 +1,14 @@
 package org.cranberrystand.daemon.internal;
 
+import com.google.common.cache.Cache;
+import com.google.common.cache.CacheBuilder;
 import com.google.common.collect.ImmutableList;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
 import org.cranberrystand.bundle.BundleRegister;
 import org.cranberrystand.identity.IdentifierIssuer;
 import org.cranberrystand.identity.Incarnation;
+import org.cranberrystand.identity.RequestId;
 import org.cranberrystand.identity.RequestIdCodec;
 import org.cranberrystand.identity.RequestLedger;
 import org.cranberrystand.membership.LoadSummary;
@@ -25,6 +28,7 @@
  */
 public final class NodeState {
   private static final long NANOS_PER_MILLI = 1_000_000;
+  private static final long MAX_RECENT_KEYS = 4_096;
 
   private final NodeSettings settings;
   private final MonotonicClock clock;
@@ -47,6 +51,8 @@
   private final Readiness readiness;
   private final LeaveSignals leaveSignals;
   private final ControlCost controlCost = new ControlCost();
+  private final Cache<RequestId, Long> recentKeys =
+      CacheBuilder.newBuilder().maximumSize(MAX_RECENT_KEYS).build();
 
   /**
    * Creates the state of a node that starts.
@@ -136,4 +142,13 @@
   public ControlCost controlCost() {
     return controlCost;
   }
+
+  /**
+   * Returns the keys under which the scheduler knows recent requests.
+   *
+   * @return the keys by request identifier; bounded, the oldest are dropped first
+   */
+  public Cache<RequestId, Long> recentKeys() {
+    return recentKeys;
+  }
 }
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/OperatorReports.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/OperatorReports.java
@@ -165,11 +165,8 @@
 
   private ExplainReport here(String text, RequestId id) {
     Optional<LedgerEntry> entry = state.ledger().find(id);
-    // A request that was not run leaves no ledger entry; its trace is found by its sequence number.
     Optional<RequestTrace> trace =
-        entry
-            .map(e -> policy.trace(e.shop(), e.bodyDigest()))
-            .orElseGet(() -> policy.trace(id.sequence()));
+        Optional.ofNullable(state.recentKeys().getIfPresent(id)).flatMap(policy::trace);
     String outcome =
         entry
             .map(e -> e.outcome().map(Outcome::label).orElse("in-flight"))
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/PeerDigest.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/PeerDigest.java
@@ -119,7 +119,8 @@
     "percent",
     "backlog",
     "room",
-    "teams"
+    "teams",
+    "demand"
   })
   record Load(
       String node,
@@ -129,7 +130,8 @@
       int percent,
       List<Long> backlog,
       long room,
-      Map<String, Long> teams) {
+      Map<String, Long> teams,
+      long demand) {
 
     /** Enough of a digest to tell two contents of one version apart. */
     private static final int SHORT_DIGEST = 12;
@@ -150,7 +152,8 @@
           l.loadPercent(),
           backlog,
           l.roomTokens(),
-          l.teamTokensPerSecond());
+          l.teamTokensPerSecond(),
+          l.demandTokensPerSecond());
     }
 
     /** Returns the summary, or empty when the entry is malformed. */
@@ -173,7 +176,8 @@
                 percent,
                 ImmutableMap.copyOf(byTier),
                 room,
-                ImmutableMap.copyOf(teams)));
+                ImmutableMap.copyOf(teams),
+                demand));
       } catch (NullPointerException e) {
         return Optional.empty();
       }
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/PeerLoads.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/PeerLoads.java
@@ -26,6 +26,10 @@
 
   private static SchedulerEvent.PeerLoad toPeerLoad(LoadSummary load) {
     return new SchedulerEvent.PeerLoad(
-        load.node(), load.backlogTokens(), load.roomTokens(), load.teamTokensPerSecond());
+        load.node(),
+        load.backlogTokens(),
+        load.roomTokens(),
+        load.teamTokensPerSecond(),
+        load.demandTokensPerSecond());
   }
 }
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/RequestRunner.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/RequestRunner.java
@@ -118,6 +118,7 @@
       Consumer<String> onResumeReference) {
     RunningRequest run = new RunningRequest(request, scheduler.nextKey(), recorder);
     running.add(run);
+    state.recentKeys().put(request.id(), run.key());
     ExecController exec = ExecController.require();
     EventLoop loop = Execution.current().getEventLoop();
     exec.fork()
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/SchedulerLoop.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/SchedulerLoop.java
@@ -76,6 +76,15 @@
     executor.execute(() -> carryOut(policy.handle(event)));
   }
 
+  /**
+   * Runs an action while the policy handles no event.
+   *
+   * @param action reads the state of the policy; must not block
+   */
+  public void inspect(Runnable action) {
+    executor.execute(action);
+  }
+
   /**
    * Feeds the last event of a request.
    *
--- a/org.cranberrystand/src/main/java/org/cranberrystand/membership/LoadSummary.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/membership/LoadSummary.java
@@ -15,6 +15,7 @@
  * @param backlogTokens cost of queued work by tier, in tokens; tiers without work may be missing
  * @param roomTokens cost of urgent work the node can take now, in tokens
  * @param teamTokensPerSecond recent service of the largest teams
+ * @param demandTokensPerSecond recent service of all teams together
  */
 public record LoadSummary(
     String node,
@@ -24,7 +25,8 @@
     int loadPercent,
     ImmutableMap<Tier, Long> backlogTokens,
     long roomTokens,
-    ImmutableMap<String, Long> teamTokensPerSecond) {
+    ImmutableMap<String, Long> teamTokensPerSecond,
+    long demandTokensPerSecond) {
 
   /** Checks that no component is null. */
   public LoadSummary {
@@ -42,7 +44,7 @@
    * @return a summary without bundle and load
    */
   public static LoadSummary idle(String node, long sequence) {
-    return new LoadSummary(node, sequence, 0, "", 0, ImmutableMap.of(), 0, ImmutableMap.of());
+    return new LoadSummary(node, sequence, 0, "", 0, ImmutableMap.of(), 0, ImmutableMap.of(), 0);
   }
 
   /**
@@ -60,7 +62,8 @@
         loadPercent,
         backlogTokens,
         roomTokens,
-        teamTokensPerSecond);
+        teamTokensPerSecond,
+        demandTokensPerSecond);
   }
 
   /**
@@ -79,6 +82,22 @@
         loadPercent,
         backlogTokens,
         roomTokens,
-        teamTokensPerSecond);
+        teamTokensPerSecond,
+        demandTokensPerSecond);
+  }
+
+  /**
+   * Returns a copy with other figures of the load.
+   *
+   * @param backlog cost of queued work by tier, in tokens
+   * @param room cost of urgent work the node can take now, in tokens
+   * @param teams recent service of the largest teams
+   * @param demand recent service of all teams together
+   * @return the copy
+   */
+  public LoadSummary withLoad(
+      ImmutableMap<Tier, Long> backlog, long room, ImmutableMap<String, Long> teams, long demand) {
+    return new LoadSummary(
+        node, sequence, bundleVersion, bundleDigest, loadPercent, backlog, room, teams, demand);
   }
 }
--- a/org.cranberrystand/src/main/java/org/cranberrystand/schedule/EnginePool.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/schedule/EnginePool.java
@@ -329,7 +329,9 @@
   }
 
   private boolean isAllowed(EngineState engine, QueuedItem queued, int maxLong, int clear) {
-    if (engine.isReservedForSuspect() || engine.name().equals(queued.refusedBy())) {
+    // A request that its only upstream refused would otherwise block the queue until its deadline.
+    boolean refused = usable.size() > 1 && engine.name().equals(queued.refusedBy());
+    if (refused || engine.isReservedForSuspect()) {
       return false;
     }
     if (!queued.isLongPrefill()) {
--- a/org.cranberrystand/src/test/java/org/cranberrystand/schedule/SchedulerTest.java
+++ b/org.cranberrystand/src/test/java/org/cranberrystand/schedule/SchedulerTest.java
@@ -238,4 +238,20 @@
       assertFalse(decision.detail().isEmpty());
     }
   }
+
+  /** Guards against a queue that is blocked by a request which its only upstream refused. */
+  @Test
+  public void requestRefusedByItsOnlyUpstreamDoesNotBlockTheQueue() {
+    useEngines(1);
+    WorkItem refused = submit(Tier.URGENT, "team", "a");
+    feed(new SchedulerEvent.Refused(refused.key(), true, 0, nowNanos));
+    WorkItem next = submit(Tier.URGENT, "team", "b");
+    for (int i = 0; i < 30; i++) {
+      nowNanos += 100 * MILLI;
+      feed(new SchedulerEvent.Tick(nowNanos));
+    }
+    assertTrue(
+        taken(SchedulerAction.Dispatch.class).stream().anyMatch(d -> d.item() == next),
+        "the request behind the refused one was not dispatched");
+  }
 }
