Work out capacity at the planned size from measured slopes

Cause: the cost of each role at 460 nodes has to be known from measurement before it is built for.

Change: a command that reads the results of the state and rollout benchmarks, measures bundle changes and regenerates the tables of a page.

--- a/org.cranberrystand.bench/src/main/java/org/cranberrystand/bench/Main.java
+++ b/org.cranberrystand.bench/src/main/java/org/cranberrystand/bench/Main.java
@@ -1,5 +1,6 @@
 package org.cranberrystand.bench;
 
+import org.cranberrystand.bench.capacity.CapacityCommand;
 import org.cranberrystand.bench.jmh.JmhCommand;
 import org.cranberrystand.bench.jmh.StateCommand;
 import org.cranberrystand.bench.overhead.OverheadCommand;
@@ -23,7 +24,8 @@
       JmhCommand.class,
       StateCommand.class,
       PlotCommand.class,
-      OverheadCommand.class
+      OverheadCommand.class,
+      CapacityCommand.class
     })
 public final class Main implements Runnable {
   @Spec private CommandSpec spec;
