Give orders to engines from every node

Cause: the planner and the order loop existed but no node started them.

Change: a node starts the order loop; orders wait while the view is not confirmed after a pause; urgent load and goodput per pool come from what the node observes; fake engines report and load models.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/Node.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/Node.java
@@ -16,6 +16,7 @@
 import org.cranberrystand.daemon.internal.BundleIntake;
 import org.cranberrystand.daemon.internal.CancelHandler;
 import org.cranberrystand.daemon.internal.ControlPlane;
+import org.cranberrystand.daemon.internal.EngineOrders;
 import org.cranberrystand.daemon.internal.EventLog;
 import org.cranberrystand.daemon.internal.Metrics;
 import org.cranberrystand.daemon.internal.NodeState;
@@ -78,6 +79,9 @@
   /** Null when the node runs another policy than {@link Scheduler}. */
   private final SchedulerTicks ticks;
 
+  /** Null when there is no {@link Scheduler} that knows the service of the pools. */
+  private final EngineOrders orders;
+
   private final RatpackServer callerServer;
   private final PeerServer peerServer;
   private final OperatorServer operatorServer;
@@ -123,6 +127,11 @@
         dispatch instanceof Scheduler known
             ? new SchedulerTicks(state, scheduler, known, control.membership())
             : null;
+    this.orders =
+        ticks == null
+            ? null
+            : new EngineOrders(
+                state, exec(), log, state.readiness()::mayDispatch, () -> ticks.poolHealth(policy));
     this.published = new PublishedBundleReader(state);
     this.operatorServer =
         new OperatorServer(
@@ -262,6 +271,7 @@
     poller.close();
     if (ticks != null) {
       ticks.close();
+      orders.close();
     }
     ledgerSweep.cancel(false);
     callerServer.stop();
@@ -300,6 +310,7 @@
     poller.start(exec());
     if (ticks != null) {
       ticks.start(exec());
+      orders.start();
     }
     ledgerSweep =
         exec()
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/ObservedPolicy.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/ObservedPolicy.java
@@ -26,6 +26,9 @@
  */
 public final class ObservedPolicy implements DispatchPolicy {
   private static final int MAX_TRACES = 4096;
+  private static final String ANSWERED = "answered";
+  private static final String CALLER_GONE = "caller-gone";
+  private static final String HANDED_OVER = "handed-over";
   private static final long NANOS_PER_MILLI = 1_000_000;
 
   /** A request that has not ended. */
@@ -51,6 +54,7 @@
   private final Map<Long, RequestTrace> traces = new ConcurrentHashMap<>();
   private final Map<String, Long> keyByContent = new ConcurrentHashMap<>();
   private final ArrayDeque<WorkItem> traced = new ArrayDeque<>();
+  private final PoolHealthMeter health = new PoolHealthMeter();
 
   /**
    * Creates an observer.
@@ -85,6 +89,11 @@
         tiers.get(), ImmutableMap.copyOf(teams), ImmutableMap.copyOf(upstreamCounts));
   }
 
+  /** Returns how well each pool is served. */
+  PoolHealthMeter health() {
+    return health;
+  }
+
   /**
    * Finds what became of a recent request.
    *
@@ -113,11 +122,11 @@
     } else if (event instanceof SchedulerEvent.TokensProduced tokens) {
       tokens(tokens);
     } else if (event instanceof SchedulerEvent.Finished finished) {
-      ended(finished.key(), finished.succeeded() ? "answered" : "upstream-failed", event);
+      ended(finished.key(), finished.succeeded() ? ANSWERED : "upstream-failed", event);
     } else if (event instanceof SchedulerEvent.ConnectionBroken broken) {
       ended(broken.key(), "connection-broken", event);
     } else if (event instanceof SchedulerEvent.CallerGone gone) {
-      ended(gone.key(), "caller-gone", event);
+      ended(gone.key(), CALLER_GONE, event);
     } else if (event instanceof SchedulerEvent.Refused refused) {
       Active request = active.get(refused.key());
       if (request != null) {
@@ -137,7 +146,7 @@
     } else if (action instanceof SchedulerAction.Reject reject) {
       end(reject.item().key(), "not-run", reject.reason().label(), atNanos);
     } else if (action instanceof SchedulerAction.HandOver handOver) {
-      end(handOver.item().key(), "handed-over", handOver.node(), atNanos);
+      end(handOver.item().key(), HANDED_OVER, handOver.node(), atNanos);
     }
   }
 
@@ -185,11 +194,15 @@
       return;
     }
     metrics.countEnded(request.item.kind(), outcome);
+    if (!outcome.equals(CALLER_GONE) && !outcome.equals(HANDED_OVER)) {
+      health.ended(request.item, outcome.equals(ANSWERED), atNanos);
+    }
     step(request.item, outcome, detail, atNanos);
     if (request.upstream == null) {
       count(request.item, 0, -1);
     } else {
       count(request.item, 1, -1);
+      health.runningChanged(request.item, -1);
       upstreamCounts.computeIfPresent(request.upstream, (name, n) -> n == 1 ? null : n - 1);
     }
   }
@@ -199,9 +212,11 @@
     count(request.item, request.upstream == null ? 0 : 1, -1);
     count(request.item, upstream == null ? 0 : 1, 1);
     if (request.upstream != null) {
+      health.runningChanged(request.item, -1);
       upstreamCounts.computeIfPresent(request.upstream, (name, n) -> n == 1 ? null : n - 1);
     }
     if (upstream != null) {
+      health.runningChanged(request.item, 1);
       upstreamCounts.merge(upstream, 1, Integer::sum);
     }
     request.upstream = upstream;
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/SchedulerTicks.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/SchedulerTicks.java
@@ -1,5 +1,8 @@
 package org.cranberrystand.daemon.internal;
 
+import com.google.common.collect.ImmutableMap;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
@@ -63,6 +66,28 @@
     return statistics.get();
   }
 
+  /**
+   * Returns how well each pool is served, for orders to engines.
+   *
+   * @param policy observes the requests of the scheduler
+   * @return the service of each pool on this node
+   */
+  public EngineOrders.PoolHealth poolHealth(ObservedPolicy policy) {
+    Map<String, Double> capacity = new HashMap<>();
+    for (SchedulerStatistics.UpstreamFigures upstream : statistics.get().upstreams()) {
+      capacity.merge(upstream.pool(), upstream.windowSequences() * upstream.share(), Double::sum);
+    }
+    ImmutableMap.Builder<String, Double> urgentLoad = ImmutableMap.builder();
+    policy
+        .health()
+        .urgentRunningByPool()
+        .forEach(
+            (pool, running) ->
+                urgentLoad.put(
+                    pool, Math.min(1, running / Math.max(1, capacity.getOrDefault(pool, 0.0)))));
+    return new EngineOrders.PoolHealth(urgentLoad.buildOrThrow(), policy.health().goodputByPool());
+  }
+
   @Override
   public void close() {
     ScheduledFuture<?> current = timer;
--- a/org.cranberrystand.fake/src/main/java/org/cranberrystand/fake/FakeModelEngine.java
+++ b/org.cranberrystand.fake/src/main/java/org/cranberrystand/fake/FakeModelEngine.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.BiConsumer;
 import org.cranberrystand.wire.Json;
 import org.cranberrystand.wire.http.ApiHeaders;
 import org.cranberrystand.wire.http.CompletionRequest;
@@ -47,6 +48,7 @@
   private final FaultQueue<StreamFault> streamFaults = new FaultQueue<>(StreamFault.NONE);
   private volatile boolean draining;
   private volatile String crashContent;
+  private volatile FakeModelSlot slot;
 
   /**
    * Starts an engine.
@@ -174,6 +176,15 @@
     streamFaults.add(fault, times);
   }
 
+  /**
+   * Lets the engine report what it serves and follow orders.
+   *
+   * @param value the model management; null for an engine without
+   */
+  public void setModelSlot(FakeModelSlot value) {
+    this.slot = value;
+  }
+
   /** Simulates the death of the process. */
   public void crash() {
     batch.close();
@@ -195,9 +206,20 @@
                 ctx -> ctx.byMethod(spec -> spec.get(this::resume).delete(this::cancel)))
             .get("v1/load", this::load)
             .get("v1/cache-events", this::cacheEvents)
+            .path("v1/models", ctx -> withSlot(ctx, FakeModelSlot::report))
+            .path("v1/orders", ctx -> withSlot(ctx, FakeModelSlot::receive))
             .get("v1/log", ctx -> ctx.getResponse().send("application/json", Json.toText(log())));
   }
 
+  private void withSlot(Context ctx, BiConsumer<FakeModelSlot, Context> handler) {
+    FakeModelSlot current = slot;
+    if (current == null) {
+      ctx.getResponse().status(404).send();
+    } else {
+      handler.accept(current, ctx);
+    }
+  }
+
   private void complete(Context ctx) {
     ctx.getRequest()
         .getBody()
--- a/org.cranberrystand.fake/src/main/java/org/cranberrystand/fake/FakeModelSlot.java
+++ b/org.cranberrystand.fake/src/main/java/org/cranberrystand/fake/FakeModelSlot.java
@@ -12,7 +12,6 @@
 import org.cranberrystand.wire.engine.ModelOrder;
 import org.cranberrystand.wire.engine.ModelStatus;
 import org.cranberrystand.wire.http.ApiHeaders;
-import ratpack.handling.Chain;
 import ratpack.handling.Context;
 import ratpack.http.client.HttpClient;
 
@@ -56,16 +55,6 @@
     this.held = new AtomicReference<>(new Held(initial, System.nanoTime(), 0));
   }
 
-  /**
-   * Adds the handlers of the slot.
-   *
-   * @param chain the handlers of the engine
-   * @throws Exception if the handlers cannot be added
-   */
-  public void install(Chain chain) throws Exception {
-    chain.get("v1/models", this::report).post("v1/orders", this::receive);
-  }
-
   /**
    * Returns all orders that arrived.
    *
@@ -91,11 +80,11 @@
         now.highestFencingNumber());
   }
 
-  private void report(Context ctx) {
+  void report(Context ctx) {
     ctx.getResponse().send("application/json", Json.toText(status()));
   }
 
-  private void receive(Context ctx) {
+  void receive(Context ctx) {
     String header = ctx.getRequest().getHeaders().get(ApiHeaders.FENCING_NUMBER);
     long number = header == null ? 0 : Long.parseLong(header);
     ctx.getRequest()
