--- a/org.cranberrystand.bench/src/main/java/org/cranberrystand/bench/capacity/CapacityReport.java
+++ b/org.cranberrystand.bench/src/main/java/org/cranberrystand/bench/capacity/CapacityReport.java
@@ -3,15 +3,15 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import org.cranberrystand.bundle.Tier;
+import org.cranberrystand.schedule.SchedulerOptions;
 
 /** Works out the costs at the planned size and writes them as tables. Immutable. */
 public final class CapacityReport {
   private static final double BYTES_PER_MEGABYTE = 1e6;
   private static final double IDENTIFIER_LIFETIME_SECONDS = 600;
   private static final double RECORDED_ANSWER_BYTES = 8 * 1024 * 1024;
-  private static final int PREFIX_BLOCKS_PER_ENGINE = 4_096;
-  private static final int QUEUE_LIMIT_REQUESTS = 1_000;
-  private static final int TIERS = 3;
+  private static final int LARGEST_MEASURED_NODES = 64;
   private static final double MILLIS_PER_SECOND = 1_000;
 
   private final PlannedSize size;
@@ -76,14 +76,14 @@
         new Row(
             "Prefix blocks",
             "`PrefixIndex`, limit per engine",
-            inUse * PREFIX_BLOCKS_PER_ENGINE,
+            inUse * SchedulerOptions.defaults().blocksPerEngine(),
             slopes.prefixBlockBytes()));
     rows.add(new Row("Active teams", "`FairQueue`", size.teams(), slopes.teamBytes()));
     rows.add(
         new Row(
             "Queued requests without bodies",
             "`Scheduler`, queue limit",
-            TIERS * QUEUE_LIMIT_REQUESTS,
+            Tier.values().length * SchedulerOptions.defaults().queueRequests(),
             slopes.queuedBytes()));
     rows.add(
         new Row(
@@ -110,6 +110,7 @@
     BundleCost.Result planned = bundle.get(bundle.size() - 1);
     double change = (planned.mainBytes() + planned.partBytes()) * size.changesPerSecond();
     text.append("### Control traffic of a node\n\n");
+    text.append("The core share falls with the nodes and is not extrapolated beyond 64 nodes.\n\n");
     text.append("| Nodes | Digests and platform reads, bytes/s | Core |\n|---|---|---|\n");
     for (int nodes : new int[] {8, 64, 150, size.nodes()}) {
       text.append(
@@ -117,7 +118,7 @@
               "| %d | %,.0f | %.4f |\n",
               nodes,
               slopes.digestBytesPerSecond().at(nodes),
-              Math.max(0, slopes.digestCore().at(nodes))));
+              slopes.digestCore().at(Math.min(nodes, LARGEST_MEASURED_NODES))));
     }
     text.append(
         format(
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/BundleIntake.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/BundleIntake.java
@@ -4,6 +4,7 @@
 import com.google.common.collect.ImmutableList;
 import java.util.Collections;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Queue;
 import java.util.concurrent.atomic.AtomicReference;
@@ -185,6 +186,26 @@
     return true;
   }
 
+  /**
+   * Adds the parts of a bundle that an operator handed over.
+   *
+   * <p>Ignores parts of a bundle that no trusted key signed, and parts that the bundle does not
+   * list.
+   *
+   * @param signed the bundle
+   * @param texts the texts of its parts by digest
+   */
+  public void addParts(SignedBundle signed, Map<String, String> texts) {
+    if (signatures.isTrusted(signed)) {
+      for (String digest : missingParts(signed)) {
+        String text = texts.get(digest);
+        if (text != null) {
+          addPart(digest, text);
+        }
+      }
+    }
+  }
+
   /**
    * Returns the text of a part.
    *
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/OperatorCommands.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/OperatorCommands.java
@@ -8,6 +8,7 @@
 import org.cranberrystand.event.LogEvent;
 import org.cranberrystand.util.Finding;
 import org.cranberrystand.wire.Json;
+import org.cranberrystand.wire.bundle.PushedBundle;
 import org.cranberrystand.wire.bundle.SignedBundle;
 import org.cranberrystand.wire.http.ProblemType;
 import org.cranberrystand.wire.operator.ChangeReport;
@@ -70,7 +71,7 @@
         .then(
             body -> {
               try {
-                take(ctx, Json.read(body.getBytes(), SignedBundle.class), who, why, dryRun);
+                take(ctx, Json.read(body.getBytes(), PushedBundle.class), who, why, dryRun);
               } catch (IOException e) {
                 Replies.problem(
                     ctx,
@@ -80,7 +81,9 @@
             });
   }
 
-  private void take(Context ctx, SignedBundle signed, String who, String why, boolean dryRun) {
+  private void take(Context ctx, PushedBundle pushed, String who, String why, boolean dryRun) {
+    SignedBundle signed = pushed.signed();
+    intake.addParts(signed, pushed.parts());
     BundleIntake.Verdict verdict = intake.check(SOURCE, signed);
     if (!dryRun && verdict.result() == BundleIntake.Result.ACCEPTED) {
       // The push is the cause of what follows, so it is recorded first.
--- a/org.cranberrystand.daemon/src/test/java/org/cranberrystand/daemon/OperatorListenerTest.java
+++ b/org.cranberrystand.daemon/src/test/java/org/cranberrystand/daemon/OperatorListenerTest.java
@@ -13,9 +13,13 @@
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.security.KeyPair;
+import java.util.Map;
 import org.cranberrystand.util.MonotonicClock;
 import org.cranberrystand.wire.Json;
 import org.cranberrystand.wire.bundle.BundleSignatures;
+import org.cranberrystand.wire.bundle.BundleSplitter;
+import org.cranberrystand.wire.bundle.PushedBundle;
+import org.cranberrystand.wire.bundle.SignedBundle;
 import org.cranberrystand.wire.settings.NodeSettings;
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.BeforeClass;
@@ -83,6 +87,21 @@
         "urn:cranberrystand:problem:invalid-request");
   }
 
+  /** Guards against a bundle in parts that cannot be pushed while the service is down. */
+  @Test(dependsOnMethods = "pushedBundleIsInForceAndAuditedThoughTheServiceIsDown")
+  public void bundleInPartsIsPushedWithItsParts() throws Exception {
+    String text =
+        "version = 11\n\n[[teams]]\nname = \"t\"\n\n[[shops]]\nname = \"s\"\nteam = \"t\"\n";
+    BundleSplitter.Split split = BundleSplitter.split(text, 4);
+    SignedBundle signed = BundleSignatures.sign(split.main(), "ops", keys.getPrivate());
+    String without = Json.toText(PushedBundle.of(signed, Map.of()));
+    assertEquals(
+        tree(post("operator/v1/bundle", without, TOKEN)).path("result").asText(), "incomplete");
+    String with = Json.toText(PushedBundle.of(signed, split.parts()));
+    assertEquals(tree(post("operator/v1/bundle", with, TOKEN)).path("result").asText(), "accepted");
+    assertEquals(tree(get("operator/v1/rollout", TOKEN)).path("version").asLong(), 11);
+  }
+
   /** Guards against a push that is lost, not recorded, or put in force in a dry run. */
   @Test
   public void pushedBundleIsInForceAndAuditedThoughTheServiceIsDown() throws Exception {
--- a/org.cranberrystand.pgm/src/main/java/org/cranberrystand/pgm/BundleFiles.java
+++ b/org.cranberrystand.pgm/src/main/java/org/cranberrystand/pgm/BundleFiles.java
@@ -1,5 +1,6 @@
 package org.cranberrystand.pgm;
 
+import com.google.common.collect.ImmutableMap;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -11,6 +12,7 @@
 import org.cranberrystand.wire.bundle.BundleParser;
 import org.cranberrystand.wire.bundle.BundlePart;
 import org.cranberrystand.wire.bundle.BundlePartCache;
+import org.cranberrystand.wire.bundle.PushedBundle;
 import org.cranberrystand.wire.bundle.SignedBundle;
 
 /** Reads and writes the files of the tool. Stateless. */
@@ -68,6 +70,22 @@
         file + " has no signature", "create one with \"cranberrystand bundle sign\"");
   }
 
+  /**
+   * Reads a signed bundle with the parts that are found beside it.
+   *
+   * @param file the file of the signed bundle
+   * @return the document to hand to a node
+   */
+  static PushedBundle readForPush(Path file) {
+    SignedBundle signed = readSigned(file);
+    BundlePartCache cache = readParts(file, signed.bundle());
+    ImmutableMap.Builder<String, String> parts = ImmutableMap.builder();
+    for (String digest : BundleParser.partDigests(signed.bundle())) {
+      cache.text(digest).ifPresent(text -> parts.put(digest, text));
+    }
+    return PushedBundle.of(signed, parts.buildOrThrow());
+  }
+
   /**
    * Returns the directory with the parts of a bundle, each named by its digest.
    *
--- a/org.cranberrystand.pgm/src/main/java/org/cranberrystand/pgm/RolloutPushCommand.java
+++ b/org.cranberrystand.pgm/src/main/java/org/cranberrystand/pgm/RolloutPushCommand.java
@@ -35,7 +35,7 @@
 
   @Override
   public Integer call() {
-    byte[] body = Json.toBytes(BundleFiles.readSigned(file));
+    byte[] body = Json.toBytes(BundleFiles.readForPush(file));
     BundleFiles.read(file);
     OperatorClient client = connection.open();
     List<ChangeReport> reports = new ArrayList<>();
@@ -73,6 +73,9 @@
             case "older" -> "next: a newer version is in force; sign with a higher version";
             case "conflict" ->
                 "next: other content is in force under this version; sign with a higher version";
+            case "incomplete" ->
+                "next: put the parts that \"bundle sign\" wrote into "
+                    + BundleFiles.partDirectory(file);
             default -> "next: sign with a key that the settings of the nodes trust";
           });
     }
