Use one class of measures in all benchmarks

Cause: the rollout benchmark had a measure and a table of its own.

Change: it uses bench.report like the policy benchmark.

Conclusion: one form of results.

--- a/org.cranberrystand.bench/src/main/java/org/cranberrystand/bench/report/Measure.java
+++ b/org.cranberrystand.bench/src/main/java/org/cranberrystand/bench/report/Measure.java
@@ -16,6 +16,18 @@
     value = round(value);
   }
 
+  /**
+   * Creates a measure that must not exceed a bound.
+   *
+   * @param name the name
+   * @param value the value
+   * @param bound the highest value allowed
+   * @return the measure
+   */
+  public static Measure atMost(String name, double value, double bound) {
+    return new Measure(name, value, bound, Direction.AT_MOST);
+  }
+
   /**
    * Rounds a value for a report.
    *
--- a/org.cranberrystand.bench/src/main/java/org/cranberrystand/bench/report/MeasureReport.java
+++ b/org.cranberrystand.bench/src/main/java/org/cranberrystand/bench/report/MeasureReport.java
@@ -3,6 +3,9 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.google.common.base.Strings;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.List;
 import java.util.Locale;
 import org.cranberrystand.wire.Json;
@@ -33,6 +36,19 @@
     return array;
   }
 
+  /**
+   * Writes measures as the only content of a JSON file.
+   *
+   * @param measures the measures
+   * @param file the file
+   * @throws IOException if the file cannot be written
+   */
+  public static void write(List<Measure> measures, Path file) throws IOException {
+    ObjectNode root = Json.MAPPER.createObjectNode();
+    root.set("measures", toJson(measures));
+    Files.write(file, Json.MAPPER.writerWithDefaultPrettyPrinter().writeValueAsBytes(root));
+  }
+
   /**
    * Formats measures as a table.
    *
--- a/org.cranberrystand.bench/src/main/java/org/cranberrystand/bench/rollout/RolloutBench.java
+++ b/org.cranberrystand.bench/src/main/java/org/cranberrystand/bench/rollout/RolloutBench.java
@@ -9,6 +9,7 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.Random;
+import org.cranberrystand.bench.report.Measure;
 import org.cranberrystand.fake.FakePlatform;
 
 /** Runs the scenarios of the rollout benchmark and collects the measures. Not thread-safe. */
--- a/org.cranberrystand.bench/src/main/java/org/cranberrystand/bench/rollout/RolloutCommand.java
+++ b/org.cranberrystand.bench/src/main/java/org/cranberrystand/bench/rollout/RolloutCommand.java
@@ -1,13 +1,13 @@
 package org.cranberrystand.bench.rollout;
 
 import java.io.PrintWriter;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.Callable;
 import java.util.logging.Level;
 import java.util.logging.Logger;
-import org.cranberrystand.wire.Json;
+import org.cranberrystand.bench.report.Measure;
+import org.cranberrystand.bench.report.MeasureReport;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
@@ -44,22 +44,16 @@
       description = "Rollouts per scenario (default: ${DEFAULT-VALUE}).")
   private int rollouts;
 
-  private record Report(List<Measure> measures) {}
-
   @Override
   public Integer call() throws Exception {
     // Every rollout writes one event per node; printing them would be part of the measure.
     Logger.getLogger("").setLevel(Level.SEVERE);
     PrintWriter printer = spec.commandLine().getOut();
     List<Measure> measures = new RolloutBench(printer, rollouts).run(sizes, rolloutSizes);
-    printer.printf("%-32s %12s %12s %s%n", "measure", "value", "bound", "result");
-    for (Measure m : measures) {
-      printer.printf(
-          "%-32s %12.4f %12.3f %s%n", m.name(), m.value(), m.bound(), m.pass() ? "ok" : "FAILED");
-    }
+    printer.print(MeasureReport.toTable("rollout", measures));
     printer.flush();
     if (out != null) {
-      Files.write(out, Json.toBytes(new Report(measures)));
+      MeasureReport.write(measures, out);
     }
     return measures.stream().allMatch(Measure::pass) ? 0 : 1;
   }
