Cancel a queued request under a fixed window

Cause: the test counted on 16 running requests per upstream, the limit of the first scheduler; windows now change with load, so the request it meant to queue was dispatched or rejected.

Change: the test runs a node whose scheduler has a fixed window of 4.

Conclusion: the assertions are the same and no longer depend on windows.

--- a/org.cranberrystand.bench/src/test/java/org/cranberrystand/bench/failure/CancelFailureTest.java
+++ b/org.cranberrystand.bench/src/test/java/org/cranberrystand/bench/failure/CancelFailureTest.java
@@ -19,6 +19,9 @@
 import org.cranberrystand.schedule.Scheduler;
 import org.cranberrystand.schedule.SchedulerAction;
 import org.cranberrystand.schedule.SchedulerEvent;
+import org.cranberrystand.schedule.SchedulerFeature;
+import org.cranberrystand.schedule.SchedulerOptions;
+import org.cranberrystand.upstream.WindowSettings;
 import org.cranberrystand.util.MonotonicClock;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -27,7 +30,7 @@
 /** Guards against work that goes on, or is lost, after its caller cancelled or left. */
 public class CancelFailureTest {
   // The number of requests that the scheduler runs at once on one upstream.
-  private static final int ENGINE_SLOTS = 16;
+  private static final int ENGINE_SLOTS = 4;
   private static final int LONG = 3_000;
 
   private TestFleet fleet;
@@ -46,7 +49,7 @@
   public void runningStreamIsCancelledThroughAnyNode() throws Exception {
     for (Node node : fleet.fleet.nodes()) {
       String id = fleet.identifiers(fleet.node(0)).get(0);
-      CompletableFuture<Answer> answer = start("consultation", id);
+      CompletableFuture<Answer> answer = start(fleet.node(0), "consultation", id);
       TestFleet.await(() -> fleet.runs(id) == 1);
       TestFleet.await(() -> fleet.cancel(node, id) == 204);
       assertFalse(answer.join().ended());
@@ -116,21 +119,34 @@
 
   @Test
   public void queuedRequestIsCancelledAndNeverRuns() throws Exception {
+    Node issuer = fleet.addNode(MonotonicClock.system(), new Scheduler(fixedWindow()));
+    fleet.connectAll();
     List<CompletableFuture<Answer>> running = new ArrayList<>();
-    List<String> ids = fleet.identifiers(fleet.node(0));
-    for (int i = 0; i < ENGINE_SLOTS; i++) {
-      running.add(start("consultation", ids.get(i)));
+    List<String> ids = fleet.identifiers(issuer).subList(0, ENGINE_SLOTS);
+    for (String id : ids) {
+      running.add(start(issuer, "consultation", id));
     }
     TestFleet.await(() -> ids.stream().mapToLong(fleet::runs).sum() == ENGINE_SLOTS);
-    String queued = fleet.identifiers(fleet.node(0)).get(0);
-    CompletableFuture<Answer> answer = start("consultation", queued);
+    String queued = fleet.identifiers(issuer).get(0);
+    CompletableFuture<Answer> answer = start(issuer, "consultation", queued);
     TestFleet.await(() -> fleet.cancel(fleet.node(1), queued) == 204);
     assertEquals(answer.join().outcome(), "not-run");
-    ids.forEach(id -> assertEquals(fleet.cancel(fleet.node(0), id), 204));
+    ids.forEach(id -> assertEquals(fleet.cancel(issuer, id), 204));
     running.forEach(CompletableFuture::join);
     assertEquals(fleet.runs(queued), 0);
   }
 
+  /** A window that does not change, so that the first request beyond it is queued. */
+  private static SchedulerOptions fixedWindow() {
+    SchedulerOptions.Builder options = SchedulerOptions.builder();
+    for (SchedulerFeature feature : SchedulerFeature.values()) {
+      options.without(feature);
+    }
+    return options
+        .windowSettings(new WindowSettings(false, ENGINE_SLOTS, 1e9, 62, 7, 600, 600_000))
+        .build();
+  }
+
   @Test
   public void callerThatLeavesCancelsWhereTheKindAllowsIt() throws Exception {
     String id = fleet.identifiers(fleet.node(0)).get(0);
@@ -219,9 +235,9 @@
     }
   }
 
-  private CompletableFuture<Answer> start(String kind, String id) {
+  private CompletableFuture<Answer> start(Node node, String kind, String id) {
     return CompletableFuture.supplyAsync(
-        () -> fleet.request(fleet.node(0), kind, TestFleet.prompt("a", LONG), id),
+        () -> fleet.request(node, kind, TestFleet.prompt("a", LONG), id),
         task -> new Thread(task).start());
   }
 
