--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/GatewayProgram.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/GatewayProgram.java
@@ -58,6 +58,13 @@
   @Option(names = "--check", description = "Check the settings and exit.")
   private boolean checkOnly;
 
+  @Option(
+      names = "--training-run",
+      description =
+          "Start, answer some requests of its own and end, to record the classes of a"
+              + " start with -XX:ArchiveClassesAtExit.")
+  private boolean trainingRun;
+
   private GatewayProgram(GatewayPorts ports) {
     this.ports = ports;
   }
@@ -107,6 +114,10 @@
       // The file is read again periodically, which covers the signal too.
       ProcessSignals.handleReload(() -> {});
       try (Gateway gateway = Gateway.start(settings, ports, log)) {
+        if (trainingRun) {
+          TrainingRun.execute(gateway);
+          return 0;
+        }
         String known = text;
         while (!terminated.await(SETTINGS_CHECK_SECONDS, TimeUnit.SECONDS)) {
           known = reloadIfChanged(gateway, known, log);
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Admission.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Admission.java
@@ -58,11 +58,11 @@
     CallerHead caller = context.dialect().readRequest(exchange.request().headers());
     RoutingTable table = context.routing().get();
     if (table == null) {
-      reject(exchange, caller, NotRunReason.NOT_READY, NOT_READY_RETRY_MILLIS);
+      reject(exchange, caller, NotRunReason.NOT_READY, NOT_READY_RETRY_MILLIS, "");
       return;
     }
     if (context.leaving().get()) {
-      reject(exchange, caller, NotRunReason.LEAVING, LEAVING_RETRY_MILLIS);
+      reject(exchange, caller, NotRunReason.LEAVING, LEAVING_RETRY_MILLIS, "");
       return;
     }
     HttpRequest request = exchange.request();
@@ -96,7 +96,19 @@
       CallerExchange exchange, CallerHead caller, Route route, Optional<TeamPolicy> team) {
     long now = System.nanoTime();
     if (team.isPresent() && !context.quotas().take(team.get(), caller.quotaTokens(), now)) {
-      reject(exchange, caller, NotRunReason.TEAM_LIMIT, QUOTA_RETRY_MILLIS);
+      reject(
+          exchange,
+          caller,
+          NotRunReason.TEAM_LIMIT,
+          QUOTA_RETRY_MILLIS,
+          " team="
+              + team.get().name()
+              + " tokens="
+              + caller.quotaTokens()
+              + " balance_units="
+              + Math.round(context.quotas().balanceUnits(team.get().name()))
+              + " units_per_second="
+              + Math.round(team.get().quota().unitsPerSecond()));
       return;
     }
     String pool = route.choosePool(random.nextDouble());
@@ -151,7 +163,11 @@
   }
 
   private void reject(
-      CallerExchange exchange, CallerHead caller, NotRunReason reason, long retryAfterMillis) {
+      CallerExchange exchange,
+      CallerHead caller,
+      NotRunReason reason,
+      long retryAfterMillis,
+      String inputs) {
     context
         .log()
         .write(
@@ -161,7 +177,8 @@
                 + " reason="
                 + reason.label()
                 + " retry_after_ms="
-                + retryAfterMillis);
+                + retryAfterMillis
+                + inputs);
     context.metrics().denied(reason.status());
     Refusals.write(
         exchange, HttpResponseStatus.valueOf(reason.status()), reason.label(), retryAfterMillis);
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Gateway.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Gateway.java
@@ -35,8 +35,8 @@
  * several threads.
  */
 public final class Gateway implements AutoCloseable, DirectoryView {
-  private static final long TICK_MILLIS = 20;
-  private static final int TICKS_PER_REFRESH = 5;
+  private static final long TICK_MILLIS = 50;
+  private static final int TICKS_PER_REFRESH = 2;
   private static final int MAX_ADDRESSES = 64;
   private static final String PUBLISHED_PATH = "peer/v1/published";
   private static final Duration PEER_TIMEOUT = Duration.ofSeconds(1);
@@ -53,7 +53,7 @@
   private final long incarnation = new SecureRandom().nextLong() >>> 1;
   private final CallDispatcher dispatcher;
   private final Admission admission;
-  private final QuotaLedger quotas = new QuotaLedger();
+  private final QuotaLedger quotas;
   private final RetryAllowance retries;
   private final CrashRegister crashes = new CrashRegister();
   private final PeerTable peers;
@@ -72,12 +72,14 @@
   private boolean fetchingState;
   private long behindSinceNanos;
   private int ticks;
+  private long reportedChanges;
 
   private Gateway(GatewaySettings settings, GatewayPorts ports, EventLog log) {
     this.settings = settings;
     this.log = log;
     this.admission = new Admission(incarnation);
     this.dispatcher = new CallDispatcher(admission, incarnation);
+    this.quotas = new QuotaLedger(settings.limits().quota());
     this.retries =
         new RetryAllowance(settings.limits().retryRatio(), settings.limits().retrySlack());
     UpstreamClient client = new UpstreamClient(loop, ports.headers(), log);
@@ -202,7 +204,11 @@
         dispatcher.peersChanged(peers.usage(now), now);
       }
       dispatcher.tick(now);
-      reports.markChanged();
+      if (dispatcher.changeCount() != reportedChanges) {
+        reportedChanges = dispatcher.changeCount();
+        reports.markChanged();
+      }
+      reports.tick();
       if (ticks % TICKS_PER_REFRESH == 0) {
         refresh(now);
       }
@@ -263,6 +269,15 @@
     }
   }
 
+  /**
+   * Returns the port of the listener for callers.
+   *
+   * @return the port, also where the settings leave the choice to the system
+   */
+  public int callerPort() {
+    return callers.address().getPort();
+  }
+
   @Override
   public boolean isReady() {
     return fleet.routing() != null && !shutdown.isLeaving();
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/PeerReports.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/PeerReports.java
@@ -12,7 +12,6 @@
 import io.netty.channel.socket.nio.NioDatagramChannel;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.cranberrystand.daemon.internal.EventLog;
@@ -28,12 +27,10 @@
 @SuppressWarnings("FutureReturnValueIgnored")
 final class PeerReports {
   /** Placement by older reports lets several nodes take the same slot. */
-  private static final long CHANGED_INTERVAL_NANOS = 40_000_000L;
+  private static final long CHANGED_INTERVAL_NANOS = 90_000_000L;
 
   /** Several reports fit into the time after which a silent node does not count. */
-  private static final long UNCHANGED_INTERVAL_NANOS = 250_000_000L;
-
-  private static final long CHECK_MILLIS = 20;
+  private static final long UNCHANGED_INTERVAL_NANOS = 290_000_000L;
 
   private final EventLoop loop;
   private final Supplier<PeerReport> own;
@@ -70,7 +67,6 @@
             .bind(new InetSocketAddress(host, port))
             .sync()
             .channel();
-    loop.scheduleWithFixedDelay(this::check, 0, CHECK_MILLIS, TimeUnit.MILLISECONDS).isDone();
   }
 
   /** Notes that the report of this node has changed. */
@@ -90,7 +86,8 @@
     channel.flush();
   }
 
-  private void check() {
+  /** Sends if it is due; to be called often. */
+  void tick() {
     long age = System.nanoTime() - sentNanos;
     if (age >= UNCHANGED_INTERVAL_NANOS || (changed && age >= CHANGED_INTERVAL_NANOS)) {
       sendNow();
--- a/org.cranberrystand.wire/src/main/java/org/cranberrystand/wire/settings/GatewaySettings.java
+++ b/org.cranberrystand.wire/src/main/java/org/cranberrystand/wire/settings/GatewaySettings.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.net.HostAndPort;
+import org.cranberrystand.dispatch.QuotaTolerance;
 
 /**
  * Settings of a gateway: a node that forwards callers' HTTP requests by declared routes.
@@ -46,9 +47,14 @@
    *
    * @param retryRatio repeats per request that are allowed over all nodes
    * @param retrySlack repeats that are allowed in addition within one window, over all nodes
+   * @param quota how far the requests of a team may exceed its quota
    * @param shutdownMillis the time from SIGTERM to SIGKILL
    * @param addressLifetimeSeconds how long callers keep the answer of the directory
    */
   public record Limits(
-      double retryRatio, double retrySlack, long shutdownMillis, int addressLifetimeSeconds) {}
+      double retryRatio,
+      double retrySlack,
+      QuotaTolerance quota,
+      long shutdownMillis,
+      int addressLifetimeSeconds) {}
 }
--- a/org.cranberrystand.wire/src/main/java/org/cranberrystand/wire/settings/GatewaySettingsParser.java
+++ b/org.cranberrystand.wire/src/main/java/org/cranberrystand/wire/settings/GatewaySettingsParser.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.net.HostAndPort;
+import org.cranberrystand.dispatch.QuotaTolerance;
 import org.cranberrystand.util.Checked;
 import org.cranberrystand.util.Findings;
 import org.cranberrystand.wire.TomlDocument;
@@ -11,6 +12,7 @@
 public final class GatewaySettingsParser {
   private static final int MAX_PORT = 65_535;
   private static final double DEFAULT_RETRY_RATIO = 0.1;
+  private static final double DEFAULT_QUOTA_WINDOW_SECONDS = 8;
   private static final long DEFAULT_SHUTDOWN_MILLIS = 8_000;
   private static final int DEFAULT_ADDRESS_LIFETIME_SECONDS = 2;
 
@@ -65,6 +67,10 @@
         new GatewaySettings.Limits(
             table.number("retry_ratio", DEFAULT_RETRY_RATIO, 0, 1),
             table.number("retry_slack", 0, 0, 1e6),
+            new QuotaTolerance(
+                table.number("quota_window_s", DEFAULT_QUOTA_WINDOW_SECONDS, 1, 3_600),
+                table.number("quota_over", 0, 0, 10),
+                table.number("quota_slack", 0, 0, 1e12)),
             1000 * table.wholeNumber("shutdown_s", DEFAULT_SHUTDOWN_MILLIS / 1000, 1, 3_600),
             (int)
                 table.wholeNumber(
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CallDispatcher.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CallDispatcher.java
@@ -25,6 +25,7 @@
   private final Map<Long, RunningCall> running = new HashMap<>();
   private ImmutableMap<String, UpstreamUsage> peerUsage = ImmutableMap.of();
   private long nowNanos;
+  private long changes;
 
   /**
    * Creates a dispatcher without upstreams.
@@ -40,6 +41,7 @@
           public void send(CallSpec call, RegisteredUpstream upstream, PlacementChoice choice) {
             UpstreamState state = pools.get(call.pool()).find(upstream.id());
             running.put(call.key(), new RunningCall(call, state, nowNanos));
+            changes++;
             output.send(call, upstream, choice);
           }
 
@@ -124,8 +126,9 @@
   public void firstEvent(long key, long now) {
     nowNanos = now;
     RunningCall call = running.get(key);
-    if (call != null) {
+    if (call != null && !call.isDecoding()) {
       call.firstEvent(now);
+      changes++;
     }
   }
 
@@ -140,6 +143,7 @@
     nowNanos = now;
     RunningCall call = running.remove(key);
     if (call != null) {
+      changes++;
       pool(call.call().pool()).ended(call, ending, now);
     } else {
       pools.values().forEach(pool -> pool.remove(key));
@@ -176,6 +180,15 @@
     return ImmutableMap.copyOf(usage);
   }
 
+  /**
+   * Returns a number that grows with each change of the usage of an upstream.
+   *
+   * @return the number of changes since the start
+   */
+  public long changeCount() {
+    return changes;
+  }
+
   /**
    * Returns how many requests wait for a slot.
    *
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/QuotaLedger.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/QuotaLedger.java
@@ -13,11 +13,6 @@
  * cannot be heard, each takes only its part of the rate. Not thread-safe.
  */
 public final class QuotaLedger {
-  /** Overdraft, as part of what a team may use in one window, that absorbs reports on the way. */
-  private static final double OVERDRAFT_FRACTION = 0.05;
-
-  private static final double WINDOW_SECONDS = 8;
-
   private static final class Bucket {
     private double level;
     private double usedUnits;
@@ -26,8 +21,18 @@
 
   private final Map<String, Bucket> buckets = new HashMap<>();
   private final Map<String, ImmutableMap<String, Double>> reports = new HashMap<>();
+  private final QuotaTolerance tolerance;
   private double visibleFraction = 1;
 
+  /**
+   * Creates a ledger without teams.
+   *
+   * @param tolerance how far quotas may be exceeded
+   */
+  public QuotaLedger(QuotaTolerance tolerance) {
+    this.tolerance = tolerance;
+  }
+
   /**
    * Sets which part of the nodes can be heard.
    *
@@ -52,8 +57,7 @@
     }
     Bucket bucket = refill(team.name(), quota, nowNanos);
     double cost = quota.cost(tokens);
-    double windowUnits = quota.unitsPerSecond() * WINDOW_SECONDS + quota.burstUnits();
-    if (bucket.level - cost < -OVERDRAFT_FRACTION * windowUnits) {
+    if (bucket.level - cost < -tolerance.overdraftUnits(quota)) {
       return false;
     }
     bucket.level -= cost;
@@ -61,6 +65,17 @@
     return true;
   }
 
+  /**
+   * Returns what a team may still use.
+   *
+   * @param team the name of the team
+   * @return units; below zero if it has overdrawn
+   */
+  public double balanceUnits(String team) {
+    Bucket bucket = buckets.get(team);
+    return bucket == null ? 0 : bucket.level;
+  }
+
   /**
    * Gives back what a request took that was not run.
    *
