Refuse before callers leave, and place long answers by pace

Change: a request waits at most half of its caller's patience; the pace of events is learned for each engine and counts in the choice, with overruns of the deadline and of the pause.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Admission.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Admission.java
@@ -17,6 +17,7 @@
 import org.cranberrystand.routing.Route;
 import org.cranberrystand.routing.RouteMatch;
 import org.cranberrystand.routing.RoutingTable;
+import org.cranberrystand.routing.ServicePool;
 import org.cranberrystand.routing.TeamPolicy;
 import org.cranberrystand.upstream.RegisteredUpstream;
 
@@ -26,6 +27,13 @@
  */
 final class Admission implements DispatchOutput {
   private static final long NOT_READY_RETRY_MILLIS = 500;
+
+  /** Callers leave a stream after this pause, or after these multiples of their targets. */
+  private static final long MIN_PATIENCE_MILLIS = 2_000;
+
+  private static final long PATIENCE_TARGETS = 4;
+  private static final long PATIENCE_GAPS = 8;
+
   private static final long LEAVING_RETRY_MILLIS = 50;
   private static final long QUOTA_RETRY_MILLIS = 1_000;
 
@@ -132,7 +140,8 @@
     return CallSpec.builder(++lastKey, pool)
         .streaming(route.kind().isStreaming())
         .rank(teamRank * ROUTE_RANKS + route.priority())
-        .tokens(caller.promptTokens(), caller.expectedOutputTokens())
+        .size(caller.promptTokens(), caller.expectedOutputTokens() / eventTokens(pool))
+        .pauses(TimeUnit.MILLISECONDS.toNanos(route.gapTargetMillis()), patienceNanos(route))
         .times(
             now,
             now + TimeUnit.MILLISECONDS.toNanos(route.targetMillis()),
@@ -140,6 +149,24 @@
         .build();
   }
 
+  private double eventTokens(String pool) {
+    ServicePool declared = context.routing().get().pools().get(pool);
+    return declared == null || declared.eventTokens() == 0 ? 1 : declared.eventTokens();
+  }
+
+  /** Callers leave a stream without a first event after the longest of three times. */
+  private static long patienceNanos(Route route) {
+    if (!route.kind().isStreaming()) {
+      return Long.MAX_VALUE;
+    }
+    long millis =
+        Math.max(
+            MIN_PATIENCE_MILLIS,
+            Math.max(
+                PATIENCE_TARGETS * route.targetMillis(), PATIENCE_GAPS * route.gapTargetMillis()));
+    return TimeUnit.MILLISECONDS.toNanos(millis);
+  }
+
   private void deny(
       CallerExchange exchange,
       CallerHead caller,
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/EventSplitter.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/EventSplitter.java
@@ -15,6 +15,7 @@
 
   private final ByteBuf pending = Unpooled.buffer();
   private String lastId;
+  private int count;
 
   /**
    * Adds bytes and takes the events that are whole now.
@@ -31,7 +32,7 @@
     }
     ByteBuf whole = Unpooled.copiedBuffer(pending.readSlice(end - pending.readerIndex()));
     pending.discardReadBytes();
-    noteLastId(whole);
+    noteWhole(whole);
     return whole;
   }
 
@@ -51,8 +52,11 @@
     return -1;
   }
 
-  private void noteLastId(ByteBuf whole) {
+  private void noteWhole(ByteBuf whole) {
     String text = whole.toString(StandardCharsets.UTF_8);
+    for (int at = text.indexOf(ID_FIELD); at >= 0; at = text.indexOf(ID_FIELD, at + 1)) {
+      count++;
+    }
     int at = text.lastIndexOf("\n" + ID_FIELD);
     int start = at >= 0 ? at + 1 : text.startsWith(ID_FIELD) ? 0 : -1;
     if (start >= 0) {
@@ -61,6 +65,13 @@
     }
   }
 
+  /** Returns how many events were taken since the last call. */
+  int takeCount() {
+    int taken = count;
+    count = 0;
+    return taken;
+  }
+
   /** Returns the identifier of the last whole event, or null. */
   String lastId() {
     return lastId;
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RequestRelay.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RequestRelay.java
@@ -396,7 +396,7 @@
       if (firstNanos == 0) {
         firstNanos = lastByteNanos;
       }
-      context.dispatcher().firstEvent(spec.key(), lastByteNanos);
+      context.dispatcher().eventsCame(spec.key(), events.takeCount(), lastByteNanos);
       beginAnswer();
       lastEventId = events.lastId();
       exchange.send(whole);
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CallDispatcher.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CallDispatcher.java
@@ -118,17 +118,18 @@
   }
 
   /**
-   * Notes the first event of an answer.
+   * Notes events of an answer.
    *
    * @param key the request
+   * @param count how many came
    * @param now the time
    */
-  public void firstEvent(long key, long now) {
+  public void eventsCame(long key, int count, long now) {
     nowNanos = now;
     RunningCall call = running.get(key);
-    if (call != null && !call.isDecoding()) {
-      call.firstEvent(now);
-      changes++;
+    if (call != null) {
+      changes += call.isDecoding() ? 0 : 1;
+      call.eventsCame(count, now);
     }
   }
 
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CallSpec.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CallSpec.java
@@ -13,7 +13,9 @@
   private final boolean streaming;
   private final int rank;
   private final int promptTokens;
-  private final int outputTokens;
+  private final double outputEvents;
+  private final long gapTargetNanos;
+  private final long patienceNanos;
   private final long arrivalNanos;
   private final long targetNanos;
   private final long deadlineNanos;
@@ -24,7 +26,9 @@
     this.streaming = builder.streaming;
     this.rank = builder.rank;
     this.promptTokens = builder.promptTokens;
-    this.outputTokens = builder.outputTokens;
+    this.outputEvents = builder.outputEvents;
+    this.gapTargetNanos = builder.gapTargetNanos;
+    this.patienceNanos = builder.patienceNanos;
     this.arrivalNanos = builder.arrivalNanos;
     this.targetNanos = builder.targetNanos;
     this.deadlineNanos = builder.deadlineNanos;
@@ -62,9 +66,19 @@
     return promptTokens;
   }
 
-  /** Returns the expected number of output tokens. */
-  public int outputTokens() {
-    return outputTokens;
+  /** Returns the expected number of events in the answer. */
+  public double outputEvents() {
+    return outputEvents;
+  }
+
+  /** Returns the longest pause between events that is on time; 0 if none is declared. */
+  public long gapTargetNanos() {
+    return gapTargetNanos;
+  }
+
+  /** Returns how long the caller waits for the first event before it leaves. */
+  public long patienceNanos() {
+    return patienceNanos;
   }
 
   public long arrivalNanos() {
@@ -88,7 +102,9 @@
     private boolean streaming;
     private int rank;
     private int promptTokens;
-    private int outputTokens;
+    private double outputEvents;
+    private long gapTargetNanos;
+    private long patienceNanos = Long.MAX_VALUE;
     private long arrivalNanos;
     private long targetNanos = Long.MAX_VALUE;
     private long deadlineNanos = Long.MAX_VALUE;
@@ -124,12 +140,25 @@
      * Sets the size.
      *
      * @param prompt tokens of the prompt
-     * @param output expected tokens of the answer
+     * @param events expected events of the answer
      * @return this builder
      */
-    public Builder tokens(int prompt, int output) {
+    public Builder size(int prompt, double events) {
       this.promptTokens = prompt;
-      this.outputTokens = output;
+      this.outputEvents = events;
+      return this;
+    }
+
+    /**
+     * Sets how long the caller bears a pause.
+     *
+     * @param gapTarget the longest pause between events that is on time, in nanoseconds
+     * @param patience how long it waits for the first event, in nanoseconds
+     * @return this builder
+     */
+    public Builder pauses(long gapTarget, long patience) {
+      this.gapTargetNanos = gapTarget;
+      this.patienceNanos = patience;
       return this;
     }
 
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/PoolDispatch.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/PoolDispatch.java
@@ -24,6 +24,15 @@
   /** Part of its time that a request may wait before it is refused. */
   private static final double MAX_WAIT_FRACTION = 0.3;
 
+  /** Part of its caller's patience that a request may wait; the rest is for its first event. */
+  private static final double MAX_PATIENCE_FRACTION = 0.5;
+
+  /** What a second of a stream counts against a second of waiting for its first event. */
+  private static final double STREAM_COST = 0.03;
+
+  /** Pauses vary around their mean; an upstream above this part of the target is often late. */
+  private static final double GAP_MARGIN = 0.7;
+
   /** Upstreams within this factor of the best are equal; nodes must not all choose the same. */
   private static final double TIE_FACTOR = 1.1;
 
@@ -87,7 +96,8 @@
         measured.stream().mapToDouble(UpstreamState::prefillNanosPerToken).average().orElseThrow();
     double service =
         measured.stream().mapToDouble(UpstreamState::serviceNanos).average().orElseThrow();
-    upstreams.values().forEach(state -> state.assumeSpeeds(prefill, service));
+    double event = measured.stream().mapToDouble(UpstreamState::eventNanos).average().orElseThrow();
+    upstreams.values().forEach(state -> state.assumeSpeeds(prefill, service, event));
   }
 
   void submit(CallSpec call, String excluded, long nowNanos) {
@@ -160,11 +170,23 @@
     return chosen;
   }
 
-  /** Expected delay of the answer, raised with the load that slows all tokens of the upstream. */
+  /**
+   * Expected delay of the answer, raised with the load that slows all tokens of the upstream, with
+   * the length of the stream, and where the stream would be late or not end in time.
+   */
   private static double cost(UpstreamState state, CallSpec call, long nowNanos) {
     double load = (double) state.totalRunning() / Math.max(1, state.upstream().slots());
     double cold = state.isCold(nowNanos) ? 2 : 1;
-    return state.firstAnswerNanos(call) * (1 + load) * cold;
+    double first = state.firstAnswerNanos(call) * (1 + load) * cold;
+    if (!call.isStreaming()) {
+      return first;
+    }
+    double stream = call.outputEvents() * state.eventNanos();
+    double overrun = Math.max(0, nowNanos + first + stream - call.deadlineNanos());
+    boolean pauses =
+        call.gapTargetNanos() > 0 && state.eventNanos() > GAP_MARGIN * call.gapTargetNanos();
+    double late = pauses ? call.targetNanos() - call.arrivalNanos() : 0;
+    return first + STREAM_COST * stream + overrun + late;
   }
 
   private double leastFirstAnswerNanos(CallSpec call) {
@@ -186,8 +208,9 @@
   }
 
   private static long latestWaitNanos(CallSpec call) {
-    return call.arrivalNanos()
-        + (long) ((call.deadlineNanos() - call.arrivalNanos()) * MAX_WAIT_FRACTION);
+    double byDeadline = (call.deadlineNanos() - call.arrivalNanos()) * MAX_WAIT_FRACTION;
+    double byPatience = call.patienceNanos() * MAX_PATIENCE_FRACTION;
+    return call.arrivalNanos() + (long) Math.min(byDeadline, byPatience);
   }
 
   private double expectedWaitNanos(WaitingCall entry, long nowNanos) {
@@ -242,6 +265,7 @@
     String id = state.upstream().id();
     if (ending == CallEnding.ANSWERED) {
       ejections.succeeded(id);
+      running.reportPace();
       if (!running.call().isStreaming()) {
         state.answered(nowNanos - running.sentNanos());
       }
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/RunningCall.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/RunningCall.java
@@ -2,11 +2,16 @@
 
 /** A request at an upstream. Not thread-safe. */
 final class RunningCall {
+  /** Shorter answers say little of the pace. */
+  private static final int MIN_PACE_EVENTS = 5;
+
   private final CallSpec call;
   private final UpstreamState state;
   private final long queuedTokens;
   private final long sentNanos;
   private long firstEventNanos;
+  private long lastEventNanos;
+  private int events;
 
   RunningCall(CallSpec call, UpstreamState state, long sentNanos) {
     this.call = call;
@@ -36,10 +41,20 @@
     return firstEventNanos != 0;
   }
 
-  void firstEvent(long nowNanos) {
+  /** Notes events of the answer. */
+  void eventsCame(int count, long nowNanos) {
     if (!isDecoding()) {
       firstEventNanos = nowNanos;
       state.firstEvent(call, queuedTokens, nowNanos - sentNanos);
     }
+    events += count;
+    lastEventNanos = nowNanos;
+  }
+
+  /** Teaches the state of the upstream how fast the events came. */
+  void reportPace() {
+    if (events >= MIN_PACE_EVENTS) {
+      state.eventsCame((double) (lastEventNanos - firstEventNanos) / (events - 1));
+    }
   }
 }
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/UpstreamState.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/UpstreamState.java
@@ -18,6 +18,9 @@
   /** Time of a first event that does not depend on the prompt: network, scheduling, one step. */
   static final double FIRST_EVENT_NANOS = 25e6;
 
+  /** Time between two events assumed before the first observation. */
+  static final double INITIAL_EVENT_NANOS = 25e6;
+
   /** Part of a new observation in the learned value: about the last ten requests count. */
   private static final double LEARNING_RATE = 0.15;
 
@@ -36,6 +39,7 @@
   private long prefillTokens;
   private double prefillNanosPerToken = INITIAL_PREFILL_NANOS_PER_TOKEN;
   private double serviceNanos = INITIAL_SERVICE_NANOS;
+  private double eventNanos = INITIAL_EVENT_NANOS;
   private boolean measured;
   private double admittedFraction = 1;
   private long blockedUntilNanos = Long.MIN_VALUE;
@@ -64,10 +68,11 @@
   }
 
   /** Copies what holds for the pool at large to an upstream that was not measured yet. */
-  void assumeSpeeds(double prefillNanos, double service) {
+  void assumeSpeeds(double prefillNanos, double service, double event) {
     if (!measured) {
       prefillNanosPerToken = prefillNanos;
       serviceNanos = service;
+      eventNanos = event;
     }
   }
 
@@ -83,6 +88,10 @@
     return serviceNanos;
   }
 
+  double eventNanos() {
+    return eventNanos;
+  }
+
   int ownRunning() {
     return running;
   }
@@ -144,6 +153,11 @@
     serviceNanos = learn(serviceNanos, (double) elapsedNanos);
   }
 
+  /** Notes the mean time between the events of an answer. */
+  void eventsCame(double nanosPerEvent) {
+    eventNanos = learn(eventNanos, nanosPerEvent);
+  }
+
   private double learn(double known, double observed) {
     measured = true;
     return known + LEARNING_RATE * (Math.min(observed, known * MAX_STEP) - known);
--- a/org.cranberrystand/src/test/java/org/cranberrystand/dispatch/CallDispatcherTest.java
+++ b/org.cranberrystand/src/test/java/org/cranberrystand/dispatch/CallDispatcherTest.java
@@ -32,7 +32,7 @@
     return CallSpec.builder(key, "llm")
         .streaming(true)
         .rank(rank)
-        .tokens(500, 100)
+        .size(500, 20)
         .times(
             arrivalMillis * MILLI, (arrivalMillis + 400) * MILLI, (arrivalMillis + 15_000) * MILLI)
         .build();
@@ -118,6 +118,48 @@
     assertTrue(decisions.refused.get(0).retryAfterMillis() > 0);
   }
 
+  /** Guards against a request that waits until its caller has left. */
+  @Test
+  public void requestIsRefusedWhileItsCallerIsStillThere() {
+    fillAllSlots();
+    CallSpec impatient =
+        CallSpec.builder(9, "llm")
+            .streaming(true)
+            .times(0, 400 * MILLI, 15_000 * MILLI)
+            .pauses(250 * MILLI, 2_000 * MILLI)
+            .build();
+    dispatcher.submit(impatient, null, 0);
+    dispatcher.tick(1_050 * MILLI);
+
+    assertEquals(decisions.refused.size(), 1);
+  }
+
+  /** Guards against a long answer at a slow engine, where it does not end before its deadline. */
+  @Test
+  public void longAnswerGoesToTheEngineThatEndsInTime() {
+    for (int key = 1; key <= 40; key++) {
+      dispatcher.submit(call(key, 0, key * 10_000L), null, key * 10_000L * MILLI);
+      boolean slow = decisions.sent.get(key - 1).upstream().equals("a");
+      for (int event = 0; event < 10; event++) {
+        long pause = slow ? 150 : 20;
+        dispatcher.eventsCame(key, 1, (key * 10_000L + 40 + event * pause) * MILLI);
+      }
+      dispatcher.ended(key, CallEnding.ANSWERED, (key * 10_000L + 2_000) * MILLI);
+    }
+    long now = 500_000;
+    for (int key = 101; key <= 102; key++) {
+      dispatcher.submit(
+          CallSpec.builder(key, "llm")
+              .streaming(true)
+              .size(500, 200)
+              .times(now * MILLI, (now + 400) * MILLI, (now + 15_000) * MILLI)
+              .build(),
+          null,
+          now * MILLI);
+      assertEquals(decisions.sent.get(decisions.sent.size() - 1).upstream(), "b");
+    }
+  }
+
   /** Guards against a request that can still be on time behind one that cannot. */
   @Test
   public void requestsThatAreLateGoLast() {
@@ -160,7 +202,7 @@
     String upstream = decisions.sent.get(0).upstream();
 
     assertEquals(dispatcher.ownUsage().get(upstream), new UpstreamUsage(1, 500));
-    dispatcher.firstEvent(1, MILLI);
+    dispatcher.eventsCame(1, 1, MILLI);
     assertEquals(dispatcher.ownUsage().get(upstream), new UpstreamUsage(1, 0));
     dispatcher.ended(1, CallEnding.ANSWERED, 2 * MILLI);
     assertTrue(dispatcher.ownUsage().isEmpty());
