Drop kept connections to an upstream that may be down

Ruled out: health checks, which are priced and late. Change: kept connections are closed once an upstream is unreachable or silent; connecting is given up after 250 ms; the time without requests doubles with each failure.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RequestRelay.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RequestRelay.java
@@ -270,6 +270,9 @@
     if (ended != null) {
       ended.cancel();
     }
+    if (ended != null && !ending.showsUpstreamAlive()) {
+      context.client().dropIdle(upstream.id());
+    }
     context.dispatcher().ended(spec.key(), ending, System.nanoTime());
   }
 
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/UpstreamClient.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/UpstreamClient.java
@@ -32,7 +32,7 @@
 @SuppressWarnings("FutureReturnValueIgnored")
 final class UpstreamClient {
   /** An upstream that answers at all accepts within some milliseconds. */
-  private static final int CONNECT_TIMEOUT_MILLIS = 400;
+  private static final int CONNECT_TIMEOUT_MILLIS = 250;
 
   /** Idle connections that are kept to one upstream. */
   private static final int MAX_IDLE = 8;
@@ -164,6 +164,17 @@
     return null;
   }
 
+  /**
+   * Closes the idle connections to an upstream that may be down. A later request then needs a new
+   * connection, and if that fails, nothing was sent.
+   */
+  void dropIdle(String id) {
+    Deque<UpstreamConnection> connections = idle.remove(id);
+    if (connections != null) {
+      connections.forEach(UpstreamConnection::close);
+    }
+  }
+
   /** Closes idle connections to upstreams that are not registered any more. */
   void retain(Set<String> ids) {
     idle.forEach(
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/UpstreamState.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/UpstreamState.java
@@ -24,9 +24,12 @@
   /** Part of a new observation in the learned value: about the last ten requests count. */
   private static final double LEARNING_RATE = 0.15;
 
-  /** An upstream that could not be reached gets no request for this long. */
+  /** An upstream that could not be reached gets no request for this long at first. */
   private static final long UNREACHABLE_NANOS = 400_000_000L;
 
+  /** The time doubles with each further failure, up to this multiple. */
+  private static final int MAX_UNREACHABLE_FACTOR = 4;
+
   /** Prompts below this size say little of the speed. */
   private static final int MIN_LEARNED_TOKENS = 300;
 
@@ -44,7 +47,8 @@
   private double admittedFraction = 1;
   private long blockedUntilNanos = Long.MIN_VALUE;
   private long heardNanos = Long.MIN_VALUE;
-  private long coldUntilNanos;
+  private int unreachableFactor = 1;
+  private final long coldUntilNanos;
 
   UpstreamState(RegisteredUpstream upstream, long nowNanos) {
     this.upstream = upstream;
@@ -171,11 +175,17 @@
   }
 
   void unreachable(long nowNanos) {
-    blockedUntilNanos = Math.max(blockedUntilNanos, nowNanos + UNREACHABLE_NANOS);
+    if (nowNanos < blockedUntilNanos) {
+      // Requests sent before the first failure fail too and say nothing new.
+      return;
+    }
+    blockedUntilNanos = nowNanos + UNREACHABLE_NANOS * unreachableFactor;
+    unreachableFactor = Math.min(MAX_UNREACHABLE_FACTOR, 2 * unreachableFactor);
   }
 
   void heard(long nowNanos) {
     heardNanos = nowNanos;
+    unreachableFactor = 1;
   }
 
   long heardNanos() {
