Let refused callers return over the time that they have

Ruled out: the length of the queue as the delay; it says nothing of the burst. Change: Retry-After is 0.15 to 0.32 of the time left, drawn at random. A stream whose events have no identifiers is not taken to a second upstream; quotas get back what left the queue unrun.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RequestRelay.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RequestRelay.java
@@ -198,13 +198,17 @@
       fail(HttpResponseStatus.BAD_GATEWAY, "no upstream answered");
       return;
     }
-    team.ifPresent(t -> context.quotas().giveBack(t, caller.quotaTokens()));
+    giveQuotaBack();
     log.refused(reason, context.dispatcher().waitingCount(), retryAfterMillis);
     end("refused-" + reason.label(), reason.status());
     Refusals.write(
         exchange, HttpResponseStatus.valueOf(reason.status()), reason.label(), retryAfterMillis);
   }
 
+  private void giveQuotaBack() {
+    team.ifPresent(t -> context.quotas().giveBack(t, caller.quotaTokens()));
+  }
+
   private void fail(HttpResponseStatus status, String detail) {
     if (done) {
       return;
@@ -253,6 +257,9 @@
       return;
     }
     endAttempt(CallEnding.CANCELLED);
+    if (runs == 0) {
+      giveQuotaBack();
+    }
     end("caller-gone", -1);
   }
 
@@ -330,7 +337,10 @@
 
   /** Whether a request that may have run may be sent to another upstream; takes the allowance. */
   private boolean mayRunAgain() {
+    // Without the identifier of the last event, a second run would begin the stream anew.
+    boolean canGoOn = !begun || lastEventId != null;
     return route.mayRepeat()
+        && canGoOn
         && runs < route.maxAttempts()
         && millis(spec.deadlineNanos() - System.nanoTime()) > MIN_REPEAT_MILLIS
         && context.retries().take(spec.pool());
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/PoolDispatch.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/PoolDispatch.java
@@ -39,8 +39,13 @@
   /** Silence of an upstream that streams, in nanoseconds: many times the target between events. */
   private static final long SILENCE_NANOS = 900_000_000L;
 
-  /** Part of the spread of the delay after which refused callers return. */
-  private static final double RETRY_JITTER = 0.5;
+  /**
+   * Refused callers return after a part of the time that they have left. They return once, so it is
+   * of no use while the burst lasts, and they must not return together.
+   */
+  private static final double MIN_RETRY_PART = 0.15;
+
+  private static final double MAX_RETRY_PART = 0.32;
 
   private static final long MIN_RETRY_MILLIS = 150;
 
@@ -219,9 +224,9 @@
   }
 
   private void refuse(CallSpec call, NotRunReason reason, long nowNanos) {
-    double waitMillis = waiting.size() / rate.perSecond(nowNanos) * 1000;
-    double spread = 1 + RETRY_JITTER * random.nextDouble();
-    output.refuse(call, reason, (long) Math.max(MIN_RETRY_MILLIS, waitMillis * spread));
+    double leftMillis = (call.deadlineNanos() - nowNanos) / NANOS_PER_MILLI;
+    double part = MIN_RETRY_PART + (MAX_RETRY_PART - MIN_RETRY_PART) * random.nextDouble();
+    output.refuse(call, reason, (long) Math.max(MIN_RETRY_MILLIS, leftMillis * part));
   }
 
   void tick(Collection<RunningCall> running, long nowNanos) {
--- a/org.cranberrystand/src/test/java/org/cranberrystand/dispatch/CallDispatcherTest.java
+++ b/org.cranberrystand/src/test/java/org/cranberrystand/dispatch/CallDispatcherTest.java
@@ -118,6 +118,23 @@
     assertTrue(decisions.refused.get(0).retryAfterMillis() > 0);
   }
 
+  /** Guards against refused callers that return during the same burst, or all at once. */
+  @Test
+  public void refusedCallersReturnSpreadOverTheTimeThatTheyHave() {
+    fillAllSlots();
+    for (int key = 10; key < 40; key++) {
+      dispatcher.submit(call(key, 0, 0), null, 0);
+    }
+    dispatcher.tick(6_000 * MILLI);
+
+    long least =
+        decisions.refused.stream().mapToLong(r -> r.retryAfterMillis()).min().orElseThrow();
+    long most = decisions.refused.stream().mapToLong(r -> r.retryAfterMillis()).max().orElseThrow();
+    assertTrue(least >= 1_000, "least " + least);
+    assertTrue(most <= 5_000, "most " + most);
+    assertTrue(most - least >= 500, "from " + least + " to " + most);
+  }
+
   /** Guards against a request that waits until its caller has left. */
   @Test
   public void requestIsRefusedWhileItsCallerIsStillThere() {
