--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/CallerConnection.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/CallerConnection.java
@@ -75,7 +75,6 @@
   private ByteBuf body;
   private boolean reading;
   private boolean answering;
-  private boolean answered;
   private boolean closeAfter;
   private Listener listener;
   private long quietSinceNanos = System.nanoTime();
@@ -131,7 +130,6 @@
 
   private void readHead(HttpRequest head) {
     request = head;
-    answered = false;
     headStartedNanos = 0;
     List<String> hosts = head.headers().getAll(HttpHeaderNames.HOST);
     if (hosts.size() != 1 || hasUnknownFraming(head)) {
@@ -281,7 +279,6 @@
     releaseBody();
     listener = null;
     answering = false;
-    answered = true;
     request = null;
     quietSinceNanos = System.nanoTime();
     if (closeAfter) {
@@ -363,11 +360,6 @@
     }
   }
 
-  /** Returns whether the last request on the connection was answered. */
-  boolean wasAnswered() {
-    return answered;
-  }
-
   void close() {
     channel.close();
   }
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/CallerServer.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/CallerServer.java
@@ -115,11 +115,6 @@
     List.copyOf(connections).forEach(CallerConnection::closeIfIdle);
   }
 
-  /** Closes the listener. */
-  void stopAccepting() {
-    listener.close();
-  }
-
   /** Closes everything. */
   void close() {
     listener.close();
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/PublishedFollower.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/PublishedFollower.java
@@ -69,10 +69,6 @@
     return state;
   }
 
-  boolean isLost() {
-    return lost;
-  }
-
   /** Takes the state of another node if it is newer. */
   void offered(PublishedState other) {
     if (other.revision() > state.revision()) {
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RequestRelay.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RequestRelay.java
@@ -66,7 +66,6 @@
   private int fruitless;
   private boolean done;
   private boolean begun;
-  private long sentNanos;
   private long firstNanos;
   private long lastByteNanos;
   private EventSplitter events;
@@ -133,8 +132,7 @@
   /** Sends the request where the dispatcher decided. */
   void send(RegisteredUpstream chosen, PlacementChoice choice) {
     upstream = chosen;
-    sentNanos = System.nanoTime();
-    lastByteNanos = sentNanos;
+    lastByteNanos = System.nanoTime();
     runs++;
     log.placed(chosen, choice, runs);
     attempt =
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/PoolDispatch.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/PoolDispatch.java
@@ -136,43 +136,49 @@
   void pump(long nowNanos) {
     while (!waiting.isEmpty()) {
       WaitingCall next = waiting.first();
-      PlacementChoice[] figures = new PlacementChoice[1];
-      UpstreamState chosen = choose(next, figures, nowNanos);
-      if (chosen == null) {
+      List<UpstreamState> free = upstreamsWithRoom(next, nowNanos);
+      if (free.isEmpty()) {
         return;
       }
+      UpstreamState chosen = choose(free, next.call(), nowNanos);
+      PlacementChoice choice = choiceOf(chosen, next.call(), free.size());
       remove(next.call().key());
       chosen.sent(next.call());
       rate.sent(nowNanos);
-      output.send(next.call(), chosen.upstream(), figures[0]);
+      output.send(next.call(), chosen.upstream(), choice);
     }
   }
 
-  private UpstreamState choose(WaitingCall entry, PlacementChoice[] figures, long nowNanos) {
+  private List<UpstreamState> upstreamsWithRoom(WaitingCall entry, long nowNanos) {
     List<UpstreamState> free = new ArrayList<>();
-    double best = Double.MAX_VALUE;
     for (UpstreamState state : upstreams.values()) {
       boolean avoided = state.upstream().id().equals(entry.excluded()) && upstreams.size() > 1;
       if (!avoided && state.freeSlots(nowNanos) > 0) {
         free.add(state);
-        best = Math.min(best, cost(state, entry.call(), nowNanos));
       }
     }
-    if (free.isEmpty()) {
-      return null;
+    return free;
+  }
+
+  /** Chooses one of those that cost about the least, so that nodes do not all choose the same. */
+  private UpstreamState choose(List<UpstreamState> free, CallSpec call, long nowNanos) {
+    double least = Double.MAX_VALUE;
+    for (UpstreamState state : free) {
+      least = Math.min(least, cost(state, call, nowNanos));
     }
-    double limit = best * TIE_FACTOR;
+    double limit = least * TIE_FACTOR;
     List<UpstreamState> ties =
-        free.stream().filter(state -> cost(state, entry.call(), nowNanos) <= limit).toList();
-    UpstreamState chosen = ties.get(random.nextInt(ties.size()));
-    figures[0] =
-        new PlacementChoice(
-            chosen.totalRunning(),
-            chosen.upstream().slots(),
-            chosen.totalPrefillTokens(),
-            chosen.firstAnswerNanos(entry.call()) / NANOS_PER_MILLI,
-            free.size());
-    return chosen;
+        free.stream().filter(state -> cost(state, call, nowNanos) <= limit).toList();
+    return ties.get(random.nextInt(ties.size()));
+  }
+
+  private static PlacementChoice choiceOf(UpstreamState chosen, CallSpec call, int candidates) {
+    return new PlacementChoice(
+        chosen.totalRunning(),
+        chosen.upstream().slots(),
+        chosen.totalPrefillTokens(),
+        chosen.firstAnswerNanos(call) / NANOS_PER_MILLI,
+        candidates);
   }
 
   /**
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/UpstreamState.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/UpstreamState.java
@@ -96,14 +96,6 @@
     return eventNanos;
   }
 
-  int ownRunning() {
-    return running;
-  }
-
-  UpstreamUsage ownUsage() {
-    return new UpstreamUsage(running, prefillTokens);
-  }
-
   int totalRunning() {
     return running + peers.running();
   }
@@ -121,10 +113,6 @@
     return Math.max(0, slots - totalRunning());
   }
 
-  boolean isBlocked(long nowNanos) {
-    return nowNanos < blockedUntilNanos || admittedFraction <= 0;
-  }
-
   boolean isCold(long nowNanos) {
     return nowNanos < coldUntilNanos;
   }
