Let builds of a deployment run beside each other

Change: the settings of a gateway accept port 0 for reports, and the training run uses it. The test of the training settings fails without the change.

--- a/org.cranberrystand.wire/src/main/java/org/cranberrystand/wire/settings/GatewaySettings.java
+++ b/org.cranberrystand.wire/src/main/java/org/cranberrystand/wire/settings/GatewaySettings.java
@@ -31,7 +31,7 @@
    * @param ready for checks whether the node is ready
    * @param peers for calls of other nodes
    * @param directory for callers that ask where to connect
-   * @param reportPort the UDP port for reports between nodes, the same on all VMs
+   * @param reportPort the UDP port for reports between nodes, the same on all VMs; 0 takes any
    * @param metrics for metrics
    */
   public record Listen(
--- a/org.cranberrystand.wire/src/main/java/org/cranberrystand/wire/settings/GatewaySettingsParser.java
+++ b/org.cranberrystand.wire/src/main/java/org/cranberrystand/wire/settings/GatewaySettingsParser.java
@@ -48,7 +48,7 @@
             SettingsAddresses.required(table, "ready"),
             SettingsAddresses.required(table, "peers"),
             SettingsAddresses.required(table, "directory"),
-            (int) table.wholeNumber("report_port", 0, 1, MAX_PORT),
+            (int) table.wholeNumber("report_port", 0, 0, MAX_PORT),
             SettingsAddresses.required(table, "metrics"));
     table.rejectUnknownKeys();
     ImmutableList<HostAndPort> seeds =
--- /dev/null
+++ b/org.cranberrystand.wire/src/test/java/org/cranberrystand/wire/settings/GatewaySettingsParserTest.java
@@ -0,0 +1,50 @@
+package org.cranberrystand.wire.settings;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.cranberrystand.util.Checked;
+import org.cranberrystand.util.Finding;
+import org.testng.annotations.Test;
+
+public final class GatewaySettingsParserTest {
+  private static final Path TRAINING = Path.of("..", "deploy", "training.toml");
+
+  private static List<Finding> findings(String text) {
+    Checked<GatewaySettings> settings = GatewaySettingsParser.parse("node.toml", text);
+    return settings instanceof Checked.Invalid<GatewaySettings> invalid
+        ? invalid.findings()
+        : List.of();
+  }
+
+  /** Guards against two builds on one machine that fail because both want the same port. */
+  @Test
+  public void settingsOfTheTrainingRunTakeAnyPort() throws IOException {
+    String text = Files.readString(TRAINING);
+    GatewaySettings settings = GatewaySettingsParser.parse(TRAINING.toString(), text).orElseThrow();
+
+    assertEquals(settings.listen().reportPort(), 0);
+    assertEquals(settings.listen().callers().getPort(), 0);
+  }
+
+  /** Guards against defects that are found one at a time, or without their place. */
+  @Test
+  public void allDefectsAreReportedWithTheirLine() throws IOException {
+    String text =
+        Files.readString(TRAINING)
+            .replace("report_port = 0", "report_port = 70000")
+            .replace("[store]", "[store]\nlogin = \"x\"")
+            .replace("node = \"training\"", "name = \"training\"");
+    List<String> keys = findings(text).stream().map(Finding::key).toList();
+
+    assertTrue(keys.contains("listen.report_port"), keys.toString());
+    assertTrue(keys.contains("store.login"), keys.toString());
+    assertTrue(keys.contains("node"), keys.toString());
+    assertTrue(keys.contains("name"), keys.toString());
+    assertTrue(findings(text).stream().filter(f -> f.line() > 0).count() >= 3);
+  }
+}
