--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/PoolDispatch.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/PoolDispatch.java
@@ -33,6 +33,9 @@
   /** Pauses vary around their mean; an upstream above this part of the target is often late. */
   private static final double GAP_MARGIN = 0.7;
 
+  /** How much slower a cold upstream is taken to be; the registration says only for how long. */
+  private static final double COLD_FACTOR = 2;
+
   /** Upstreams within this factor of the best are equal; nodes must not all choose the same. */
   private static final double TIE_FACTOR = 1.1;
 
@@ -187,7 +190,7 @@
    */
   private static double cost(UpstreamState state, CallSpec call, long nowNanos) {
     double load = (double) state.totalRunning() / Math.max(1, state.upstream().slots());
-    double cold = state.isCold(nowNanos) ? 2 : 1;
+    double cold = state.isCold(nowNanos) ? COLD_FACTOR : 1;
     double first = state.firstAnswerNanos(call) * (1 + load) * cold;
     if (!call.isStreaming()) {
       return first;
