Record the outcome of a request before it counts as ended

Ruled out: a request that was not answered; the test had counted it as arrived, and the grace time had not passed. Change: the outcome is recorded first. The same test guards it.

--- a/org.cranberrystand.pgm/src/main/java/org/cranberrystand/pgm/load/LoadRunner.java
+++ b/org.cranberrystand.pgm/src/main/java/org/cranberrystand/pgm/load/LoadRunner.java
@@ -155,10 +155,14 @@
     }
 
     void ended(String outcome) {
-      inFlight.decrementAndGet();
-      if (ended) {
-        return;
+      if (!ended) {
+        record(outcome);
       }
+      // Last, because the report is made once nothing is in flight.
+      inFlight.decrementAndGet();
+    }
+
+    private void record(String outcome) {
       boolean inTime =
           outcome.equals(RequestSender.ANSWERED)
               && firstTokenNanos - plannedNanos
