Notice the return of the store at once

The node had been cut off; its first watch afterwards waited for 2.5 s, so the return of the store showed only with the removal of the upstream, which then counted as an entry that expired during the outage and was kept for 2.2 s. Ruled out: a slow store, and the other nodes, which dropped the upstream within 40 ms. Change: the first watch after a failure does not wait, so the time in which removals are kept ends before the node counts as in touch again. After: the test of the follower, which fails without the change.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/PublishedFollower.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/PublishedFollower.java
@@ -19,6 +19,12 @@
    */
   private static final int WATCH_MILLIS = 2_500;
 
+  /**
+   * How long the first watch after a failure waits. A longer one would tell of the return of the
+   * store only with its answer, and removals are taken for expired entries until some time after.
+   */
+  private static final int RESUME_MILLIS = 10;
+
   private static final long MIN_RETRY_MILLIS = 100;
   private static final long MAX_RETRY_MILLIS = 1_000;
 
@@ -85,7 +91,9 @@
       return;
     }
     if (listed) {
-      store.watch(state.revision(), WATCH_MILLIS).whenComplete(onLoop(this::watched));
+      store
+          .watch(state.revision(), lost ? RESUME_MILLIS : WATCH_MILLIS)
+          .whenComplete(onLoop(this::watched));
     } else {
       store.list().whenComplete(onLoop(this::listed));
     }
--- /dev/null
+++ b/org.cranberrystand.daemon/src/test/java/org/cranberrystand/daemon/gateway/PublishedFollowerTest.java
@@ -0,0 +1,121 @@
+package org.cranberrystand.daemon.gateway;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import io.netty.channel.DefaultEventLoop;
+import java.io.IOException;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.cranberrystand.daemon.internal.EventLog;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.Test;
+
+public final class PublishedFollowerTest {
+  private static final int TIMEOUT_SECONDS = 5;
+
+  /** Store whose answers a test gives. */
+  private static final class ScriptedStore implements PublishedStore {
+    private record Watch(
+        long afterRevision, int waitMillis, CompletableFuture<WatchResult> answer) {}
+
+    private final BlockingQueue<Watch> watches = new LinkedBlockingQueue<>();
+    private final BlockingQueue<CompletableFuture<PublishedState>> lists =
+        new LinkedBlockingQueue<>();
+
+    @Override
+    public CompletionStage<PublishedState> list() {
+      CompletableFuture<PublishedState> answer = new CompletableFuture<>();
+      lists.add(answer);
+      return answer;
+    }
+
+    @Override
+    public CompletionStage<WatchResult> watch(long afterRevision, int waitMillis) {
+      Watch watch = new Watch(afterRevision, waitMillis, new CompletableFuture<>());
+      watches.add(watch);
+      return watch.answer();
+    }
+
+    private Watch nextWatch() throws InterruptedException {
+      return watches.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+    }
+
+    private CompletableFuture<PublishedState> nextList() throws InterruptedException {
+      return lists.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+    }
+
+    @Override
+    public void close() {
+      // Holds nothing.
+    }
+  }
+
+  /** Keeps the names of the calls. */
+  private static final class RecordedCalls implements PublishedFollower.Listener {
+    private final BlockingQueue<String> calls = new LinkedBlockingQueue<>();
+
+    @Override
+    public void replaced(PublishedState state) {
+      calls.add("replaced " + state.revision());
+    }
+
+    @Override
+    public void changed(PublishedState state, Iterable<PublishedValue> changes) {
+      calls.add("changed " + state.revision());
+    }
+
+    @Override
+    public void sourceLost() {
+      calls.add("lost");
+    }
+
+    @Override
+    public void sourceRegained() {
+      calls.add("regained");
+    }
+
+    private String next() throws InterruptedException {
+      return calls.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+    }
+  }
+
+  private final DefaultEventLoop loop = new DefaultEventLoop();
+  private final ScriptedStore store = new ScriptedStore();
+  private final RecordedCalls listener = new RecordedCalls();
+  private final PublishedFollower follower =
+      new PublishedFollower(loop, store, listener, new EventLog("n1"), 1);
+
+  @AfterMethod(alwaysRun = true)
+  public void stop() {
+    follower.close();
+    loop.shutdownGracefully(0, 0, TimeUnit.SECONDS).syncUninterruptibly();
+  }
+
+  /**
+   * Guards against a return of the store that shows only when a long watch ends. Removals of that
+   * time were taken for expired entries, and an upstream that had left got requests for 2.2 s more.
+   */
+  @Test
+  public void returnOfTheStoreIsNoticedAtOnce() throws Exception {
+    loop.execute(follower::start);
+    store.nextList().complete(new PublishedState(7, ImmutableMap.of()));
+    assertEquals(listener.next(), "replaced 7");
+    ScriptedStore.Watch first = store.nextWatch();
+    assertTrue(first.waitMillis() > 1_000);
+    first.answer().completeExceptionally(new IOException("connection lost"));
+    assertEquals(listener.next(), "lost");
+
+    ScriptedStore.Watch resumed = store.nextWatch();
+    assertEquals(resumed.afterRevision(), 7);
+    assertTrue(resumed.waitMillis() <= 100, "waits " + resumed.waitMillis());
+    resumed.answer().complete(new PublishedStore.Changes(7, ImmutableList.of()));
+    assertEquals(listener.next(), "regained");
+    assertTrue(store.nextWatch().waitMillis() > 1_000);
+  }
+}
