--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Admission.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Admission.java
@@ -37,6 +37,14 @@
   private static final long LEAVING_RETRY_MILLIS = 50;
   private static final long QUOTA_RETRY_MILLIS = 1_000;
 
+  /** Callers leave a request that is not read after this time or a third of the time they have. */
+  private static final long MAX_LAG_MILLIS = 1_000;
+
+  private static final int UNREAD_WAIT_PARTS = 3;
+
+  /** A loop that is behind by so much needs about as long to catch up. */
+  private static final long BEHIND_RETRY_MILLIS = 500;
+
   /** Ranks of teams go before ranks of routes, which are smaller than this. */
   private static final int ROUTE_RANKS = 64;
 
@@ -103,6 +111,13 @@
   private void admit(
       CallerExchange exchange, CallerHead caller, Route route, Optional<TeamPolicy> team) {
     long now = System.nanoTime();
+    long lagMillis = TimeUnit.NANOSECONDS.toMillis(context.lag().nanos(now));
+    if (lagMillis >= Math.min(MAX_LAG_MILLIS, waitMillis(caller, route) / UNREAD_WAIT_PARTS)) {
+      // The caller has probably left, and what it sent must not run without it.
+      String inputs = " loop_lag_ms=" + lagMillis;
+      reject(exchange, caller, NotRunReason.OVERLOADED, BEHIND_RETRY_MILLIS, inputs);
+      return;
+    }
     if (team.isPresent() && !context.quotas().take(team.get(), caller.quotaTokens(), now)) {
       reject(
           exchange,
@@ -121,7 +136,7 @@
     }
     String pool = route.choosePool(random.nextDouble());
     context.retries().received(pool);
-    CallSpec spec = spec(caller, route, team, pool, now);
+    CallSpec spec = spec(caller, route, team, pool, now - context.lag().nanos(now));
     RequestRelay relay = new RequestRelay(context, exchange, caller, route, team, spec);
     relays.put(spec.key(), relay);
     relay.start();
@@ -131,11 +146,8 @@
   }
 
   private CallSpec spec(
-      CallerHead caller, Route route, Optional<TeamPolicy> team, String pool, long now) {
-    long waitMillis =
-        caller.waitMillis() > 0
-            ? Math.min(caller.waitMillis(), route.timeoutMillis())
-            : route.timeoutMillis();
+      CallerHead caller, Route route, Optional<TeamPolicy> team, String pool, long arrival) {
+    long waitMillis = waitMillis(caller, route);
     int teamRank = team.flatMap(t -> t.priority().stream().boxed().findFirst()).orElse(0);
     return CallSpec.builder(++lastKey, pool)
         .streaming(route.kind().isStreaming())
@@ -143,12 +155,18 @@
         .size(caller.promptTokens(), caller.expectedOutputTokens() / eventTokens(pool))
         .pauses(TimeUnit.MILLISECONDS.toNanos(route.gapTargetMillis()), patienceNanos(route))
         .times(
-            now,
-            now + TimeUnit.MILLISECONDS.toNanos(route.targetMillis()),
-            now + TimeUnit.MILLISECONDS.toNanos(waitMillis))
+            arrival,
+            arrival + TimeUnit.MILLISECONDS.toNanos(route.targetMillis()),
+            arrival + TimeUnit.MILLISECONDS.toNanos(waitMillis))
         .build();
   }
 
+  private static long waitMillis(CallerHead caller, Route route) {
+    return caller.waitMillis() > 0
+        ? Math.min(caller.waitMillis(), route.timeoutMillis())
+        : route.timeoutMillis();
+  }
+
   private double eventTokens(String pool) {
     ServicePool declared = context.routing().get().pools().get(pool);
     return declared == null || declared.eventTokens() == 0 ? 1 : declared.eventTokens();
--- /dev/null
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/FleetReports.java
@@ -0,0 +1,212 @@
+package org.cranberrystand.daemon.gateway;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import java.util.function.LongSupplier;
+import org.cranberrystand.daemon.internal.EventLog;
+import org.cranberrystand.dispatch.CallDispatcher;
+import org.cranberrystand.dispatch.CrashRegister;
+import org.cranberrystand.dispatch.QuotaLedger;
+import org.cranberrystand.dispatch.QuotaLedger.Coverage;
+import org.cranberrystand.event.LogEvent;
+import org.cranberrystand.membership.KnownNode;
+import org.cranberrystand.membership.PeerReport;
+import org.cranberrystand.membership.PeerTable;
+import org.cranberrystand.membership.PeerTargets;
+import org.cranberrystand.membership.ReportReach;
+import org.cranberrystand.membership.ReportedLoad;
+
+/**
+ * Reports what this node uses to the others, and gives what they report to the decisions of this
+ * node. Used on the event loop only.
+ */
+final class FleetReports {
+  /** Sums are larger than the report of a node, and three of these times make word of a cell. */
+  private static final long SUM_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(140);
+
+  private final PeerTable table;
+  private final PeerTargets targets;
+  private final CallDispatcher dispatcher;
+  private final QuotaLedger quotas;
+  private final CrashRegister crashes;
+  private final LongSupplier revision;
+  private final BooleanSupplier ready;
+  private final ReportSocket socket;
+  private final EventLog log;
+  private final long incarnation;
+  private long sequence;
+  private long sentNanos;
+  private long contactedNanos;
+  private long summedNanos;
+  private long reportedChanges;
+  private boolean dirty;
+  private boolean head;
+  private int cells = 1;
+  private ImmutableList<Double> cellWeights = ImmutableList.of();
+
+  FleetReports(
+      PeerTable table,
+      PeerTargets targets,
+      CallDispatcher dispatcher,
+      QuotaLedger quotas,
+      CrashRegister crashes,
+      LongSupplier revision,
+      BooleanSupplier ready,
+      ReportSocket socket,
+      EventLog log,
+      long incarnation) {
+    this.table = table;
+    this.targets = targets;
+    this.dispatcher = dispatcher;
+    this.quotas = quotas;
+    this.crashes = crashes;
+    this.revision = revision;
+    this.ready = ready;
+    this.socket = socket;
+    this.log = log;
+    this.incarnation = incarnation;
+  }
+
+  /** Opens the socket; may be called on any thread but the event loop. */
+  void open(String host) throws InterruptedException {
+    socket.open(host);
+  }
+
+  /** Takes a report of another node. */
+  void received(PeerReport report) {
+    long now = System.nanoTime();
+    switch (table.received(report, now)) {
+      case COUNTED -> {
+        boolean ofNode = report.reach() == ReportReach.NODE;
+        quotas.reported(
+            ofNode ? report.life() : report.life() + "/" + report.reach().code(),
+            ofNode ? Coverage.NEAR : Coverage.FAR,
+            report.load().quotaUnits(),
+            report.load().quotaBalances());
+        dirty = true;
+      }
+      case QUESTION ->
+          socket.send(
+              nodeReport(targets.answerTo(report.sender().host(), now), false, now),
+              ImmutableSet.of(report.sender().host()));
+      default -> {
+        // Old, or from a node that is not followed.
+      }
+    }
+  }
+
+  /** Sends what is due and takes over what has come; to be called often. */
+  void tick(long now) {
+    if (dirty) {
+      applyOthers(now);
+    }
+    sendNode(now);
+    sendContacts(now);
+    if (head && now - summedNanos >= SUM_INTERVAL_NANOS) {
+      summedNanos = now;
+      sendSums(now);
+    }
+  }
+
+  private void sendNode(long now) {
+    boolean changed = dispatcher.changeCount() != reportedChanges;
+    if (now - sentNanos >= targets.reportIntervalNanos(changed)) {
+      announce();
+    }
+  }
+
+  /** Reports this node to its cell at once. */
+  void announce() {
+    long now = System.nanoTime();
+    sentNanos = now;
+    reportedChanges = dispatcher.changeCount();
+    table.setOffered(ready.getAsBoolean());
+    // A node that knows one cell only may be new in a larger fleet.
+    socket.send(
+        nodeReport(targets.mentions(now), table.cellCount() == 1, now), targets.mateHosts());
+  }
+
+  private void sendContacts(long now) {
+    if (now - contactedNanos >= targets.contactIntervalNanos(now)) {
+      contactedNanos = now;
+      socket.send(nodeReport(targets.mentions(now), true, now), targets.contactHosts(now));
+    }
+  }
+
+  private void sendSums(long now) {
+    ReportedLoad near = ownLoad(Coverage.NEAR, now);
+    socket.send(
+        report(ReportReach.CELL, table.cellLoad(near, now), targets.cellNodes(now), false, now),
+        targets.headHosts(now));
+    ReportedLoad far = ownLoad(Coverage.FAR, now);
+    socket.send(
+        report(ReportReach.REST, table.restLoad(far, now), targets.restNodes(now), false, now),
+        targets.mateHosts());
+  }
+
+  private PeerReport nodeReport(ImmutableList<KnownNode> others, boolean question, long now) {
+    return report(ReportReach.NODE, ownLoad(Coverage.OWN, now), others, question, now);
+  }
+
+  private PeerReport report(
+      ReportReach reach,
+      ReportedLoad load,
+      ImmutableList<KnownNode> others,
+      boolean question,
+      long now) {
+    return new PeerReport(
+        table.self(),
+        incarnation,
+        ++sequence,
+        reach,
+        table.nodeCount(now),
+        table.cellCount(),
+        question,
+        revision.getAsLong(),
+        load,
+        others);
+  }
+
+  private ReportedLoad ownLoad(Coverage coverage, long now) {
+    return new ReportedLoad(
+        dispatcher.ownUsage(), quotas.usedUnits(coverage), quotas.balances(), crashes.counts(now));
+  }
+
+  /** Does what time alone causes; to be called some times a second. */
+  void refresh(long now) {
+    table.setOffered(ready.getAsBoolean());
+    table.refresh(now).forEach(quotas::forget);
+    boolean wasHead = head;
+    head = table.isHead(now);
+    if (head != wasHead || cells != table.cellCount()) {
+      cells = table.cellCount();
+      log.write(
+          LogEvent.CELL_CHANGED,
+          "cells=" + cells + " head=" + head + " nodes=" + table.nodeCount(now));
+    }
+    quotas.setVisibleFraction(table.visibleFraction(now));
+    divideUpstreams(now);
+    applyOthers(now);
+  }
+
+  private void divideUpstreams(long now) {
+    ImmutableList<Double> weights = table.cellWeights(now);
+    if (!weights.equals(cellWeights)) {
+      cellWeights = weights;
+      dispatcher.homesChanged(id -> table.isHome(id, weights));
+    }
+  }
+
+  private void applyOthers(long now) {
+    dirty = false;
+    ReportedLoad others = table.load(now);
+    crashes.setOthers(others.crashes());
+    dispatcher.peersChanged(others.usage(), now);
+  }
+
+  void close() {
+    socket.close();
+  }
+}
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Gateway.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Gateway.java
@@ -12,6 +12,7 @@
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 import org.cranberrystand.daemon.internal.EventLog;
@@ -20,8 +21,11 @@
 import org.cranberrystand.dispatch.QuotaLedger;
 import org.cranberrystand.dispatch.RetryAllowance;
 import org.cranberrystand.event.LogEvent;
+import org.cranberrystand.membership.AddressOffer;
+import org.cranberrystand.membership.KnownNode;
 import org.cranberrystand.membership.PeerReport;
 import org.cranberrystand.membership.PeerTable;
+import org.cranberrystand.membership.PeerTargets;
 import org.cranberrystand.routing.CallerLimits;
 import org.cranberrystand.routing.RoutingTable;
 import org.cranberrystand.wire.settings.GatewaySettings;
@@ -37,7 +41,6 @@
 public final class Gateway implements AutoCloseable, DirectoryView {
   private static final long TICK_MILLIS = 50;
   private static final int TICKS_PER_REFRESH = 2;
-  private static final int MAX_ADDRESSES = 64;
   private static final String PUBLISHED_PATH = "peer/v1/published";
   private static final Duration PEER_TIMEOUT = Duration.ofSeconds(1);
 
@@ -51,6 +54,8 @@
       new NioEventLoopGroup(1, new DefaultThreadFactory("gateway", true));
   private final EventLoop loop = group.next();
   private final long incarnation = new SecureRandom().nextLong() >>> 1;
+  private final LoopLag lag =
+      new LoopLag(TimeUnit.MILLISECONDS.toNanos(TICK_MILLIS), System.nanoTime());
   private final CallDispatcher dispatcher;
   private final Admission admission;
   private final QuotaLedger quotas;
@@ -59,44 +64,35 @@
   private final PeerTable peers;
   private final FleetState fleet;
   private final CallerServer callers;
-  private final PeerReports reports;
+  private final PeerTargets targets;
+  private final FleetReports reports;
   private final GatewayServers servers = new GatewayServers();
   private final GatewayShutdown shutdown;
-  private final AtomicReference<ImmutableList<String>> offeredAddresses =
-      new AtomicReference<>(ImmutableList.of());
+  private final AtomicReference<AddressOffer> offer = new AtomicReference<>(AddressOffer.NONE);
   private HttpFetch fetch;
   private PublishedStore store;
   private PublishedFollower follower;
-  private long reportSequence;
-  private boolean peersDirty;
   private boolean fetchingState;
   private long behindSinceNanos;
   private int ticks;
-  private long reportedChanges;
 
   private Gateway(GatewaySettings settings, GatewayPorts ports, EventLog log) {
     this.settings = settings;
     this.log = log;
     this.admission = new Admission(incarnation);
     this.dispatcher = new CallDispatcher(admission, incarnation);
-    this.quotas = new QuotaLedger(settings.limits().quota());
+    this.quotas = new QuotaLedger(settings.limits().quota(), settings.startsWithFleet());
     this.retries =
         new RetryAllowance(settings.limits().retryRatio(), settings.limits().retrySlack());
     UpstreamClient client = new UpstreamClient(loop, ports.headers(), log);
     this.fleet = new FleetState(ports.decoder(), dispatcher, client, log);
     this.callers = new CallerServer(loop, this::callerLimits, admission::received);
-    this.peers = new PeerTable(settings.node(), seedHosts(settings));
-    this.reports =
-        new PeerReports(
-            loop,
-            settings.listen().reportPort(),
-            this::ownReport,
-            () -> peers.targets(host()),
-            this::reportReceived,
-            log);
+    this.peers = new PeerTable(self(settings.listen().callers()));
+    this.targets = new PeerTargets(peers, seedHosts(settings), incarnation);
+    this.reports = reports();
     this.shutdown =
         new GatewayShutdown(
-            loop, callers, admission, settings.limits().shutdownMillis(), reports::sendNow);
+            loop, callers, admission, settings.limits().shutdownMillis(), reports::announce);
     admission.setContext(
         new RelayContext(
             loop,
@@ -108,10 +104,34 @@
             crashes,
             fleet::routing,
             shutdown::isRefusing,
+            lag,
             log,
             metrics));
   }
 
+  private KnownNode self(HostAndPort callerAddress) {
+    return new KnownNode(
+        settings.node(), host(), callerAddress.toString(), false, settings.cores());
+  }
+
+  private FleetReports reports() {
+    return new FleetReports(
+        peers,
+        targets,
+        dispatcher,
+        quotas,
+        crashes,
+        () -> follower == null ? 0 : follower.state().revision(),
+        this::isReady,
+        new ReportSocket(loop, settings.listen().reportPort(), this::reportReceived, log),
+        log,
+        incarnation);
+  }
+
+  private void reportReceived(PeerReport report) {
+    reports.received(report);
+  }
+
   private static ImmutableSet<String> seedHosts(GatewaySettings settings) {
     return settings.seeds().stream()
         .map(HostAndPort::getHost)
@@ -140,6 +160,8 @@
   private void open(GatewayPorts ports) throws Exception {
     GatewaySettings.Listen listen = settings.listen();
     callers.open(listen.callers());
+    // The listener may have been given its port only now.
+    peers.setSelf(self(HostAndPort.fromParts(host(), callerPort())));
     ExecController exec =
         servers.open(listen.directory(), chain -> ports.directory().apply(this).execute(chain));
     servers.open(listen.ready(), chain -> ports.readiness().apply(this).execute(chain));
@@ -170,46 +192,13 @@
     return table == null ? CallerLimits.defaults() : table.limits();
   }
 
-  private PeerReport ownReport() {
-    long now = System.nanoTime();
-    return new PeerReport(
-        settings.node(),
-        incarnation,
-        ++reportSequence,
-        host(),
-        settings.failureDomain(),
-        callerAddress(),
-        isReady(),
-        follower == null ? 0 : follower.state().revision(),
-        dispatcher.ownUsage(),
-        quotas.usedUnits(),
-        quotas.balances(),
-        crashes.counts(now),
-        peers.freshHosts(now));
-  }
-
-  private void reportReceived(PeerReport report) {
-    if (peers.received(report, System.nanoTime())) {
-      quotas.reported(report.life(), report.quotaUnits(), report.quotaBalances());
-      crashes.reported(report.life(), report.crashes());
-      peersDirty = true;
-    }
-  }
-
   private void tick() {
     try {
       long now = System.nanoTime();
+      lag.tick(now);
       ticks++;
-      if (peersDirty || ticks % TICKS_PER_REFRESH == 0) {
-        peersDirty = false;
-        dispatcher.peersChanged(peers.usage(now), now);
-      }
+      reports.tick(now);
       dispatcher.tick(now);
-      if (dispatcher.changeCount() != reportedChanges) {
-        reportedChanges = dispatcher.changeCount();
-        reports.markChanged();
-      }
-      reports.tick();
       if (ticks % TICKS_PER_REFRESH == 0) {
         refresh(now);
       }
@@ -220,20 +209,23 @@
 
   private void refresh(long now) {
     fleet.tick(now);
+    reports.refresh(now);
     int nodes = peers.nodeCount(now);
     retries.setNodes(nodes);
-    quotas.setVisibleFraction(peers.visibleFraction(now));
-    peers.forgetSilent(now).forEach(quotas::forget);
     metrics.setLoad(
         dispatcher.waitingCount(), dispatcher.runningCount(), callers.connectionCount(), nodes);
-    offeredAddresses.set(
-        peers.offered(now).stream()
-            .map(PeerReport::callerAddress)
-            .limit(MAX_ADDRESSES - 1)
-            .collect(ImmutableList.toImmutableList()));
+    offer.set(offer(now));
     fetchIfBehind(now);
   }
 
+  private AddressOffer offer(long now) {
+    ImmutableList.Builder<KnownNode> nodes = ImmutableList.builder();
+    if (isReady()) {
+      nodes.add(peers.self());
+    }
+    return new AddressOffer(nodes.addAll(peers.offered(now)).build());
+  }
+
   /** Fetches the published state from another node while the store does not tell of a change. */
   private void fetchIfBehind(long now) {
     PeerReport newest = peers.newestRevision(now).orElse(null);
@@ -248,7 +240,7 @@
     URI uri =
         URI.create(
             "http://"
-                + HostAndPort.fromParts(newest.host(), settings.listen().peers().getPort())
+                + HostAndPort.fromParts(newest.sender().host(), settings.listen().peers().getPort())
                 + "/"
                 + PUBLISHED_PATH);
     fetch
@@ -260,13 +252,13 @@
   private void stateFetched(PeerReport peer, HttpFetch.Answer answer, Throwable failure) {
     fetchingState = false;
     if (failure != null) {
-      log.write(LogEvent.PEER_UNREACHABLE, "peer=" + peer.node() + " cause=" + failure);
+      log.write(LogEvent.PEER_UNREACHABLE, "peer=" + peer.sender().node() + " cause=" + failure);
       return;
     }
     try {
       follower.offered(PublishedStateCodec.decode(answer.body()));
     } catch (IOException e) {
-      log.write(LogEvent.REPORT_MALFORMED, "peer=" + peer.node(), e);
+      log.write(LogEvent.REPORT_MALFORMED, "peer=" + peer.sender().node(), e);
     }
   }
 
@@ -279,10 +271,6 @@
     return callers.address().getPort();
   }
 
-  private String callerAddress() {
-    return HostAndPort.fromParts(host(), callerPort()).toString();
-  }
-
   @Override
   public boolean isReady() {
     return fleet.routing() != null && !shutdown.isLeaving();
@@ -290,10 +278,7 @@
 
   @Override
   public ImmutableList<String> callerAddresses() {
-    ImmutableList<String> others = offeredAddresses.get();
-    return isReady()
-        ? ImmutableList.<String>builder().add(callerAddress()).addAll(others).build()
-        : others;
+    return offer.get().draw(ThreadLocalRandom.current());
   }
 
   @Override
@@ -324,7 +309,7 @@
     log.write(
         LogEvent.SETTINGS_RELOADED,
         "seeds=" + changed.seeds() + " same=" + changed.equals(settings));
-    loop.execute(() -> peers.setSeeds(seedHosts(changed)));
+    loop.execute(() -> targets.setSeeds(seedHosts(changed)));
   }
 
   @Override
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RelayContext.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RelayContext.java
@@ -21,6 +21,7 @@
  * @param crashes requests that crash upstreams
  * @param routing the declaration in force; gives null before the first one
  * @param leaving tells whether new requests are refused because the node leaves
+ * @param lag how long what is read now may have waited
  * @param log receives decisions
  * @param metrics counts outcomes
  */
@@ -34,5 +35,6 @@
     CrashRegister crashes,
     Supplier<RoutingTable> routing,
     Supplier<Boolean> leaving,
+    LoopLag lag,
     EventLog log,
     GatewayMetrics metrics) {}
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/PeerReports.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/ReportSocket.java
@@ -1,6 +1,5 @@
 package org.cranberrystand.daemon.gateway;
 
-import com.google.common.collect.ImmutableSet;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
@@ -12,52 +11,34 @@
 import io.netty.channel.socket.nio.NioDatagramChannel;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.Collection;
 import java.util.function.Consumer;
-import java.util.function.Supplier;
 import org.cranberrystand.daemon.internal.EventLog;
 import org.cranberrystand.event.LogEvent;
 import org.cranberrystand.membership.PeerReport;
 import org.cranberrystand.wire.peer.PeerReportCodec;
 
 /**
- * Sends the report of this node to all others by UDP, often while it changes, and receives theirs.
- * Used on the event loop only, except where stated.
+ * Sends and receives reports between nodes by UDP. Used on the event loop only, except where
+ * stated.
  */
 // A failed write or close ends the channel, which its handler is told of.
 @SuppressWarnings("FutureReturnValueIgnored")
-final class PeerReports {
-  /** Placement by older reports lets several nodes take the same slot. */
-  private static final long CHANGED_INTERVAL_NANOS = 90_000_000L;
-
-  /** Several reports fit into the time after which a silent node does not count. */
-  private static final long UNCHANGED_INTERVAL_NANOS = 290_000_000L;
-
+final class ReportSocket {
   private final EventLoop loop;
-  private final Supplier<PeerReport> own;
-  private final Supplier<ImmutableSet<String>> targets;
+  private final int port;
   private final Consumer<PeerReport> receiver;
   private final EventLog log;
-  private final int port;
   private Channel channel;
-  private long sentNanos;
-  private boolean changed;
 
-  PeerReports(
-      EventLoop loop,
-      int port,
-      Supplier<PeerReport> own,
-      Supplier<ImmutableSet<String>> targets,
-      Consumer<PeerReport> receiver,
-      EventLog log) {
+  ReportSocket(EventLoop loop, int port, Consumer<PeerReport> receiver, EventLog log) {
     this.loop = loop;
     this.port = port;
-    this.own = own;
-    this.targets = targets;
     this.receiver = receiver;
     this.log = log;
   }
 
-  /** Opens the socket and starts sending; may be called on any thread but the event loop. */
+  /** Opens the socket; may be called on any thread but the event loop. */
   void open(String host) throws InterruptedException {
     channel =
         new Bootstrap()
@@ -69,31 +50,19 @@
             .channel();
   }
 
-  /** Notes that the report of this node has changed. */
-  void markChanged() {
-    changed = true;
-  }
-
-  /** Sends at once. */
-  void sendNow() {
-    sentNanos = System.nanoTime();
-    changed = false;
-    byte[] bytes = PeerReportCodec.encode(own.get());
-    for (String host : targets.get()) {
+  /** Sends a report to the same port of other VMs. */
+  void send(PeerReport report, Collection<String> hosts) {
+    if (hosts.isEmpty()) {
+      return;
+    }
+    byte[] bytes = PeerReportCodec.encode(report);
+    for (String host : hosts) {
       channel.write(
           new DatagramPacket(Unpooled.wrappedBuffer(bytes), new InetSocketAddress(host, port)));
     }
     channel.flush();
   }
 
-  /** Sends if it is due; to be called often. */
-  void tick() {
-    long age = System.nanoTime() - sentNanos;
-    if (age >= UNCHANGED_INTERVAL_NANOS || (changed && age >= CHANGED_INTERVAL_NANOS)) {
-      sendNow();
-    }
-  }
-
   void close() {
     channel.close();
   }
--- a/org.cranberrystand.wire/src/main/java/org/cranberrystand/wire/peer/PeerReportCodec.java
+++ b/org.cranberrystand.wire/src/main/java/org/cranberrystand/wire/peer/PeerReportCodec.java
@@ -7,7 +7,10 @@
 import com.google.common.collect.ImmutableMap;
 import java.io.IOException;
 import org.cranberrystand.dispatch.UpstreamUsage;
+import org.cranberrystand.membership.KnownNode;
 import org.cranberrystand.membership.PeerReport;
+import org.cranberrystand.membership.ReportReach;
+import org.cranberrystand.membership.ReportedLoad;
 import org.cranberrystand.wire.Json;
 
 /** Writes and reads reports between nodes as JSON with short names, since they are sent often. */
@@ -22,29 +25,47 @@
    */
   public static byte[] encode(PeerReport report) {
     ObjectNode root = Json.MAPPER.createObjectNode();
-    root.put("n", report.node());
     root.put("i", report.incarnation());
     root.put("s", report.sequence());
-    root.put("h", report.host());
-    root.put("d", report.failureDomain());
-    root.put("a", report.callerAddress());
-    root.put("o", report.offered());
+    root.put("k", report.reach().code());
+    root.put("m", report.nodeCount());
+    root.put("l", report.cells());
+    root.put("w", report.answerWanted());
     root.put("r", report.revision());
+    write(root.putArray("n"), report.sender());
+    ReportedLoad load = report.load();
     ObjectNode usage = root.putObject("u");
-    report
-        .usage()
+    load.usage()
         .forEach((id, use) -> usage.putArray(id).add(use.running()).add(use.prefillTokens()));
     ObjectNode quota = root.putObject("q");
-    report.quotaUnits().forEach(quota::put);
+    load.quotaUnits().forEach(quota::put);
     ObjectNode balances = root.putObject("b");
-    report.quotaBalances().forEach(balances::put);
+    load.quotaBalances().forEach(balances::put);
     ObjectNode crashes = root.putObject("c");
-    report.crashes().forEach((print, count) -> crashes.put(Long.toHexString(print), count));
-    ArrayNode hosts = root.putArray("p");
-    report.hosts().forEach(hosts::add);
+    load.crashes().forEach((print, count) -> crashes.put(Long.toHexString(print), count));
+    ArrayNode others = root.putArray("p");
+    report.others().forEach(node -> write(others.addArray(), node));
     return Json.toBytes(root);
   }
 
+  private static void write(ArrayNode array, KnownNode node) {
+    array
+        .add(node.node())
+        .add(node.host())
+        .add(node.callerAddress())
+        .add(node.offered())
+        .add(node.cores());
+  }
+
+  private static KnownNode readNode(JsonNode array) {
+    return new KnownNode(
+        array.path(0).asText(),
+        array.path(1).asText(),
+        array.path(2).asText(),
+        array.path(3).asBoolean(),
+        array.path(4).asDouble());
+  }
+
   /**
    * Reads a report.
    *
@@ -54,7 +75,7 @@
    */
   public static PeerReport decode(byte[] bytes) throws IOException {
     JsonNode root = Json.readTree(bytes);
-    if (root == null || !root.path("n").isTextual() || !root.path("i").isIntegralNumber()) {
+    if (root == null || !root.path("n").isArray() || !root.path("i").isIntegralNumber()) {
       throw new IOException("not a report of a node");
     }
     try {
@@ -78,22 +99,20 @@
     root.path("c")
         .properties()
         .forEach(e -> crashes.put(Long.parseUnsignedLong(e.getKey(), 16), e.getValue().asInt()));
-    ImmutableList.Builder<String> hosts = ImmutableList.builder();
-    root.path("p").forEach(host -> hosts.add(host.asText()));
+    ImmutableList.Builder<KnownNode> others = ImmutableList.builder();
+    root.path("p").forEach(node -> others.add(readNode(node)));
     return new PeerReport(
-        root.path("n").asText(),
+        readNode(root.path("n")),
         root.path("i").asLong(),
         root.path("s").asLong(),
-        root.path("h").asText(),
-        root.path("d").asText(),
-        root.path("a").asText(),
-        root.path("o").asBoolean(),
+        ReportReach.ofCode(root.path("k").asText()),
+        root.path("m").asInt(),
+        root.path("l").asInt(),
+        root.path("w").asBoolean(),
         root.path("r").asLong(),
-        usage.build(),
-        amounts(root.path("q")),
-        amounts(root.path("b")),
-        crashes.build(),
-        hosts.build());
+        new ReportedLoad(
+            usage.build(), amounts(root.path("q")), amounts(root.path("b")), crashes.build()),
+        others.build());
   }
 
   private static ImmutableMap<String, Double> amounts(JsonNode node) {
--- a/org.cranberrystand.wire/src/main/java/org/cranberrystand/wire/settings/GatewaySettings.java
+++ b/org.cranberrystand.wire/src/main/java/org/cranberrystand/wire/settings/GatewaySettings.java
@@ -11,6 +11,8 @@
  *
  * @param node the name of the node
  * @param failureDomain the failure domain of the VM
+ * @param cores the processor share of the VM, in cores; callers are shared out by it
+ * @param startsWithFleet whether no node ran before this start, so that nothing was used yet
  * @param listen the listeners
  * @param seeds listeners for peers of some other nodes
  * @param store the service that publishes the declaration and the upstreams
@@ -19,6 +21,8 @@
 public record GatewaySettings(
     String node,
     String failureDomain,
+    double cores,
+    boolean startsWithFleet,
     Listen listen,
     ImmutableList<HostAndPort> seeds,
     HostAndPort store,
--- a/org.cranberrystand.wire/src/main/java/org/cranberrystand/wire/settings/GatewaySettingsParser.java
+++ b/org.cranberrystand.wire/src/main/java/org/cranberrystand/wire/settings/GatewaySettingsParser.java
@@ -41,6 +41,8 @@
     TomlReader root = TomlReader.ofRoot(document, findings);
     String node = root.requiredText("node");
     String failureDomain = root.requiredText("failure_domain");
+    boolean startsWithFleet = root.flag("starts_with_fleet", false);
+    double cores = cores(root.table("processor"));
     TomlReader table = root.table("listen");
     GatewaySettings.Listen listen =
         new GatewaySettings.Listen(
@@ -59,7 +61,15 @@
     GatewaySettings.Limits limits = limits(root.table("limits"));
     root.rejectUnknownKeys();
     return findings.toChecked(
-        () -> new GatewaySettings(node, failureDomain, listen, seeds, store, limits));
+        () ->
+            new GatewaySettings(
+                node, failureDomain, cores, startsWithFleet, listen, seeds, store, limits));
+  }
+
+  private static double cores(TomlReader table) {
+    double cores = table.number("share", 1, 0.01, 1_000) * table.number("speed", 1, 0.01, 1_000);
+    table.rejectUnknownKeys();
+    return cores;
   }
 
   private static GatewaySettings.Limits limits(TomlReader table) {
--- a/org.cranberrystand.wire/src/test/java/org/cranberrystand/wire/peer/PeerReportCodecTest.java
+++ b/org.cranberrystand.wire/src/test/java/org/cranberrystand/wire/peer/PeerReportCodecTest.java
@@ -8,7 +8,10 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import org.cranberrystand.dispatch.UpstreamUsage;
+import org.cranberrystand.membership.KnownNode;
 import org.cranberrystand.membership.PeerReport;
+import org.cranberrystand.membership.ReportReach;
+import org.cranberrystand.membership.ReportedLoad;
 import org.testng.annotations.Test;
 
 public final class PeerReportCodecTest {
@@ -16,19 +19,20 @@
   public void reportIsReadAsItWasWritten() throws IOException {
     PeerReport report =
         new PeerReport(
-            "n1",
+            new KnownNode("n1", "10.0.0.1", "10.0.0.1:80", true, 0.75),
             Long.MAX_VALUE,
             3,
-            "10.0.0.1",
-            "d",
-            "10.0.0.1:80",
+            ReportReach.CELL,
+            76,
+            8,
             true,
             17,
-            ImmutableMap.of("e", new UpstreamUsage(2, 6_000)),
-            ImmutableMap.of("estrela", 12.5),
-            ImmutableMap.of("estrela", -3.0),
-            ImmutableMap.of(-1L, 2),
-            ImmutableList.of("10.0.0.2"));
+            new ReportedLoad(
+                ImmutableMap.of("e", new UpstreamUsage(2, 6_000)),
+                ImmutableMap.of("estrela", 12.5),
+                ImmutableMap.of("estrela", -3.0),
+                ImmutableMap.of(-1L, 2)),
+            ImmutableList.of(new KnownNode("n2", "10.0.0.2", "10.0.0.2:80", false, 1.5)));
 
     assertEquals(PeerReportCodec.decode(PeerReportCodec.encode(report)), report);
   }
@@ -38,7 +42,13 @@
   public void malformedBytesAreAnError() {
     for (String text :
         new String[] {
-          "", "{", "[]", "null", "{\"n\":1}", "{\"n\":\"a\",\"i\":1,\"c\":{\"x\":1}}"
+          "",
+          "{",
+          "[]",
+          "null",
+          "{\"n\":1}",
+          "{\"n\":[],\"i\":1,\"k\":\"n\",\"c\":{\"x\":1}}",
+          "{\"n\":[],\"i\":1,\"k\":\"?\"}"
         }) {
       assertThrows(
           IOException.class, () -> PeerReportCodec.decode(text.getBytes(StandardCharsets.UTF_8)));
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CallDispatcher.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CallDispatcher.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.function.Predicate;
 import org.cranberrystand.outcome.NotRunReason;
 import org.cranberrystand.upstream.RegisteredUpstream;
 
@@ -24,6 +25,7 @@
   private final Map<String, PoolDispatch> pools = new HashMap<>();
   private final Map<Long, RunningCall> running = new HashMap<>();
   private ImmutableMap<String, UpstreamUsage> peerUsage = ImmutableMap.of();
+  private Predicate<String> isHome = id -> true;
   private long nowNanos;
   private long changes;
 
@@ -66,6 +68,7 @@
     names.addAll(byPool.keySet());
     for (String name : names) {
       pool(name).update(byPool.getOrDefault(name, List.of()), now);
+      pool(name).setHomes(isHome);
     }
     applyPeerUsage();
     pools.values().forEach(pool -> pool.pump(now));
@@ -84,6 +87,16 @@
     pools.values().forEach(pool -> pool.pump(now));
   }
 
+  /**
+   * Replaces which upstreams this node uses before others.
+   *
+   * @param value tells it by the identifier of the upstream
+   */
+  public void homesChanged(Predicate<String> value) {
+    isHome = value;
+    pools.values().forEach(pool -> pool.setHomes(value));
+  }
+
   private void applyPeerUsage() {
     for (PoolDispatch pool : pools.values()) {
       for (UpstreamState state : pool.upstreams()) {
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CrashRegister.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CrashRegister.java
@@ -1,7 +1,6 @@
 package org.cranberrystand.dispatch;
 
 import com.google.common.collect.ImmutableMap;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
 
@@ -9,8 +8,8 @@
  * Requests during which upstreams crashed, by fingerprint of path, team and body.
  *
  * <p>A request that was running each time when several upstreams crashed probably causes it, and is
- * refused for a time on all nodes. Counts of other nodes are added by report. Bounded; the oldest
- * are forgotten first. Not thread-safe.
+ * refused for a time on all nodes. Counts of other nodes are added. Bounded; the oldest are
+ * forgotten first. Not thread-safe.
  */
 public final class CrashRegister {
   /** Two crashes may be chance where many requests run at each upstream. */
@@ -31,7 +30,7 @@
           return size() > MAX_ENTRIES;
         }
       };
-  private final Map<String, ImmutableMap<Long, Integer>> reports = new HashMap<>();
+  private ImmutableMap<Long, Integer> others = ImmutableMap.of();
 
   /**
    * Notes that a connection broke while its upstream ran a request.
@@ -66,24 +65,16 @@
   public boolean isRefused(long fingerprint, long nowNanos) {
     Entry known = own.get(fingerprint);
     int crashes = known == null || nowNanos - known.lastNanos() > KEEP_NANOS ? 0 : known.crashes();
-    for (ImmutableMap<Long, Integer> report : reports.values()) {
-      crashes += report.getOrDefault(fingerprint, 0);
-    }
-    return crashes >= CRASHES_TO_REFUSE;
+    return crashes + others.getOrDefault(fingerprint, 0) >= CRASHES_TO_REFUSE;
   }
 
   /**
-   * Takes the counts of another node.
+   * Replaces the counts of the other nodes.
    *
-   * @param life the node and its incarnation
-   * @param crashes the counts by fingerprint
+   * @param crashes the sums by fingerprint
    */
-  public void reported(String life, ImmutableMap<Long, Integer> crashes) {
-    if (crashes.isEmpty()) {
-      reports.remove(life);
-    } else {
-      reports.put(life, crashes);
-    }
+  public void setOthers(ImmutableMap<Long, Integer> crashes) {
+    others = crashes;
   }
 
   /**
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/PoolDispatch.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/PoolDispatch.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.TreeSet;
+import java.util.function.Predicate;
 import org.cranberrystand.outcome.NotRunReason;
 import org.cranberrystand.upstream.EjectionPolicy;
 import org.cranberrystand.upstream.RegisteredUpstream;
@@ -39,6 +40,17 @@
   /** Upstreams within this factor of the best are equal; nodes must not all choose the same. */
   private static final double TIE_FACTOR = 1.1;
 
+  /**
+   * What other cells use of an upstream is known later than what the own cell uses. The slot that
+   * is left free and the factor on the cost make up for it.
+   */
+  private static final int FOREIGN_RESERVE = 1;
+
+  private static final double FOREIGN_FACTOR = 1.5;
+
+  /** With fewer upstreams of its own, a cell uses all of the pool alike. */
+  private static final int MIN_HOMES = 2;
+
   /** Silence of an upstream that streams, in nanoseconds: many times the target between events. */
   private static final long SILENCE_NANOS = 900_000_000L;
 
@@ -59,6 +71,7 @@
   private final TreeSet<WaitingCall> waiting = new TreeSet<>(WaitingCall.ORDER);
   private final Map<Long, WaitingCall> waitingByKey = new HashMap<>();
   private final SendRate rate = new SendRate();
+  private int homes;
 
   PoolDispatch(DispatchOutput output, SplittableRandom random) {
     this.output = output;
@@ -135,16 +148,17 @@
     waitingByKey.put(entry.call().key(), entry);
   }
 
-  /** Sends what can be sent. */
+  /** Sends what can be sent, the most urgent first. */
   void pump(long nowNanos) {
     while (!waiting.isEmpty()) {
-      WaitingCall next = waiting.first();
-      List<UpstreamState> free = upstreamsWithRoom(next, nowNanos);
-      if (free.isEmpty()) {
+      List<UpstreamState> free = upstreamsWithRoom(nowNanos);
+      WaitingCall next = firstThatMayUse(free);
+      if (next == null) {
         return;
       }
-      UpstreamState chosen = choose(free, next.call(), nowNanos);
-      PlacementChoice choice = choiceOf(chosen, next.call(), free.size());
+      List<UpstreamState> candidates = free.stream().filter(s -> mayUse(next, s)).toList();
+      UpstreamState chosen = choose(candidates, next.call(), nowNanos);
+      PlacementChoice choice = choiceOf(chosen, next.call(), candidates.size());
       remove(next.call().key());
       chosen.sent(next.call());
       rate.sent(nowNanos);
@@ -152,26 +166,61 @@
     }
   }
 
-  private List<UpstreamState> upstreamsWithRoom(WaitingCall entry, long nowNanos) {
+  private List<UpstreamState> upstreamsWithRoom(long nowNanos) {
     List<UpstreamState> free = new ArrayList<>();
     for (UpstreamState state : upstreams.values()) {
-      boolean avoided = state.upstream().id().equals(entry.excluded()) && upstreams.size() > 1;
-      if (!avoided && state.freeSlots(nowNanos) > 0) {
+      if (state.freeSlots(nowNanos) > (isForeign(state) ? FOREIGN_RESERVE : 0)) {
         free.add(state);
       }
     }
     return free;
   }
 
+  /** A request that avoids an upstream must not hold up those behind it. */
+  private WaitingCall firstThatMayUse(List<UpstreamState> free) {
+    if (free.isEmpty()) {
+      return null;
+    }
+    for (WaitingCall entry : waiting) {
+      if (free.stream().anyMatch(state -> mayUse(entry, state))) {
+        return entry;
+      }
+    }
+    return null;
+  }
+
+  private boolean mayUse(WaitingCall entry, UpstreamState state) {
+    return upstreams.size() == 1 || !state.upstream().id().equals(entry.excluded());
+  }
+
+  private boolean isForeign(UpstreamState state) {
+    return homes >= MIN_HOMES && !state.isHome();
+  }
+
+  /** Sets which upstreams the cell of this node uses first. */
+  void setHomes(Predicate<String> isHome) {
+    homes = 0;
+    for (UpstreamState state : upstreams.values()) {
+      state.setHome(isHome.test(state.upstream().id()));
+      homes += state.isHome() ? 1 : 0;
+    }
+  }
+
   /** Chooses one of those that cost about the least, so that nodes do not all choose the same. */
   private UpstreamState choose(List<UpstreamState> free, CallSpec call, long nowNanos) {
+    double[] costs = new double[free.size()];
     double least = Double.MAX_VALUE;
-    for (UpstreamState state : free) {
-      least = Math.min(least, cost(state, call, nowNanos));
+    for (int i = 0; i < costs.length; i++) {
+      UpstreamState state = free.get(i);
+      costs[i] = cost(state, call, nowNanos) * (isForeign(state) ? FOREIGN_FACTOR : 1);
+      least = Math.min(least, costs[i]);
+    }
+    List<UpstreamState> ties = new ArrayList<>();
+    for (int i = 0; i < costs.length; i++) {
+      if (costs[i] <= least * TIE_FACTOR) {
+        ties.add(free.get(i));
+      }
     }
-    double limit = least * TIE_FACTOR;
-    List<UpstreamState> ties =
-        free.stream().filter(state -> cost(state, call, nowNanos) <= limit).toList();
     return ties.get(random.nextInt(ties.size()));
   }
 
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/QuotaLedger.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/QuotaLedger.java
@@ -1,6 +1,7 @@
 package org.cranberrystand.dispatch;
 
 import com.google.common.collect.ImmutableMap;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.Map;
 import org.cranberrystand.routing.TeamPolicy;
@@ -13,25 +14,48 @@
  * cannot be heard, each takes only its part of the rate. Not thread-safe.
  */
 public final class QuotaLedger {
+  /** Which nodes a sum of used units covers. */
+  public enum Coverage {
+    /** This node. */
+    OWN,
+
+    /** This node and those that report to it directly. */
+    NEAR,
+
+    /** Nodes whose use is reported in sums. */
+    FAR
+  }
+
   private static final class Bucket {
     private double level;
-    private double usedUnits;
+    private final EnumMap<Coverage, Double> usedUnits = new EnumMap<>(Coverage.class);
     private long refilledNanos;
+
+    private void use(double units, Coverage coverage) {
+      level -= units;
+      usedUnits.merge(coverage, units, Double::sum);
+      if (coverage == Coverage.OWN) {
+        usedUnits.merge(Coverage.NEAR, units, Double::sum);
+      }
+    }
   }
 
   private final Map<String, Bucket> buckets = new HashMap<>();
   private final Map<String, ImmutableMap<String, Double>> reports = new HashMap<>();
   private final Map<String, ImmutableMap<String, Double>> balances = new HashMap<>();
   private final QuotaTolerance tolerance;
+  private final boolean startsWithFleet;
   private double visibleFraction = 1;
 
   /**
    * Creates a ledger without teams.
    *
    * @param tolerance how far quotas may be exceeded
+   * @param startsWithFleet whether no node can have used a quota before this one started
    */
-  public QuotaLedger(QuotaTolerance tolerance) {
+  public QuotaLedger(QuotaTolerance tolerance, boolean startsWithFleet) {
     this.tolerance = tolerance;
+    this.startsWithFleet = startsWithFleet;
   }
 
   /**
@@ -61,8 +85,7 @@
     if (bucket.level - cost < -tolerance.overdraftUnits(quota)) {
       return false;
     }
-    bucket.level -= cost;
-    bucket.usedUnits += cost;
+    bucket.use(cost, Coverage.OWN);
     return true;
   }
 
@@ -86,9 +109,7 @@
   public void giveBack(TeamPolicy team, long tokens) {
     Bucket bucket = buckets.get(team.name());
     if (bucket != null && team.quota().isLimited()) {
-      double cost = team.quota().cost(tokens);
-      bucket.level += cost;
-      bucket.usedUnits -= cost;
+      bucket.use(-team.quota().cost(tokens), Coverage.OWN);
     }
   }
 
@@ -109,30 +130,36 @@
 
   /**
    * Returns the balance with which a node begins: that of the others, since a node that starts
-   * again would else grant the burst once more. Where no other node knows the team, all may be
-   * starting.
+   * again would else grant the burst once more. Where no other node knows the team, either nothing
+   * was used, or all nodes have started again and forgotten it.
    */
   private double startLevel(String team, TokenQuota quota) {
     return balances.values().stream()
         .filter(known -> known.containsKey(team))
         .mapToDouble(known -> known.get(team))
         .min()
-        .orElse(quota.burstUnits() * visibleFraction / (1 + balances.size()));
+        .orElseGet(
+            () ->
+                startsWithFleet
+                    ? quota.burstUnits()
+                    : quota.burstUnits() * visibleFraction / (1 + balances.size()));
   }
 
   /**
    * Takes the usage that another node reports.
    *
-   * @param node the node and its incarnation
+   * @param source the node, its incarnation and which nodes it speaks of
+   * @param coverage near if it speaks of itself, far if of several nodes
    * @param usedUnits units used since its start, by team
    * @param balanceUnits what teams may still use as far as it knows, by team
    */
   public void reported(
-      String node,
+      String source,
+      Coverage coverage,
       ImmutableMap<String, Double> usedUnits,
       ImmutableMap<String, Double> balanceUnits) {
-    balances.put(node, balanceUnits);
-    ImmutableMap<String, Double> before = reports.put(node, usedUnits);
+    balances.put(source, balanceUnits);
+    ImmutableMap<String, Double> before = reports.put(source, usedUnits);
     if (before == null) {
       // The first report says nothing of when the units were used.
       return;
@@ -142,19 +169,19 @@
           double change = used - before.getOrDefault(team, 0.0);
           Bucket bucket = buckets.get(team);
           if (bucket != null) {
-            bucket.level -= change;
+            bucket.use(change, coverage);
           }
         });
   }
 
   /**
-   * Forgets a node.
+   * Forgets a node, also as one that reported for others.
    *
-   * @param node the node and its incarnation
+   * @param life the node and its incarnation, with which its sources begin
    */
-  public void forget(String node) {
-    reports.remove(node);
-    balances.remove(node);
+  public void forget(String life) {
+    reports.keySet().removeIf(source -> source.startsWith(life));
+    balances.keySet().removeIf(source -> source.startsWith(life));
   }
 
   /**
@@ -169,13 +196,14 @@
   }
 
   /**
-   * Returns what this node used, to be reported to the others.
+   * Returns what was used since the start of this node, to be reported to the others.
    *
-   * @return units used since the start, by team
+   * @param coverage by which nodes
+   * @return units by team
    */
-  public ImmutableMap<String, Double> usedUnits() {
+  public ImmutableMap<String, Double> usedUnits(Coverage coverage) {
     ImmutableMap.Builder<String, Double> used = ImmutableMap.builder();
-    buckets.forEach((team, bucket) -> used.put(team, bucket.usedUnits));
+    buckets.forEach((team, bucket) -> used.put(team, bucket.usedUnits.getOrDefault(coverage, 0.0)));
     return used.build();
   }
 }
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/UpstreamState.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/UpstreamState.java
@@ -38,6 +38,7 @@
 
   private RegisteredUpstream upstream;
   private UpstreamUsage peers = UpstreamUsage.NONE;
+  private boolean home = true;
   private int running;
   private long prefillTokens;
   private double prefillNanosPerToken = INITIAL_PREFILL_NANOS_PER_TOKEN;
@@ -67,6 +68,14 @@
     this.peers = value;
   }
 
+  void setHome(boolean value) {
+    this.home = value;
+  }
+
+  boolean isHome() {
+    return home;
+  }
+
   void setAdmittedFraction(double value) {
     this.admittedFraction = value;
   }
--- a/org.cranberrystand/src/main/java/org/cranberrystand/event/LogEvent.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/event/LogEvent.java
@@ -75,7 +75,9 @@
   /** The settings were read again. */
   SETTINGS_RELOADED(5019, Severity.INFO, "settings read again"),
   /** The log could not be written as fast as it grew. */
-  LOG_LINES_DROPPED(5020, Severity.WARNING, "log lines dropped");
+  LOG_LINES_DROPPED(5020, Severity.WARNING, "log lines dropped"),
+  /** The node became or ceased to be the head of its cell, or the fleet was divided anew. */
+  CELL_CHANGED(5021, Severity.INFO, "cell of the node changed");
 
   private final int number;
   private final Severity severity;
--- a/org.cranberrystand/src/main/java/org/cranberrystand/membership/PeerReport.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/membership/PeerReport.java
@@ -1,72 +1,52 @@
 package org.cranberrystand.membership;
 
 import com.google.common.collect.ImmutableList;
-import com.google.common.collect.ImmutableMap;
-import org.cranberrystand.dispatch.UpstreamUsage;
 
 /**
- * What one node tells the others several times a second.
+ * What one node tells others several times a second.
  *
- * <p>Immutable. Every report holds the whole state, so a lost one is made good by the next.
+ * <p>Immutable. Every report holds the whole state that it covers, so a lost one is made good by
+ * the next.
  *
- * @param node the name of the node
+ * @param sender the node that sends it
  * @param incarnation a number drawn at the start of its process
  * @param sequence grows with each report of an incarnation
- * @param host the address of its VM
- * @param failureDomain the failure domain of its VM
- * @param callerAddress where callers connect
- * @param offered whether callers should be sent to it
- * @param revision the revision of the published state that it knows; 0 if none
- * @param usage what its requests use, by upstream
- * @param quotaUnits what its requests took of the quotas since its start, by team
- * @param quotaBalances what teams may still use as far as the node knows, by team
- * @param crashes fingerprints of requests during which an upstream crashed, with the count
- * @param hosts addresses of other nodes that it knows
+ * @param reach which nodes the load covers
+ * @param nodeCount how many nodes the sender knows to serve, itself included
+ * @param cells into how many cells the sender divides the fleet
+ * @param answerWanted whether the receiver is asked to tell the sender whom it knows
+ * @param revision the revision of the published state that the sender knows; 0 if none
+ * @param load what the covered nodes use
+ * @param others nodes heard lately; for a cell or the rest, nodes that it covers
  */
 public record PeerReport(
-    String node,
+    KnownNode sender,
     long incarnation,
     long sequence,
-    String host,
-    String failureDomain,
-    String callerAddress,
-    boolean offered,
+    ReportReach reach,
+    int nodeCount,
+    int cells,
+    boolean answerWanted,
     long revision,
-    ImmutableMap<String, UpstreamUsage> usage,
-    ImmutableMap<String, Double> quotaUnits,
-    ImmutableMap<String, Double> quotaBalances,
-    ImmutableMap<Long, Integer> crashes,
-    ImmutableList<String> hosts) {
+    ReportedLoad load,
+    ImmutableList<KnownNode> others) {
 
   /**
-   * Returns a name of the life of the node.
+   * Returns a name of the life of the sender.
    *
    * @return node and incarnation
    */
   public String life() {
-    return node + "/" + incarnation;
+    return sender.node() + "/" + incarnation;
   }
 
   /**
-   * Returns a copy that offers the node to callers or not.
+   * Tells whether this report makes an earlier one of the same kind obsolete.
    *
-   * @param value whether callers should be sent to it
-   * @return the copy
+   * @param earlier the earlier one; null if there is none
+   * @return false if it is of the same life and was sent before
    */
-  public PeerReport withOffered(boolean value) {
-    return new PeerReport(
-        node,
-        incarnation,
-        sequence,
-        host,
-        failureDomain,
-        callerAddress,
-        value,
-        revision,
-        usage,
-        quotaUnits,
-        quotaBalances,
-        crashes,
-        hosts);
+  boolean isNewerThan(PeerReport earlier) {
+    return earlier == null || !life().equals(earlier.life()) || sequence > earlier.sequence();
   }
 }
--- a/org.cranberrystand/src/main/java/org/cranberrystand/membership/PeerTable.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/membership/PeerTable.java
@@ -2,49 +2,88 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
-import com.google.common.collect.ImmutableSet;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import org.cranberrystand.dispatch.UpstreamUsage;
 
 /**
- * The last report of every other node. Not thread-safe.
+ * What this node knows of the others from their reports. Not thread-safe.
  *
- * <p>A node that falls silent first stops to count for placement, then for the number of nodes, and
- * is called for longer, so that it is found again after a restart or a partition.
+ * <p>Small fleets are one cell, in which all report to all. In larger ones a node hears the nodes
+ * of its cell, and the sum of the other cells from the head of its cell, see {@link CellLayout}.
  */
 public final class PeerTable {
-  /** Reports come several times a second; older ones describe requests that have mostly ended. */
-  private static final long FRESH_NANOS = 1_000_000_000L;
+  /** Among nodes of one cell the one with most processor share adds up, then the first address. */
+  static final Comparator<KnownNode> HEAD_ORDER =
+      Comparator.comparingDouble(KnownNode::cores)
+          .reversed()
+          .thenComparing(KnownNode::host, Comparator.naturalOrder());
 
-  /** A silent node may still serve behind a partition; after this it counts as gone. */
-  private static final long GONE_NANOS = 12_000_000_000L;
+  /** What becomes of a report. */
+  public enum Receipt {
+    /** Nothing: it is old, or from a node that this one does not follow. */
+    IGNORED,
 
-  /** Silent nodes are called this long. */
-  private static final long FORGET_NANOS = 120_000_000_000L;
+    /** The sender is of another cell and should be told whom this node knows. */
+    QUESTION,
 
-  private static final class Peer {
-    private PeerReport report;
-    private long heardNanos;
+    /** Its load counts. */
+    COUNTED
   }
 
-  private final String self;
-  private ImmutableSet<String> seeds;
-  private final Map<String, Peer> peers = new HashMap<>();
+  /** A report and when it came. */
+  record Heard(PeerReport report, long nanos) {
+    boolean isFresh(long nowNanos) {
+      return nowNanos - nanos < NodeDirectory.DIRECT_FRESH_NANOS;
+    }
+  }
+
+  private KnownNode self;
+  private final NodeDirectory directory;
+  private final Map<String, Heard> direct = new HashMap<>();
+  private final Map<Integer, Heard> cellReports = new HashMap<>();
+  private Heard rest;
+  private int cells = 1;
+  private boolean offered;
 
   /**
    * Creates a table without peers.
    *
-   * @param self the name of this node
-   * @param seeds addresses of VMs to call first
+   * @param self this node
    */
-  public PeerTable(String self, ImmutableSet<String> seeds) {
+  public PeerTable(KnownNode self) {
     this.self = self;
-    this.seeds = seeds;
+    this.directory = new NodeDirectory(self.host());
+  }
+
+  /**
+   * Replaces what this node says of itself.
+   *
+   * @param value the same node; that it is offered is set apart
+   */
+  public void setSelf(KnownNode value) {
+    self = value;
+  }
+
+  /**
+   * Sets whether callers should be sent to this node.
+   *
+   * @param value false before it can serve and once it stops
+   */
+  public void setOffered(boolean value) {
+    offered = value;
+  }
+
+  /**
+   * Returns what this node says of itself.
+   *
+   * @return name, addresses, and whether it is offered
+   */
+  public KnownNode self() {
+    return self.withOffered(offered);
   }
 
   /**
@@ -52,58 +91,216 @@
    *
    * @param report the report
    * @param nowNanos the time
-   * @return true if it is newer than what was known
+   * @return what becomes of it
    */
-  public boolean received(PeerReport report, long nowNanos) {
-    if (report.node().equals(self)) {
-      return false;
+  public Receipt received(PeerReport report, long nowNanos) {
+    if (report.sender().host().equals(self.host())) {
+      return Receipt.IGNORED;
+    }
+    return switch (report.reach()) {
+      case NODE -> nodeReported(report, nowNanos);
+      case CELL -> cellReported(report, nowNanos);
+      case REST -> restReported(report, nowNanos);
+    };
+  }
+
+  private Receipt nodeReported(PeerReport report, long nowNanos) {
+    Heard known = direct.get(report.sender().node());
+    if (!report.isNewerThan(known == null ? null : known.report())) {
+      return Receipt.IGNORED;
+    }
+    direct.put(report.sender().node(), new Heard(report, nowNanos));
+    directory.heard(report.sender(), nowNanos);
+    report.others().forEach(node -> directory.mentioned(node, nowNanos));
+    if (isMate(report.sender().host())) {
+      return Receipt.COUNTED;
+    }
+    return report.answerWanted() ? Receipt.QUESTION : Receipt.IGNORED;
+  }
+
+  private Receipt cellReported(PeerReport report, long nowNanos) {
+    int cell = CellLayout.cellOf(report.sender().host(), cells);
+    Heard known = cellReports.get(cell);
+    if (report.cells() != cells || cell == ownCell() || !isNext(known, report)) {
+      return Receipt.IGNORED;
     }
-    Peer peer = peers.computeIfAbsent(report.node(), n -> new Peer());
-    boolean sameLife = peer.report != null && peer.report.incarnation() == report.incarnation();
-    if (sameLife && report.sequence() <= peer.report.sequence()) {
+    cellReports.put(cell, new Heard(report, nowNanos));
+    report.others().forEach(node -> directory.told(node, nowNanos));
+    return isHead(nowNanos) ? Receipt.COUNTED : Receipt.QUESTION;
+  }
+
+  private Receipt restReported(PeerReport report, long nowNanos) {
+    if (report.cells() != cells || !isMate(report.sender().host()) || !isNext(rest, report)) {
+      return Receipt.IGNORED;
+    }
+    rest = new Heard(report, nowNanos);
+    report.others().forEach(node -> directory.told(node, nowNanos));
+    return Receipt.COUNTED;
+  }
+
+  private static boolean isNext(Heard known, PeerReport report) {
+    return report.isNewerThan(known == null ? null : known.report());
+  }
+
+  /**
+   * Divides the fleet anew if it has grown or shrunk, and forgets nodes that were silent for long.
+   *
+   * @param nowNanos the time
+   * @return the lives of the forgotten nodes
+   */
+  public ImmutableList<String> refresh(long nowNanos) {
+    int nodes = nodeCount(nowNanos);
+    for (Heard heard : direct.values()) {
+      // Nodes that know more divide the fleet for those that have just started.
+      nodes = Math.max(nodes, heard.isFresh(nowNanos) ? heard.report().nodeCount() : 0);
+    }
+    int wanted = CellLayout.cellCount(nodes);
+    if (wanted != cells) {
+      cells = wanted;
+      cellReports.clear();
+      rest = null;
+    }
+    directory.forgetSilent(nowNanos);
+    ImmutableList.Builder<String> gone = ImmutableList.builder();
+    direct
+        .values()
+        .removeIf(
+            heard -> {
+              boolean silent = nowNanos - heard.nanos() > NodeDirectory.FORGET_NANOS;
+              if (silent) {
+                gone.add(heard.report().life());
+              }
+              return silent;
+            });
+    return gone.build();
+  }
+
+  int ownCell() {
+    return CellLayout.cellOf(self.host(), cells);
+  }
+
+  NodeDirectory directory() {
+    return directory;
+  }
+
+  /** Returns the address of the head of another cell, if it was heard lately. */
+  Optional<String> headOf(int cell, long nowNanos) {
+    Heard heard = cellReports.get(cell);
+    return heard != null && heard.isFresh(nowNanos)
+        ? Optional.of(heard.report().sender().host())
+        : Optional.empty();
+  }
+
+  boolean isMate(String host) {
+    return cells == 1 || CellLayout.cellOf(host, cells) == ownCell();
+  }
+
+  /**
+   * Returns how many cells there are.
+   *
+   * @return 1 in a small fleet
+   */
+  public int cellCount() {
+    return cells;
+  }
+
+  /**
+   * Tells whether this node adds up its cell: there is more than one, and no better node is heard.
+   *
+   * @param nowNanos the time
+   * @return true if it does
+   */
+  public boolean isHead(long nowNanos) {
+    if (cells == 1) {
       return false;
     }
-    peer.report = report;
-    peer.heardNanos = nowNanos;
-    return true;
+    return freshMates(nowNanos).stream()
+        .map(heard -> heard.report().sender())
+        .noneMatch(node -> isBetterHead(node, self()));
+  }
+
+  private static boolean isBetterHead(KnownNode node, KnownNode other) {
+    return node.offered() == other.offered() ? HEAD_ORDER.compare(node, other) < 0 : node.offered();
+  }
+
+  List<Heard> freshMates(long nowNanos) {
+    return direct.values().stream()
+        .filter(heard -> heard.isFresh(nowNanos) && isMate(heard.report().sender().host()))
+        .toList();
+  }
+
+  List<Heard> freshCells(long nowNanos) {
+    return cellReports.values().stream().filter(heard -> heard.isFresh(nowNanos)).toList();
   }
 
   /**
-   * Replaces the addresses to call first.
+   * Returns what the nodes of a cell use.
    *
-   * @param value addresses of VMs
+   * @param own what this node uses
+   * @param nowNanos the time
+   * @return the sum over this node and those of its cell heard lately; quotas as in {@code own}
    */
-  public void setSeeds(ImmutableSet<String> value) {
-    seeds = value;
+  public ReportedLoad cellLoad(ReportedLoad own, long nowNanos) {
+    ReportedLoad.Sum sum = new ReportedLoad.Sum();
+    sum.addUsage(own);
+    sum.addCrashes(own);
+    addMates(sum, nowNanos);
+    return new ReportedLoad(sum.usage(), own.quotaUnits(), own.quotaBalances(), sum.crashes());
   }
 
   /**
-   * Returns where to send reports.
+   * Returns what the other cells use.
    *
-   * @param ownHost the address of this VM, which is left out
-   * @return addresses of VMs
+   * @param own what this node uses
+   * @param nowNanos the time
+   * @return the sum over the cells heard lately; quotas as in {@code own}
    */
-  public ImmutableSet<String> targets(String ownHost) {
-    Set<String> targets = new LinkedHashSet<>(seeds);
-    for (Peer peer : peers.values()) {
-      targets.add(peer.report.host());
-      targets.addAll(peer.report.hosts());
+  public ReportedLoad restLoad(ReportedLoad own, long nowNanos) {
+    ReportedLoad.Sum sum = new ReportedLoad.Sum();
+    addCells(sum, nowNanos);
+    return new ReportedLoad(sum.usage(), own.quotaUnits(), own.quotaBalances(), sum.crashes());
+  }
+
+  private void addMates(ReportedLoad.Sum sum, long nowNanos) {
+    for (Heard heard : direct.values()) {
+      if (!isMate(heard.report().sender().host())) {
+        continue;
+      }
+      // Crashes of a node that is cut off or gone still tell something of the request.
+      sum.addCrashes(heard.report().load());
+      if (heard.isFresh(nowNanos)) {
+        sum.addUsage(heard.report().load());
+      }
+    }
+  }
+
+  private void addCells(ReportedLoad.Sum sum, long nowNanos) {
+    for (Heard heard : cellReports.values()) {
+      sum.addCrashes(heard.report().load());
+      if (heard.isFresh(nowNanos)) {
+        sum.addUsage(heard.report().load());
+      }
     }
-    targets.remove(ownHost);
-    return ImmutableSet.copyOf(targets);
   }
 
   /**
-   * Returns the addresses of the nodes heard lately.
+   * Returns what all other nodes use.
    *
    * @param nowNanos the time
-   * @return addresses of VMs
+   * @return usage of nodes heard lately, and crashes, without quotas
    */
-  public ImmutableList<String> freshHosts(long nowNanos) {
-    return peers.values().stream()
-        .filter(peer -> isFresh(peer, nowNanos))
-        .map(peer -> peer.report.host())
-        .collect(ImmutableList.toImmutableList());
+  public ReportedLoad load(long nowNanos) {
+    ReportedLoad.Sum sum = new ReportedLoad.Sum();
+    addMates(sum, nowNanos);
+    if (isHead(nowNanos)) {
+      addCells(sum, nowNanos);
+    } else if (rest != null) {
+      sum.addCrashes(rest.report().load());
+      if (rest.isFresh(nowNanos)) {
+        sum.addUsage(rest.report().load());
+      }
+    }
+    return new ReportedLoad(sum.usage(), ImmutableMap.of(), ImmutableMap.of(), sum.crashes());
   }
 
   /**
@@ -113,31 +310,19 @@
    * @return the usage by upstream
    */
   public ImmutableMap<String, UpstreamUsage> usage(long nowNanos) {
-    Map<String, UpstreamUsage> sum = new HashMap<>();
-    for (Peer peer : peers.values()) {
-      if (isFresh(peer, nowNanos)) {
-        peer.report.usage().forEach((id, usage) -> sum.merge(id, usage, UpstreamUsage::plus));
-      }
-    }
-    return ImmutableMap.copyOf(sum);
+    return load(nowNanos).usage();
   }
 
   /**
-   * Returns the nodes to which callers may be sent.
+   * Returns the nodes to which callers may be sent, without this one.
    *
-   * <p>If no node is heard at all, this node is probably cut off, and the last reports stand.
+   * <p>If no node is heard at all, this node is probably cut off, and the last word stands.
    *
    * @param nowNanos the time
-   * @return the reports of these nodes
+   * @return these nodes
    */
-  public ImmutableList<PeerReport> offered(long nowNanos) {
-    boolean heardAny = peers.values().stream().anyMatch(peer -> isFresh(peer, nowNanos));
-    return peers.values().stream()
-        .filter(peer -> peer.report.offered())
-        .filter(
-            peer -> heardAny ? isFresh(peer, nowNanos) : nowNanos - peer.heardNanos < GONE_NANOS)
-        .map(peer -> peer.report)
-        .collect(ImmutableList.toImmutableList());
+  public ImmutableList<KnownNode> offered(long nowNanos) {
+    return directory.offered(nowNanos);
   }
 
   /**
@@ -149,14 +334,7 @@
    * @return at least 1
    */
   public int nodeCount(long nowNanos) {
-    return 1
-        + (int)
-            peers.values().stream()
-                .filter(
-                    peer ->
-                        isFresh(peer, nowNanos)
-                            || (peer.report.offered() && nowNanos - peer.heardNanos < GONE_NANOS))
-                .count();
+    return 1 + directory.counted(nowNanos).size();
   }
 
   /**
@@ -166,8 +344,7 @@
    * @return above 0, at most 1
    */
   public double visibleFraction(long nowNanos) {
-    long fresh = peers.values().stream().filter(peer -> isFresh(peer, nowNanos)).count();
-    return (1.0 + fresh) / nodeCount(nowNanos);
+    return (1.0 + directory.fresh(nowNanos).size()) / nodeCount(nowNanos);
   }
 
   /**
@@ -177,29 +354,39 @@
    * @return its report
    */
   public Optional<PeerReport> newestRevision(long nowNanos) {
-    return peers.values().stream()
-        .filter(peer -> isFresh(peer, nowNanos))
-        .map(peer -> peer.report)
+    return direct.values().stream()
+        .filter(heard -> heard.isFresh(nowNanos))
+        .map(Heard::report)
         .max(Comparator.comparingLong(PeerReport::revision));
   }
 
   /**
-   * Removes nodes that were silent for long.
+   * Returns the processor share of each cell, as far as known.
    *
    * @param nowNanos the time
-   * @return the lives of the removed nodes
+   * @return cores by index of the cell, above 0
    */
-  public ImmutableList<String> forgetSilent(long nowNanos) {
-    ImmutableList<String> gone =
-        peers.values().stream()
-            .filter(peer -> nowNanos - peer.heardNanos > FORGET_NANOS)
-            .map(peer -> peer.report.life())
-            .collect(ImmutableList.toImmutableList());
-    peers.values().removeIf(peer -> nowNanos - peer.heardNanos > FORGET_NANOS);
-    return gone;
+  public ImmutableList<Double> cellWeights(long nowNanos) {
+    double[] weights = new double[cells];
+    weights[ownCell()] += self.cores();
+    for (KnownNode node : directory.counted(nowNanos)) {
+      weights[CellLayout.cellOf(node.host(), cells)] += node.cores();
+    }
+    ImmutableList.Builder<Double> list = ImmutableList.builder();
+    for (double weight : weights) {
+      list.add(Math.max(weight, Double.MIN_NORMAL));
+    }
+    return list.build();
   }
 
-  private static boolean isFresh(Peer peer, long nowNanos) {
-    return nowNanos - peer.heardNanos < FRESH_NANOS;
+  /**
+   * Tells whether an upstream is one that the cell of this node uses first.
+   *
+   * @param upstream the identifier of the upstream
+   * @param cellWeights the weights of the cells
+   * @return true in a fleet of one cell
+   */
+  public boolean isHome(String upstream, ImmutableList<Double> cellWeights) {
+    return cells == 1 || CellLayout.homeOf(upstream, cellWeights) == ownCell();
   }
 }
--- a/org.cranberrystand/src/test/java/org/cranberrystand/dispatch/CallDispatcherTest.java
+++ b/org.cranberrystand/src/test/java/org/cranberrystand/dispatch/CallDispatcherTest.java
@@ -95,6 +95,34 @@
     assertTrue(decisions.sent.stream().allMatch(s -> s.upstream().equals("b")));
   }
 
+  /** Guards against a repeat that waits for a slot elsewhere and holds up all behind it. */
+  @Test
+  public void requestThatAvoidsAnUpstreamDoesNotHoldUpOthers() {
+    dispatcher.peersChanged(ImmutableMap.of("b", new UpstreamUsage(SLOTS, 0)), 0);
+    dispatcher.submit(call(1, 0, 0), "a", 0);
+    dispatcher.submit(call(2, 1, 0), null, 0);
+
+    assertEquals(decisions.sentKeys(), List.of(2L));
+    assertEquals(dispatcher.waitingCount(), 1);
+  }
+
+  /** Guards against nodes of all cells that take the same slots by figures that are old. */
+  @Test
+  public void upstreamsOfTheOwnCellAreUsedFirstAndOthersNotToTheLastSlot() {
+    dispatcher.upstreamsChanged(List.of(engine("a"), engine("b"), engine("c"), engine("d")), 0);
+    dispatcher.homesChanged(id -> id.equals("a") || id.equals("b"));
+    for (int key = 1; key <= 4 * SLOTS; key++) {
+      dispatcher.submit(call(key, 0, 0), null, 0);
+    }
+
+    List<String> used = decisions.sent.stream().map(sent -> sent.upstream()).toList();
+    assertTrue(used.get(0).equals("a") || used.get(0).equals("b"), used.toString());
+    assertEquals(used.stream().filter(u -> u.equals("a") || u.equals("b")).count(), 2 * SLOTS);
+    assertEquals(used.stream().filter(u -> u.equals("c")).count(), SLOTS - 1);
+    assertEquals(used.stream().filter(u -> u.equals("d")).count(), SLOTS - 1);
+    assertEquals(dispatcher.waitingCount(), 2);
+  }
+
   /** Guards against waiting for one silent engine while another has room. */
   @Test
   public void unreachableUpstreamIsNotTriedAgainAtOnce() {
--- a/org.cranberrystand/src/test/java/org/cranberrystand/dispatch/CrashRegisterTest.java
+++ b/org.cranberrystand/src/test/java/org/cranberrystand/dispatch/CrashRegisterTest.java
@@ -16,7 +16,7 @@
     register.crashed(PRINT, 0);
     assertFalse(register.isRefused(PRINT, 0));
 
-    register.reported("n2/1", ImmutableMap.of(PRINT, 2));
+    register.setOthers(ImmutableMap.of(PRINT, 2));
 
     assertTrue(register.isRefused(PRINT, 0));
     assertFalse(register.isRefused(PRINT + 1, 0));
--- a/org.cranberrystand/src/test/java/org/cranberrystand/dispatch/QuotaLedgerTest.java
+++ b/org.cranberrystand/src/test/java/org/cranberrystand/dispatch/QuotaLedgerTest.java
@@ -30,7 +30,7 @@
 
   @Test
   public void burstThenRateIsAdmitted() {
-    QuotaLedger ledger = new QuotaLedger(NONE);
+    QuotaLedger ledger = new QuotaLedger(NONE, false);
 
     assertEquals(admitted(ledger, 50, 0), 10);
     assertEquals(admitted(ledger, 50, SECOND / 2), 5);
@@ -39,10 +39,12 @@
   /** Guards against a team that gets its quota once from every node. */
   @Test
   public void usageOfOtherNodesCounts() {
-    QuotaLedger ledger = new QuotaLedger(NONE);
+    QuotaLedger ledger = new QuotaLedger(NONE, false);
     admitted(ledger, 1, 0);
-    ledger.reported("n2/1", ImmutableMap.of("estrela", 0.0), ImmutableMap.of());
-    ledger.reported("n2/1", ImmutableMap.of("estrela", 800.0), ImmutableMap.of());
+    ledger.reported(
+        "n2/1", QuotaLedger.Coverage.NEAR, ImmutableMap.of("estrela", 0.0), ImmutableMap.of());
+    ledger.reported(
+        "n2/1", QuotaLedger.Coverage.NEAR, ImmutableMap.of("estrela", 800.0), ImmutableMap.of());
 
     assertEquals(admitted(ledger, 50, 0), 1);
   }
@@ -50,16 +52,60 @@
   /** Guards against a node that grants the burst once more after each restart. */
   @Test
   public void nodeThatStartsTakesTheBalanceOfTheOthers() {
-    QuotaLedger ledger = new QuotaLedger(NONE);
-    ledger.reported("n2/1", ImmutableMap.of("estrela", 5_000.0), ImmutableMap.of("estrela", 200.0));
+    QuotaLedger ledger = new QuotaLedger(NONE, false);
+    ledger.reported(
+        "n2/1",
+        QuotaLedger.Coverage.NEAR,
+        ImmutableMap.of("estrela", 5_000.0),
+        ImmutableMap.of("estrela", 200.0));
 
     assertEquals(admitted(ledger, 50, 0), 2);
   }
 
+  /** Guards against a large fleet that refuses teams their burst when it starts. */
+  @Test
+  public void wholeBurstIsGrantedWhenTheFleetStarts() {
+    QuotaLedger ledger = new QuotaLedger(NONE, true);
+    for (int i = 0; i < 75; i++) {
+      ledger.reported("n" + i, QuotaLedger.Coverage.NEAR, ImmutableMap.of(), ImmutableMap.of());
+    }
+
+    assertEquals(admitted(ledger, 50, 0), 10);
+  }
+
+  /** Guards against a fleet that grants the burst once more when all of it was killed. */
+  @Test
+  public void onlyAPartIsGrantedWhenAllNodesHaveStartedAgain() {
+    QuotaLedger ledger = new QuotaLedger(NONE, false);
+    for (int i = 0; i < 4; i++) {
+      ledger.reported("n" + i, QuotaLedger.Coverage.NEAR, ImmutableMap.of(), ImmutableMap.of());
+    }
+
+    assertEquals(admitted(ledger, 50, 0), 2);
+  }
+
+  /** Guards against use that is counted twice, by the node and in the sum of its cell. */
+  @Test
+  public void sumsOfOtherCellsAreKeptApart() {
+    QuotaLedger ledger = new QuotaLedger(NONE, true);
+    admitted(ledger, 1, 0);
+    for (double used : new double[] {0, 300}) {
+      ledger.reported(
+          "n2/1", QuotaLedger.Coverage.NEAR, ImmutableMap.of("estrela", used), ImmutableMap.of());
+      ledger.reported(
+          "n3/1/c", QuotaLedger.Coverage.FAR, ImmutableMap.of("estrela", used), ImmutableMap.of());
+    }
+
+    assertEquals(ledger.usedUnits(QuotaLedger.Coverage.OWN).get("estrela"), 100.0);
+    assertEquals(ledger.usedUnits(QuotaLedger.Coverage.NEAR).get("estrela"), 400.0);
+    assertEquals(ledger.usedUnits(QuotaLedger.Coverage.FAR).get("estrela"), 300.0);
+    assertEquals(ledger.balanceUnits("estrela"), 300.0);
+  }
+
   /** Guards against both sides of a partition that each admit the whole rate. */
   @Test
   public void onlyPartOfTheRateIsUsedWhileNodesAreNotHeard() {
-    QuotaLedger ledger = new QuotaLedger(NONE);
+    QuotaLedger ledger = new QuotaLedger(NONE, false);
     admitted(ledger, 50, 0);
     ledger.setVisibleFraction(0.5);
 
@@ -68,19 +114,19 @@
 
   @Test
   public void requestsThatDidNotRunAreGivenBack() {
-    QuotaLedger ledger = new QuotaLedger(NONE);
+    QuotaLedger ledger = new QuotaLedger(NONE, false);
     admitted(ledger, 10, 0);
     ledger.giveBack(TEAM, 100);
 
     assertTrue(ledger.take(TEAM, 100, 0));
-    assertEquals(ledger.usedUnits().get("estrela"), 1_000.0);
+    assertEquals(ledger.usedUnits(QuotaLedger.Coverage.OWN).get("estrela"), 1_000.0);
   }
 
   @Test
   public void requestWithoutTokensCostsThePlainAmount() {
-    QuotaLedger ledger = new QuotaLedger(NONE);
+    QuotaLedger ledger = new QuotaLedger(NONE, false);
     ledger.take(TEAM, 0, 0);
 
-    assertEquals(ledger.usedUnits().get("estrela"), 200.0);
+    assertEquals(ledger.usedUnits(QuotaLedger.Coverage.OWN).get("estrela"), 200.0);
   }
 }
--- /dev/null
+++ b/org.cranberrystand/src/test/java/org/cranberrystand/membership/FleetOfCellsTest.java
@@ -0,0 +1,242 @@
+package org.cranberrystand.membership;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.cranberrystand.dispatch.UpstreamUsage;
+import org.testng.annotations.Test;
+
+/** Plays the reports of a fleet without network, step by step. */
+public final class FleetOfCellsTest {
+  private static final long STEP_NANOS = 100_000_000L;
+  private static final int SIZE = 80;
+  private static final String ENGINE = "e";
+
+  /** One node of the fleet and what it sends each step. */
+  private static final class Node {
+    private final KnownNode self;
+    private final PeerTable table;
+    private final PeerTargets targets;
+    private long sequence;
+    private int sent;
+    private long sentNanos;
+    private long contactedNanos;
+
+    private Node(int number) {
+      self = new KnownNode("n" + number, host(number), "c" + number, true, number < 8 ? 1.5 : 0.4);
+      table = new PeerTable(self);
+      table.setOffered(true);
+      targets = new PeerTargets(table, ImmutableSet.of(host(0), host(30), host(60)), number);
+    }
+
+    private PeerReport nodeReport(boolean question, long now) {
+      return report(ReportReach.NODE, question, load(), targets.mentions(now), now);
+    }
+
+    private PeerReport report(
+        ReportReach reach, boolean question, ReportedLoad load, List<KnownNode> others, long now) {
+      return new PeerReport(
+          table.self(),
+          1,
+          ++sequence,
+          reach,
+          table.nodeCount(now),
+          table.cellCount(),
+          question,
+          1,
+          load,
+          ImmutableList.copyOf(others));
+    }
+  }
+
+  private final Map<String, Node> fleet = new LinkedHashMap<>();
+  private long now;
+
+  private static String host(int number) {
+    return "10." + number % 4 + ".0." + (10 + number / 4);
+  }
+
+  private static ReportedLoad load() {
+    return new ReportedLoad(
+        ImmutableMap.of(ENGINE, new UpstreamUsage(1, 100)),
+        ImmutableMap.of(),
+        ImmutableMap.of(),
+        ImmutableMap.of());
+  }
+
+  private void start(int count) {
+    fleet.clear();
+    now = 0;
+    for (int i = 0; i < count; i++) {
+      Node node = new Node(i);
+      fleet.put(node.self.host(), node);
+    }
+  }
+
+  private void steps(int count) {
+    for (int i = 0; i < count; i++) {
+      now += STEP_NANOS;
+      for (Node node : List.copyOf(fleet.values())) {
+        node.table.refresh(now);
+        if (now - node.sentNanos >= node.targets.reportIntervalNanos(true)) {
+          node.sentNanos = now;
+          boolean question = node.table.cellCount() == 1;
+          send(node, node.nodeReport(question, now), node.targets.mateHosts());
+        }
+        if (now - node.contactedNanos >= node.targets.contactIntervalNanos(now)) {
+          node.contactedNanos = now;
+          send(node, node.nodeReport(true, now), node.targets.contactHosts(now));
+        }
+        if (node.table.isHead(now)) {
+          sendSums(node);
+        }
+      }
+    }
+  }
+
+  private void sendSums(Node node) {
+    send(
+        node,
+        node.report(
+            ReportReach.CELL,
+            false,
+            node.table.cellLoad(load(), now),
+            node.targets.cellNodes(now),
+            now),
+        node.targets.headHosts(now));
+    send(
+        node,
+        node.report(
+            ReportReach.REST,
+            false,
+            node.table.restLoad(load(), now),
+            node.targets.restNodes(now),
+            now),
+        node.targets.mateHosts());
+  }
+
+  private void send(Node from, PeerReport report, Set<String> hosts) {
+    from.sent += hosts.size();
+    for (String host : hosts) {
+      Node to = fleet.get(host);
+      if (to != null
+          && to.table.received(report, now) == PeerTable.Receipt.QUESTION
+          && fleet.containsKey(from.self.host())) {
+        PeerReport answer =
+            to.report(
+                ReportReach.NODE, false, load(), to.targets.answerTo(from.self.host(), now), now);
+        to.sent++;
+        from.table.received(answer, now);
+      }
+    }
+  }
+
+  private int usageSeenBy(Node node) {
+    UpstreamUsage usage = node.table.usage(now).get(ENGINE);
+    return usage == null ? 0 : usage.running();
+  }
+
+  private List<Node> heads() {
+    return fleet.values().stream().filter(node -> node.table.isHead(now)).toList();
+  }
+
+  /** Guards against nodes of a large fleet that start together and never learn of each other. */
+  @Test
+  public void nodesThatStartTogetherSeeTheUseOfAll() {
+    start(SIZE);
+    steps(20);
+
+    for (Node node : fleet.values()) {
+      assertEquals(node.table.nodeCount(now), SIZE, node.self.node());
+      assertEquals(usageSeenBy(node), SIZE - 1, node.self.node());
+    }
+    assertEquals(heads().size(), CellLayout.cellCount(SIZE));
+  }
+
+  @Test
+  public void smallFleetsReportToAll() {
+    start(8);
+    steps(5);
+
+    for (Node node : fleet.values()) {
+      assertEquals(usageSeenBy(node), 7);
+      assertTrue(!node.table.isHead(now));
+    }
+  }
+
+  /** Guards against the loss of a whole cell's figures with its head. */
+  @Test
+  public void headsThatDieAreReplaced() {
+    start(SIZE);
+    steps(20);
+    int before = heads().size();
+    heads().forEach(node -> fleet.remove(node.self.host()));
+    int left = fleet.size();
+    steps(30);
+
+    assertEquals(heads().size(), before);
+    for (Node node : fleet.values()) {
+      assertEquals(usageSeenBy(node), left - 1, node.self.node());
+    }
+  }
+
+  /** Guards against nodes that come back without memory and are taken for gone. */
+  @Test
+  public void nodesThatStartAgainAreFoundAgain() {
+    start(SIZE);
+    steps(20);
+    for (int i = 0; i < SIZE; i += 2) {
+      Node node = new Node(i);
+      node.sequence = 1_000_000;
+      fleet.put(node.self.host(), node);
+    }
+    steps(20);
+
+    for (Node node : fleet.values()) {
+      assertEquals(usageSeenBy(node), SIZE - 1, node.self.node());
+    }
+  }
+
+  /** Guards against reports that grow with the fleet: a small link must carry them. */
+  @Test
+  public void reportsOfANodeGrowWithTheRootOfTheFleet() {
+    int small = mostSentPerStep(76);
+    int large = mostSentPerStep(304);
+
+    assertTrue(large <= 3 * small, "from " + small + " to " + large + " reports a step");
+  }
+
+  private int mostSentPerStep(int size) {
+    start(size);
+    steps(20);
+    fleet.values().forEach(node -> node.sent = 0);
+    steps(10);
+    return fleet.values().stream().mapToInt(node -> node.sent).max().orElseThrow() / 10;
+  }
+
+  /** Guards against an upstream that no cell uses, or that all use first. */
+  @Test
+  public void everyUpstreamHasOneHome() {
+    start(SIZE);
+    steps(20);
+    for (int i = 0; i < 63; i++) {
+      String engine = "engine-" + i;
+      List<Integer> homes = new ArrayList<>();
+      for (Node node : fleet.values()) {
+        if (node.table.isHome(engine, node.table.cellWeights(now))) {
+          homes.add(node.table.ownCell());
+        }
+      }
+      assertEquals(homes.stream().collect(Collectors.toSet()).size(), 1, engine);
+    }
+  }
+}
--- a/org.cranberrystand/src/test/java/org/cranberrystand/membership/PeerTableTest.java
+++ b/org.cranberrystand/src/test/java/org/cranberrystand/membership/PeerTableTest.java
@@ -18,31 +18,44 @@
 
   @BeforeMethod
   public void startWithoutPeers() {
-    table = new PeerTable("n1", ImmutableSet.of("10.0.0.9"));
+    table = new PeerTable(node("n1"));
   }
 
-  private static PeerReport report(String node, long incarnation, long sequence, int running) {
+  private static KnownNode node(String name) {
+    return new KnownNode(name, "host-" + name, "caller-" + name, true, 1);
+  }
+
+  private static PeerReport report(KnownNode sender, long incarnation, long sequence, int running) {
     return new PeerReport(
-        node,
+        sender,
         incarnation,
         sequence,
-        "host-" + node,
-        "d",
-        "caller-" + node,
-        true,
+        ReportReach.NODE,
+        1,
+        1,
+        false,
         sequence,
-        ImmutableMap.of("e", new UpstreamUsage(running, 10)),
-        ImmutableMap.of(),
-        ImmutableMap.of(),
-        ImmutableMap.of(),
-        ImmutableList.of("host-further"));
+        new ReportedLoad(
+            ImmutableMap.of("e", new UpstreamUsage(running, 10)),
+            ImmutableMap.of(),
+            ImmutableMap.of(),
+            ImmutableMap.of()),
+        ImmutableList.of(node("further")));
+  }
+
+  private static PeerReport report(String node, long incarnation, long sequence, int running) {
+    return report(node(node), incarnation, sequence, running);
+  }
+
+  private boolean isCounted(PeerReport report) {
+    return table.received(report, 0) == PeerTable.Receipt.COUNTED;
   }
 
   /** Guards against a part of the quotas that nobody uses after a planned stop. */
   @Test
   public void nodeThatSaidItLeavesIsNotMissed() {
     table.received(report("n2", 1, 1, 0), 0);
-    table.received(report("n3", 1, 1, 0).withOffered(false), 0);
+    table.received(report(node("n3").withOffered(false), 1, 1, 0), 0);
 
     assertEquals(table.nodeCount(5 * SECOND), 2);
   }
@@ -59,16 +72,18 @@
   /** Guards against a datagram that arrives late and takes the state back. */
   @Test
   public void olderReportOfOneLifeIsIgnored() {
-    assertTrue(table.received(report("n2", 1, 5, 2), 0));
-    assertFalse(table.received(report("n2", 1, 4, 9), 0));
-    assertTrue(table.received(report("n2", 2, 1, 1), 0));
+    assertTrue(isCounted(report("n2", 1, 5, 2)));
+    assertFalse(isCounted(report("n2", 1, 4, 9)));
+    assertTrue(isCounted(report("n2", 2, 1, 1)));
   }
 
   @Test
   public void nodesAreFoundThroughSeedsAndOtherNodes() {
     table.received(report("n2", 1, 1, 0), 0);
 
-    assertEquals(table.targets("host-n1"), ImmutableSet.of("10.0.0.9", "host-n2", "host-further"));
+    assertEquals(
+        new PeerTargets(table, ImmutableSet.of("10.0.0.9"), 1).mateHosts(),
+        ImmutableSet.of("10.0.0.9", "host-n2", "host-further"));
   }
 
   /** Guards against a node behind a partition that offers callers only itself. */
