Let few nodes of a cell read the store, and read reports whole

Ruled out: a longer pause between watches, which delays every change at every node.

Change: in a fleet of several cells the three first nodes of a cell that reach the store read it; the others take changes since their revision from the node that reports a newer one. They read the store again as soon as fewer than three say that it answers them. Small fleets stay as they were.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/FleetReports.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/FleetReports.java
@@ -32,6 +32,7 @@
   private final QuotaLedger quotas;
   private final CrashRegister crashes;
   private final LongSupplier revision;
+  private final BooleanSupplier followsStore;
   private final BooleanSupplier ready;
   private final ReportSocket socket;
   private final EventLog log;
@@ -41,6 +42,7 @@
   private long contactedNanos;
   private long summedNanos;
   private long reportedChanges;
+  private long reportedRevision;
   private boolean dirty;
   private boolean head;
   private int cells = 1;
@@ -53,6 +55,7 @@
       QuotaLedger quotas,
       CrashRegister crashes,
       LongSupplier revision,
+      BooleanSupplier followsStore,
       BooleanSupplier ready,
       ReportSocket socket,
       EventLog log,
@@ -63,6 +66,7 @@
     this.quotas = quotas;
     this.crashes = crashes;
     this.revision = revision;
+    this.followsStore = followsStore;
     this.ready = ready;
     this.socket = socket;
     this.log = log;
@@ -111,7 +115,8 @@
   }
 
   private void sendNode(long now) {
-    boolean changed = dispatcher.changeCount() != reportedChanges;
+    boolean changed =
+        dispatcher.changeCount() != reportedChanges || revision.getAsLong() != reportedRevision;
     if (now - sentNanos >= targets.reportIntervalNanos(changed)) {
       announce();
     }
@@ -122,6 +127,7 @@
     long now = System.nanoTime();
     sentNanos = now;
     reportedChanges = dispatcher.changeCount();
+    reportedRevision = revision.getAsLong();
     table.setOffered(ready.getAsBoolean());
     // A node that knows one cell only may be new in a larger fleet.
     socket.send(
@@ -165,6 +171,7 @@
         table.cellCount(),
         question,
         revision.getAsLong(),
+        followsStore.getAsBoolean(),
         load,
         others);
   }
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Gateway.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Gateway.java
@@ -1,8 +1,10 @@
 package org.cranberrystand.daemon.gateway;
 
+import com.google.common.base.Strings;
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
 import com.google.common.net.HostAndPort;
+import com.google.common.primitives.Longs;
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.util.concurrent.DefaultThreadFactory;
@@ -30,6 +32,7 @@
 import org.cranberrystand.routing.RoutingTable;
 import org.cranberrystand.wire.settings.GatewaySettings;
 import ratpack.exec.ExecController;
+import ratpack.util.MultiValueMap;
 
 /**
  * A node that forwards callers' requests to upstreams by declared routes.
@@ -42,6 +45,7 @@
   private static final long TICK_MILLIS = 50;
   private static final int TICKS_PER_REFRESH = 2;
   private static final String PUBLISHED_PATH = "peer/v1/published";
+  private static final String KNOWN_PARAMETER = "known";
   private static final Duration PEER_TIMEOUT = Duration.ofSeconds(1);
 
   /** Time for a change to arrive from the store itself before it is fetched from another node. */
@@ -122,6 +126,7 @@
         quotas,
         crashes,
         () -> follower == null ? 0 : follower.state().revision(),
+        () -> follower != null && follower.followsStore(),
         this::isReady,
         new ReportSocket(loop, settings.listen().reportPort(), this::reportReceived, log),
         log,
@@ -170,7 +175,11 @@
         chain ->
             chain.get(
                 PUBLISHED_PATH,
-                ctx -> ctx.getResponse().send(PublishedStateCodec.encode(fleet.published()))));
+                ctx -> {
+                  Long known = Longs.tryParse(known(ctx.getRequest().getQueryParams()));
+                  PublishedUpdate update = fleet.published().since(known == null ? 0 : known);
+                  ctx.getResponse().send(PublishedStateCodec.encode(update));
+                }));
     servers.open(
         listen.metrics(),
         chain -> chain.get("metrics", ctx -> ctx.getResponse().send(metrics.scrape())));
@@ -183,6 +192,10 @@
         .isDone();
   }
 
+  private static String known(MultiValueMap<String, String> query) {
+    return Strings.nullToEmpty(query.get(KNOWN_PARAMETER));
+  }
+
   private String host() {
     return settings.listen().callers().getHost();
   }
@@ -215,6 +228,7 @@
     metrics.setLoad(
         dispatcher.waitingCount(), dispatcher.runningCount(), callers.connectionCount(), nodes);
     offer.set(offer(now));
+    follower.setPassive(peers.isStoreReadByOthers(now));
     fetchIfBehind(now);
   }
 
@@ -233,7 +247,7 @@
       behindSinceNanos = now;
       return;
     }
-    if (fetchingState || now - behindSinceNanos < BEHIND_NANOS) {
+    if (fetchingState || (!follower.isPassive() && now - behindSinceNanos < BEHIND_NANOS)) {
       return;
     }
     fetchingState = true;
@@ -242,7 +256,11 @@
             "http://"
                 + HostAndPort.fromParts(newest.sender().host(), settings.listen().peers().getPort())
                 + "/"
-                + PUBLISHED_PATH);
+                + PUBLISHED_PATH
+                + "?"
+                + KNOWN_PARAMETER
+                + "="
+                + follower.state().revision());
     fetch
         .get(uri, PEER_TIMEOUT)
         .whenComplete(
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/PublishedFollower.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/PublishedFollower.java
@@ -51,6 +51,8 @@
   private PublishedState state = PublishedState.EMPTY;
   private boolean listed;
   private boolean lost;
+  private boolean passive;
+  private boolean resting;
   private long retryMillis = MIN_RETRY_MILLIS;
   private volatile boolean closed;
 
@@ -75,19 +77,60 @@
     return state;
   }
 
-  /** Takes the state of another node if it is newer. */
-  void offered(PublishedState other) {
-    if (other.revision() > state.revision()) {
-      log.write(
-          LogEvent.STATE_FROM_PEER,
-          "revision=" + other.revision() + " known=" + state.revision() + " store_lost=" + lost);
-      state = other;
+  /** Returns whether the store itself is read, and answers. */
+  boolean followsStore() {
+    return !passive && listed && !lost;
+  }
+
+  /**
+   * Sets whether other nodes read the store for this one. A passive node has read it once and takes
+   * what it hears of later from other nodes.
+   */
+  void setPassive(boolean value) {
+    if (passive == value) {
+      return;
+    }
+    passive = value;
+    log.write(LogEvent.STORE_READING_CHANGED, "passive=" + passive + " revision=" + revision());
+    if (!passive && resting) {
+      next();
+    }
+  }
+
+  boolean isPassive() {
+    return passive;
+  }
+
+  private long revision() {
+    return state.revision();
+  }
+
+  /** Takes what another node knows if it is newer. */
+  void offered(PublishedUpdate update) {
+    if (update.revision() <= revision()) {
+      return;
+    }
+    log.write(
+        LogEvent.STATE_FROM_PEER,
+        "revision="
+            + update.revision()
+            + " known="
+            + revision()
+            + " whole="
+            + update.whole()
+            + " store_lost="
+            + lost);
+    state = update.appliedTo(state);
+    if (update.whole()) {
       listener.replaced(state);
+    } else {
+      listener.changed(state, update.values());
     }
   }
 
   private void next() {
-    if (closed) {
+    resting = passive && listed && !lost;
+    if (closed || resting) {
       return;
     }
     if (listed) {
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/PublishedStateCodec.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/PublishedStateCodec.java
@@ -3,7 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableList;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import org.cranberrystand.wire.Json;
@@ -12,11 +12,12 @@
 final class PublishedStateCodec {
   private PublishedStateCodec() {}
 
-  static byte[] encode(PublishedState state) {
+  static byte[] encode(PublishedUpdate update) {
     ObjectNode root = Json.MAPPER.createObjectNode();
-    root.put("revision", state.revision());
+    root.put("revision", update.revision());
+    root.put("whole", update.whole());
     ArrayNode values = root.putArray("values");
-    for (PublishedValue value : state.values().values()) {
+    for (PublishedValue value : update.values()) {
       values
           .addObject()
           .put("key", value.key())
@@ -26,18 +27,20 @@
     return Json.toBytes(root);
   }
 
-  static PublishedState decode(String text) throws IOException {
+  static PublishedUpdate decode(String text) throws IOException {
     JsonNode root = Json.readTree(text.getBytes(StandardCharsets.UTF_8));
     if (root == null || !root.path("revision").isIntegralNumber()) {
       throw new IOException("not a published state");
     }
-    ImmutableMap.Builder<String, PublishedValue> values = ImmutableMap.builder();
+    ImmutableList.Builder<PublishedValue> values = ImmutableList.builder();
     for (JsonNode value : root.path("values")) {
-      String key = value.path("key").asText();
-      values.put(
-          key,
-          new PublishedValue(key, value.path("revision").asLong(), value.path("text").asText()));
+      values.add(
+          new PublishedValue(
+              value.path("key").asText(),
+              value.path("revision").asLong(),
+              value.path("text").textValue()));
     }
-    return new PublishedState(root.path("revision").asLong(), values.buildKeepingLast());
+    return new PublishedUpdate(
+        root.path("revision").asLong(), root.path("whole").asBoolean(), values.build());
   }
 }
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/ReportSocket.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/ReportSocket.java
@@ -5,7 +5,9 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.nio.NioDatagramChannel;
@@ -25,6 +27,9 @@
 // A failed write or close ends the channel, which its handler is told of.
 @SuppressWarnings("FutureReturnValueIgnored")
 final class ReportSocket {
+  /** The sum of a large fleet does not fit into the 2 KiB that are read by default. */
+  private static final int MAX_REPORT_BYTES = 65_507;
+
   private final EventLoop loop;
   private final int port;
   private final Consumer<PeerReport> receiver;
@@ -44,6 +49,7 @@
         new Bootstrap()
             .group(loop)
             .channel(NioDatagramChannel.class)
+            .option(ChannelOption.RCVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(MAX_REPORT_BYTES))
             .handler(new Receiver())
             .bind(new InetSocketAddress(host, port))
             .sync()
--- a/org.cranberrystand.daemon/src/test/java/org/cranberrystand/daemon/gateway/PublishedFollowerTest.java
+++ b/org.cranberrystand.daemon/src/test/java/org/cranberrystand/daemon/gateway/PublishedFollowerTest.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.TimeUnit;
 import org.cranberrystand.daemon.internal.EventLog;
 import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
 public final class PublishedFollowerTest {
@@ -85,11 +86,18 @@
     }
   }
 
-  private final DefaultEventLoop loop = new DefaultEventLoop();
-  private final ScriptedStore store = new ScriptedStore();
-  private final RecordedCalls listener = new RecordedCalls();
-  private final PublishedFollower follower =
-      new PublishedFollower(loop, store, listener, new EventLog("n1"), 1);
+  private DefaultEventLoop loop;
+  private ScriptedStore store;
+  private RecordedCalls listener;
+  private PublishedFollower follower;
+
+  @BeforeMethod
+  public void startWithoutState() {
+    loop = new DefaultEventLoop();
+    store = new ScriptedStore();
+    listener = new RecordedCalls();
+    follower = new PublishedFollower(loop, store, listener, new EventLog("n1"), 1);
+  }
 
   @AfterMethod(alwaysRun = true)
   public void stop() {
@@ -118,4 +126,25 @@
     assertEquals(listener.next(), "regained");
     assertTrue(store.nextWatch().waitMillis() > 1_000);
   }
+
+  private void onLoop(Runnable action) throws Exception {
+    loop.submit(action).get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+  }
+
+  /** Guards against a store that every node asks for every change. */
+  @Test
+  public void passiveNodeLeavesTheStoreToOthersUntilItIsNeeded() throws Exception {
+    onLoop(() -> follower.setPassive(true));
+    onLoop(follower::start);
+    store.nextList().complete(new PublishedState(7, ImmutableMap.of()));
+    assertEquals(listener.next(), "replaced 7");
+    assertTrue(store.watches.isEmpty());
+
+    PublishedValue value = new PublishedValue("k", 9, "v");
+    onLoop(() -> follower.offered(new PublishedUpdate(9, false, ImmutableList.of(value))));
+    assertEquals(listener.next(), "changed 9");
+
+    onLoop(() -> follower.setPassive(false));
+    assertEquals(store.nextWatch().afterRevision(), 9);
+  }
 }
--- a/org.cranberrystand.wire/src/main/java/org/cranberrystand/wire/peer/PeerReportCodec.java
+++ b/org.cranberrystand.wire/src/main/java/org/cranberrystand/wire/peer/PeerReportCodec.java
@@ -32,6 +32,7 @@
     root.put("l", report.cells());
     root.put("w", report.answerWanted());
     root.put("r", report.revision());
+    root.put("f", report.followsStore());
     write(root.putArray("n"), report.sender());
     ReportedLoad load = report.load();
     ObjectNode usage = root.putObject("u");
@@ -110,6 +111,7 @@
         root.path("l").asInt(),
         root.path("w").asBoolean(),
         root.path("r").asLong(),
+        root.path("f").asBoolean(),
         new ReportedLoad(
             usage.build(), amounts(root.path("q")), amounts(root.path("b")), crashes.build()),
         others.build());
--- a/org.cranberrystand.wire/src/test/java/org/cranberrystand/wire/peer/PeerReportCodecTest.java
+++ b/org.cranberrystand.wire/src/test/java/org/cranberrystand/wire/peer/PeerReportCodecTest.java
@@ -27,6 +27,7 @@
             8,
             true,
             17,
+            true,
             new ReportedLoad(
                 ImmutableMap.of("e", new UpstreamUsage(2, 6_000)),
                 ImmutableMap.of("estrela", 12.5),
--- a/org.cranberrystand/src/main/java/org/cranberrystand/event/LogEvent.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/event/LogEvent.java
@@ -77,7 +77,9 @@
   /** The log could not be written as fast as it grew. */
   LOG_LINES_DROPPED(5020, Severity.WARNING, "log lines dropped"),
   /** The node became or ceased to be the head of its cell, or the fleet was divided anew. */
-  CELL_CHANGED(5021, Severity.INFO, "cell of the node changed");
+  CELL_CHANGED(5021, Severity.INFO, "cell of the node changed"),
+  /** The node leaves the store to other nodes of its cell, or reads it itself again. */
+  STORE_READING_CHANGED(5022, Severity.INFO, "reading of the store changed");
 
   private final int number;
   private final Severity severity;
--- a/org.cranberrystand/src/main/java/org/cranberrystand/membership/PeerReport.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/membership/PeerReport.java
@@ -16,6 +16,7 @@
  * @param cells into how many cells the sender divides the fleet
  * @param answerWanted whether the receiver is asked to tell the sender whom it knows
  * @param revision the revision of the published state that the sender knows; 0 if none
+ * @param followsStore whether the sender reads the store of published values itself, and it answers
  * @param load what the covered nodes use
  * @param others nodes heard lately; for a cell or the rest, nodes that it covers
  */
@@ -28,6 +29,7 @@
     int cells,
     boolean answerWanted,
     long revision,
+    boolean followsStore,
     ReportedLoad load,
     ImmutableList<KnownNode> others) {
 
--- a/org.cranberrystand/src/main/java/org/cranberrystand/membership/PeerTable.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/membership/PeerTable.java
@@ -22,6 +22,9 @@
           .reversed()
           .thenComparing(KnownNode::host, Comparator.naturalOrder());
 
+  /** Nodes of a cell that read the store; all of them must be cut off for the cell to be. */
+  private static final int STORE_READERS = 3;
+
   /** What becomes of a report. */
   public enum Receipt {
     /** Nothing: it is old, or from a node that this one does not follow. */
@@ -360,6 +363,23 @@
         .max(Comparator.comparingLong(PeerReport::revision));
   }
 
+  /**
+   * Tells whether enough nodes of the cell read the store of published values for the others.
+   *
+   * <p>Each reading of the store is charged, and one change would be read by every node.
+   *
+   * @param nowNanos the time
+   * @return false in a fleet of one cell, and for the nodes that should read it
+   */
+  public boolean isStoreReadByOthers(long nowNanos) {
+    return cells > 1
+        && freshMates(nowNanos).stream()
+                .filter(heard -> heard.report().followsStore())
+                .filter(heard -> isBetterHead(heard.report().sender(), self()))
+                .count()
+            >= STORE_READERS;
+  }
+
   /**
    * Returns the processor share of each cell, as far as known.
    *
--- a/org.cranberrystand/src/test/java/org/cranberrystand/membership/FleetOfCellsTest.java
+++ b/org.cranberrystand/src/test/java/org/cranberrystand/membership/FleetOfCellsTest.java
@@ -26,6 +26,7 @@
     private final KnownNode self;
     private final PeerTable table;
     private final PeerTargets targets;
+    private boolean readsStore = true;
     private long sequence;
     private int sent;
     private long sentNanos;
@@ -53,6 +54,7 @@
           table.cellCount(),
           question,
           1,
+          readsStore && !table.isStoreReadByOthers(now),
           load,
           ImmutableList.copyOf(others));
     }
@@ -223,6 +225,38 @@
     return fleet.values().stream().mapToInt(node -> node.sent).max().orElseThrow() / 10;
   }
 
+  /** Guards against a store that every node of a large fleet asks for every change. */
+  @Test
+  public void fewNodesOfACellReadTheStore() {
+    start(SIZE);
+    steps(20);
+    long readers = readers();
+    assertTrue(readers <= 3L * CellLayout.cellCount(SIZE), readers + " readers");
+    assertTrue(readers >= 2L * CellLayout.cellCount(SIZE), readers + " readers");
+
+    // Those that cannot reach the store are replaced by others of their cell.
+    fleet.values().stream()
+        .filter(node -> !node.table.isStoreReadByOthers(now))
+        .forEach(node -> node.readsStore = false);
+    steps(10);
+    for (Node node : fleet.values()) {
+      long others =
+          fleet.values().stream()
+              .filter(other -> other.readsStore && other.table.ownCell() == node.table.ownCell())
+              .filter(other -> !other.table.isStoreReadByOthers(now))
+              .count();
+      long able =
+          fleet.values().stream()
+              .filter(other -> other.readsStore && other.table.ownCell() == node.table.ownCell())
+              .count();
+      assertTrue(others >= Math.min(able, 2), node.self.node() + ": " + others + " of " + able);
+    }
+  }
+
+  private long readers() {
+    return fleet.values().stream().filter(n -> !n.table.isStoreReadByOthers(now)).count();
+  }
+
   /** Guards against an upstream that no cell uses, or that all use first. */
   @Test
   public void everyUpstreamHasOneHome() {
--- a/org.cranberrystand/src/test/java/org/cranberrystand/membership/PeerTableTest.java
+++ b/org.cranberrystand/src/test/java/org/cranberrystand/membership/PeerTableTest.java
@@ -35,6 +35,7 @@
         1,
         false,
         sequence,
+        false,
         new ReportedLoad(
             ImmutableMap.of("e", new UpstreamUsage(running, 10)),
             ImmutableMap.of(),
