Split the relay: the answer of one attempt is put together apart

Change: AttemptAnswer reads streams event by event and other answers whole; the relay decides what becomes of them.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RequestRelay.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RequestRelay.java
@@ -3,13 +3,11 @@
 import com.google.common.hash.Hasher;
 import com.google.common.hash.Hashing;
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
-import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpVersion;
@@ -31,9 +29,6 @@
  * run it. Used on the event loop only.
  */
 final class RequestRelay implements CallerExchange.Listener {
-  /** Answers up to this size are read whole before the caller gets them. */
-  private static final int MAX_COLLECTED_BYTES = 256 << 10;
-
   /** The upstream ends its work at the deadline itself; this is for its answer to come back. */
   private static final long DEADLINE_MARGIN_MILLIS = 150;
 
@@ -68,11 +63,8 @@
   private boolean begun;
   private long firstNanos;
   private long lastByteNanos;
-  private EventSplitter events;
   private String lastEventId;
-  private HttpResponse collectedHead;
-  private AnswerHead collectedAnswer;
-  private ByteBuf collected;
+  private AttemptAnswer answer;
   private ScheduledFuture<?> deadline;
   private ScheduledFuture<?> silence;
 
@@ -135,6 +127,7 @@
     lastByteNanos = System.nanoTime();
     runs++;
     log.placed(chosen, choice, runs);
+    answer = new AttemptAnswer(new Passing(), route.kind().isStreaming());
     attempt =
         context
             .client()
@@ -143,7 +136,7 @@
                 outgoingRequest(chosen),
                 exchange.body().retainedDuplicate(),
                 caller.requestId(),
-                new Answer());
+                answer);
     watchSilence();
   }
 
@@ -222,7 +215,7 @@
   private void end(String outcome, int status) {
     done = true;
     cancelTimers();
-    releaseCollected();
+    releaseAnswer();
     log.ended(outcome, status, upstream, runs, firstNanos);
     context.metrics().ended(route, outcome, spec.arrivalNanos(), firstNanos, System.nanoTime());
   }
@@ -241,12 +234,11 @@
     }
   }
 
-  private void releaseCollected() {
-    if (collected != null) {
-      collected.release();
-      collected = null;
+  private void releaseAnswer() {
+    if (answer != null) {
+      answer.release();
+      answer = null;
     }
-    collectedHead = null;
   }
 
   @Override
@@ -346,180 +338,128 @@
 
   private void repeat(String cause) {
     log.repeated(upstream, runs, cause);
-    releaseCollected();
-    events = null;
+    releaseAnswer();
     context.dispatcher().submit(spec, upstream.id(), System.nanoTime());
   }
 
-  /** The answer of one attempt; ignored once the attempt was given up. */
-  private final class Answer implements AnswerListener {
+  /** Passes the answer of an attempt on, or decides what follows if it cannot be passed on. */
+  private final class Passing implements AttemptAnswer.Receiver {
 
     @Override
-    public void unreachable(Throwable cause) {
-      if (done) {
-        return;
-      }
-      runs--;
-      endAttempt(CallEnding.UNREACHABLE);
-      log.broken(upstream, "connect", cause);
-      placeAgain("not reachable");
+    public boolean isOver() {
+      return done;
     }
 
     @Override
-    public void head(AnswerHead head, HttpResponse response) {
+    public void heard() {
       lastByteNanos = System.nanoTime();
       context.dispatcher().heard(spec.key(), lastByteNanos);
-      collectedHead = response;
-      collectedAnswer = head;
-      if (isEventStream()) {
-        events = new EventSplitter();
-      } else {
-        collected = Unpooled.buffer();
-      }
-    }
-
-    private boolean isEventStream() {
-      return route.kind().isStreaming()
-          && collectedAnswer.sealed()
-          && collectedHead.status().codeClass() == HttpStatusClass.SUCCESS;
     }
 
     @Override
-    public void content(ByteBuf content) {
-      if (done) {
-        return;
-      }
-      lastByteNanos = System.nanoTime();
-      context.dispatcher().heard(spec.key(), lastByteNanos);
-      if (events != null) {
-        forwardEvents(events.add(content));
-      } else if (collected.readableBytes() + content.readableBytes() <= MAX_COLLECTED_BYTES) {
-        collected.writeBytes(content);
-      } else {
-        forwardLarge(content);
-      }
+    public void unreachable(Throwable cause) {
+      runs--;
+      endAttempt(CallEnding.UNREACHABLE);
+      log.broken(upstream, "connect", cause);
+      placeAgain("not reachable");
     }
 
-    private void forwardEvents(ByteBuf whole) {
-      if (!whole.isReadable()) {
-        return;
-      }
+    @Override
+    public void events(AttemptAnswer came, ByteBuf events, int count, String lastId) {
       if (firstNanos == 0) {
         firstNanos = lastByteNanos;
       }
-      context.dispatcher().eventsCame(spec.key(), events.takeCount(), lastByteNanos);
-      beginAnswer();
-      lastEventId = events.lastId();
-      exchange.send(whole);
+      context.dispatcher().eventsCame(spec.key(), count, lastByteNanos);
+      beginAnswer(came);
+      lastEventId = lastId;
+      exchange.send(events);
     }
 
-    private void beginAnswer() {
+    private void beginAnswer(AttemptAnswer came) {
       if (!begun) {
         begun = true;
-        exchange.begin(collectedHead.status(), answerHeaders());
+        exchange.begin(came.status(), headersOf(came));
       }
     }
 
-    /** Passes an answer on that is too large to be read whole. */
-    private void forwardLarge(ByteBuf content) {
-      if (!begun && !mayPassOn()) {
+    @Override
+    public void part(AttemptAnswer came, ByteBuf part) {
+      if (!begun && !came.mayPassOn()) {
+        part.release();
         endAttempt(CallEnding.FAILED);
         fail(HttpResponseStatus.BAD_GATEWAY, "the upstream gave no valid answer");
         return;
       }
-      beginAnswer();
-      if (collected.isReadable()) {
-        exchange.send(collected.copy());
-        collected.clear();
-      }
-      exchange.send(content.copy());
+      beginAnswer(came);
+      exchange.send(part);
     }
 
     @Override
-    public void complete() {
-      if (done) {
-        return;
-      }
+    public void streamEnded(AttemptAnswer came, boolean insideEvent) {
       attempt = null;
-      if (events != null) {
-        completeStream();
-      } else {
-        completeCollected();
-      }
-    }
-
-    private void completeStream() {
-      if (events.hasPartialEvent() || !begun) {
+      if (insideEvent || !begun) {
         // An upstream that stops inside an event, or before the first one, did not finish.
         brokeOff("incomplete stream", CallEnding.FAILED);
         return;
       }
       ended(CallEnding.ANSWERED);
-      end("answered", collectedHead.status().code());
+      end("answered", came.status().code());
       exchange.finish();
     }
 
-    private void completeCollected() {
+    @Override
+    public void answered(AttemptAnswer came, ByteBuf body) {
+      attempt = null;
       boolean continuesStream = begun && route.kind().isStreaming();
-      if (collectedAnswer.notRun()) {
-        notRun();
-      } else if (continuesStream || !mayPassOn()) {
+      boolean serverError = came.status().codeClass() == HttpStatusClass.SERVER_ERROR;
+      if (came.isNotRun()) {
+        notRun(came, body);
+      } else if (continuesStream || !came.mayPassOn()) {
+        body.release();
         brokeOff("no valid answer", CallEnding.FAILED);
-      } else if (collectedHead.status().codeClass() == HttpStatusClass.SERVER_ERROR
-          && mayRunAgain()) {
+      } else if (serverError && mayRunAgain()) {
+        body.release();
         ended(CallEnding.FAILED);
-        repeat("status " + collectedHead.status().code());
+        repeat("status " + came.status().code());
       } else {
-        passOn();
+        passOn(came, body);
       }
     }
 
-    private void notRun() {
+    private void notRun(AttemptAnswer came, ByteBuf body) {
       runs--;
       ended(CallEnding.NOT_RUN);
-      HttpResponseStatus status = collectedHead.status();
-      if (status.code() == HttpResponseStatus.BAD_REQUEST.code()) {
-        passOn();
+      if (came.status().code() == HttpResponseStatus.BAD_REQUEST.code()) {
+        passOn(came, body);
         return;
       }
-      releaseCollected();
-      placeAgain("refused with " + status.code());
+      body.release();
+      placeAgain("refused with " + came.status().code());
     }
 
-    private void passOn() {
-      int status = collectedHead.status().code();
+    private void passOn(AttemptAnswer came, ByteBuf body) {
+      int status = came.status().code();
       boolean failed = status >= HttpResponseStatus.INTERNAL_SERVER_ERROR.code();
       ended(failed ? CallEnding.FAILED : CallEnding.ANSWERED);
       firstNanos = lastByteNanos;
-      HttpResponseStatus passedStatus = collectedHead.status();
-      HttpHeaders headers = answerHeaders();
-      ByteBuf body = collected;
-      collected = null;
       end(failed ? "upstream-failed" : "answered", status);
       if (begun) {
         exchange.send(body);
         exchange.finish();
       } else {
-        exchange.respond(passedStatus, headers, body);
+        exchange.respond(came.status(), headersOf(came), body);
       }
     }
 
-    private HttpHeaders answerHeaders() {
-      HttpHeaders headers = new DefaultHttpHeaders().add(collectedHead.headers());
+    private HttpHeaders headersOf(AttemptAnswer came) {
+      HttpHeaders headers = new DefaultHttpHeaders().add(came.response().headers());
       HopHeaders.remove(headers);
       context.dialect().cleanAnswer(headers);
       return headers;
     }
 
-    private boolean mayPassOn() {
-      return collectedAnswer.sealed() && !isNotRunPromise(collectedHead.status().code());
-    }
-
     @Override
     public void broken(Throwable cause) {
-      if (done) {
-        return;
-      }
       attempt = null;
       context.crashes().crashed(fingerprint, System.nanoTime());
       log.broken(upstream, "answer", cause);
@@ -543,14 +483,6 @@
     }
   }
 
-  /** These statuses promise that a request did not run, which an upstream must say explicitly. */
-  private static boolean isNotRunPromise(int status) {
-    return status == HttpResponseStatus.REQUEST_TIMEOUT.code()
-        || status == HttpResponseStatus.MISDIRECTED_REQUEST.code()
-        || status == HttpResponseStatus.TOO_MANY_REQUESTS.code()
-        || status == HttpResponseStatus.SERVICE_UNAVAILABLE.code();
-  }
-
   /** Submits a request again that its upstream did not run. */
   private void placeAgain(String cause) {
     fruitless++;
