--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/Node.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/Node.java
@@ -1,7 +1,6 @@
 package org.cranberrystand.daemon;
 
 import com.google.common.net.HostAndPort;
-import java.net.InetAddress;
 import java.security.SecureRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
@@ -18,6 +17,7 @@
 import org.cranberrystand.daemon.internal.ControlPlane;
 import org.cranberrystand.daemon.internal.EngineOrders;
 import org.cranberrystand.daemon.internal.EventLog;
+import org.cranberrystand.daemon.internal.ListenerConfig;
 import org.cranberrystand.daemon.internal.Metrics;
 import org.cranberrystand.daemon.internal.NodeState;
 import org.cranberrystand.daemon.internal.ObservedPolicy;
@@ -351,14 +351,8 @@
 
   private RatpackServer startCallerServer(HostAndPort address) throws Exception {
     ServerConfig config =
-        ServerConfig.builder()
-            .address(InetAddress.getByName(address.getHost()))
-            .port(address.getPort())
-            .development(false)
-            .registerShutdownHook(false)
-            .threads(options.callerThreads())
-            .maxContentLength(state.settings().limits().maxBodyBytes())
-            .build();
+        ListenerConfig.of(
+            address, options.callerThreads(), state.settings().limits().maxBodyBytes());
     return RatpackServer.start(
         spec ->
             spec.serverConfig(config)
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/GatewayServers.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/GatewayServers.java
@@ -1,9 +1,9 @@
 package org.cranberrystand.daemon.gateway;
 
 import com.google.common.net.HostAndPort;
-import java.net.InetAddress;
 import java.util.ArrayList;
 import java.util.List;
+import org.cranberrystand.daemon.internal.ListenerConfig;
 import ratpack.exec.ExecController;
 import ratpack.func.Action;
 import ratpack.handling.Chain;
@@ -18,6 +18,9 @@
   /** The answers are small and made from memory. */
   private static final int THREADS = 1;
 
+  /** No call that is answered here has a body. */
+  private static final int MAX_BODY_BYTES = 1_024;
+
   private final List<RatpackServer> servers = new ArrayList<>();
 
   /**
@@ -29,14 +32,7 @@
    * @throws Exception if it cannot be opened
    */
   ExecController open(HostAndPort address, Action<? super Chain> handlers) throws Exception {
-    ServerConfig config =
-        ServerConfig.builder()
-            .address(InetAddress.getByName(address.getHost()))
-            .port(address.getPort())
-            .development(false)
-            .registerShutdownHook(false)
-            .threads(THREADS)
-            .build();
+    ServerConfig config = ListenerConfig.of(address, THREADS, MAX_BODY_BYTES);
     RatpackServer server =
         RatpackServer.start(spec -> spec.serverConfig(config).handlers(handlers));
     servers.add(server);
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/OperatorServer.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/OperatorServer.java
@@ -2,7 +2,6 @@
 
 import com.google.common.hash.Hashing;
 import com.google.common.net.HostAndPort;
-import java.net.InetAddress;
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import org.cranberrystand.event.LogEvent;
@@ -47,15 +46,7 @@
     this.log = log;
     this.tokenDigest = digest(state.settings().operatorToken());
     this.host = state.settings().operators().getHost();
-    ServerConfig config =
-        ServerConfig.builder()
-            .address(InetAddress.getByName(host))
-            .port(state.settings().operators().getPort())
-            .development(false)
-            .registerShutdownHook(false)
-            .threads(THREADS)
-            .maxContentLength(MAX_BODY_BYTES)
-            .build();
+    ServerConfig config = ListenerConfig.of(state.settings().operators(), THREADS, MAX_BODY_BYTES);
     this.server =
         RatpackServer.start(
             spec ->
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/PeerServer.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/PeerServer.java
@@ -1,7 +1,6 @@
 package org.cranberrystand.daemon.internal;
 
 import com.google.common.net.HostAndPort;
-import java.net.InetAddress;
 import java.nio.charset.StandardCharsets;
 import org.cranberrystand.wire.http.ProblemType;
 import org.cranberrystand.wire.security.FleetKeys;
@@ -37,15 +36,7 @@
     this.authentication = new PeerAuthentication(state.fleetKeys().keysFor(FleetKeys.Use.PEER));
     this.maxBodyBytes = state.settings().limits().maxBodyBytes();
     this.host = state.settings().peers().getHost();
-    ServerConfig config =
-        ServerConfig.builder()
-            .address(InetAddress.getByName(host))
-            .port(state.settings().peers().getPort())
-            .development(false)
-            .registerShutdownHook(false)
-            .threads(threads)
-            .maxContentLength(maxBodyBytes)
-            .build();
+    ServerConfig config = ListenerConfig.of(state.settings().peers(), threads, maxBodyBytes);
     this.server =
         RatpackServer.start(
             spec ->
