Let balances of quotas earn while nobody uses them

Cause: a node added what a team had earned only when it served a request of that team, but subtracted the use of all others at once, and reported the result. A node that met the team for the first time began with the least of these balances, far below zero, and refused the team for seconds.

Change: balances earn when they are reported and when use of others arrives; balances told longer than 2 s ago do not count for a start. The test fails without the change.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/FleetReports.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/FleetReports.java
@@ -88,7 +88,8 @@
             ofNode ? report.life() : report.life() + "/" + report.reach().code(),
             ofNode ? Coverage.NEAR : Coverage.FAR,
             report.load().quotaUnits(),
-            report.load().quotaBalances());
+            report.load().quotaBalances(),
+            now);
         dirty = true;
       }
       case QUESTION ->
@@ -178,7 +179,10 @@
 
   private ReportedLoad ownLoad(Coverage coverage, long now) {
     return new ReportedLoad(
-        dispatcher.ownUsage(), quotas.usedUnits(coverage), quotas.balances(), crashes.counts(now));
+        dispatcher.ownUsage(),
+        quotas.usedUnits(coverage),
+        quotas.balances(now),
+        crashes.counts(now));
   }
 
   /** Does what time alone causes; to be called some times a second. */
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/QuotaLedger.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/QuotaLedger.java
@@ -26,11 +26,22 @@
     FAR
   }
 
+  /** What a source said a team may still use, and when it said so. */
+  private record Told(ImmutableMap<String, Double> balances, long nanos) {}
+
   private static final class Bucket {
+    private TokenQuota quota;
     private double level;
     private final EnumMap<Coverage, Double> usedUnits = new EnumMap<>(Coverage.class);
     private long refilledNanos;
 
+    private void refill(double visibleFraction, long nowNanos) {
+      double seconds = (nowNanos - refilledNanos) / 1e9;
+      refilledNanos = nowNanos;
+      double earned = quota.unitsPerSecond() * visibleFraction * seconds;
+      level = Math.min(quota.burstUnits(), level + earned);
+    }
+
     private void use(double units, Coverage coverage) {
       level -= units;
       usedUnits.merge(coverage, units, Double::sum);
@@ -40,9 +51,12 @@
     }
   }
 
+  /** Older balances say nothing of the quota now; those of lost nodes are kept for some time. */
+  private static final long TOLD_NANOS = 2_000_000_000L;
+
   private final Map<String, Bucket> buckets = new HashMap<>();
   private final Map<String, ImmutableMap<String, Double>> reports = new HashMap<>();
-  private final Map<String, ImmutableMap<String, Double>> balances = new HashMap<>();
+  private final Map<String, Told> told = new HashMap<>();
   private final QuotaTolerance tolerance;
   private final boolean startsWithFleet;
   private double visibleFraction = 1;
@@ -117,14 +131,12 @@
     Bucket bucket = buckets.get(team);
     if (bucket == null) {
       bucket = new Bucket();
-      bucket.level = startLevel(team, quota);
+      bucket.level = startLevel(team, quota, nowNanos);
       bucket.refilledNanos = nowNanos;
       buckets.put(team, bucket);
     }
-    double seconds = (nowNanos - bucket.refilledNanos) / 1e9;
-    bucket.refilledNanos = nowNanos;
-    double earned = quota.unitsPerSecond() * visibleFraction * seconds;
-    bucket.level = Math.min(quota.burstUnits(), bucket.level + earned);
+    bucket.quota = quota;
+    bucket.refill(visibleFraction, nowNanos);
     return bucket;
   }
 
@@ -133,8 +145,10 @@
    * again would else grant the burst once more. Where no other node knows the team, either nothing
    * was used, or all nodes have started again and forgotten it.
    */
-  private double startLevel(String team, TokenQuota quota) {
-    return balances.values().stream()
+  private double startLevel(String team, TokenQuota quota, long nowNanos) {
+    return told.values().stream()
+        .filter(known -> nowNanos - known.nanos() < TOLD_NANOS)
+        .map(Told::balances)
         .filter(known -> known.containsKey(team))
         .mapToDouble(known -> known.get(team))
         .min()
@@ -142,7 +156,7 @@
             () ->
                 startsWithFleet
                     ? quota.burstUnits()
-                    : quota.burstUnits() * visibleFraction / (1 + balances.size()));
+                    : quota.burstUnits() * visibleFraction / (1 + told.size()));
   }
 
   /**
@@ -152,13 +166,15 @@
    * @param coverage near if it speaks of itself, far if of several nodes
    * @param usedUnits units used since its start, by team
    * @param balanceUnits what teams may still use as far as it knows, by team
+   * @param nowNanos the time
    */
   public void reported(
       String source,
       Coverage coverage,
       ImmutableMap<String, Double> usedUnits,
-      ImmutableMap<String, Double> balanceUnits) {
-    balances.put(source, balanceUnits);
+      ImmutableMap<String, Double> balanceUnits,
+      long nowNanos) {
+    told.put(source, new Told(balanceUnits, nowNanos));
     ImmutableMap<String, Double> before = reports.put(source, usedUnits);
     if (before == null) {
       // The first report says nothing of when the units were used.
@@ -169,6 +185,7 @@
           double change = used - before.getOrDefault(team, 0.0);
           Bucket bucket = buckets.get(team);
           if (bucket != null) {
+            bucket.refill(visibleFraction, nowNanos);
             bucket.use(change, coverage);
           }
         });
@@ -181,17 +198,23 @@
    */
   public void forget(String life) {
     reports.keySet().removeIf(source -> source.startsWith(life));
-    balances.keySet().removeIf(source -> source.startsWith(life));
+    told.keySet().removeIf(source -> source.startsWith(life));
   }
 
   /**
    * Returns what teams may still use, to be reported to the others.
    *
+   * @param nowNanos the time
    * @return units by team; below zero if a team has overdrawn
    */
-  public ImmutableMap<String, Double> balances() {
+  public ImmutableMap<String, Double> balances(long nowNanos) {
     ImmutableMap.Builder<String, Double> levels = ImmutableMap.builder();
-    buckets.forEach((team, bucket) -> levels.put(team, bucket.level));
+    buckets.forEach(
+        (team, bucket) -> {
+          // Without what it has earned, a balance that is seldom used falls with the use of others.
+          bucket.refill(visibleFraction, nowNanos);
+          levels.put(team, bucket.level);
+        });
     return levels.build();
   }
 
--- a/org.cranberrystand/src/test/java/org/cranberrystand/dispatch/QuotaLedgerTest.java
+++ b/org.cranberrystand/src/test/java/org/cranberrystand/dispatch/QuotaLedgerTest.java
@@ -42,9 +42,9 @@
     QuotaLedger ledger = new QuotaLedger(NONE, false);
     admitted(ledger, 1, 0);
     ledger.reported(
-        "n2/1", QuotaLedger.Coverage.NEAR, ImmutableMap.of("estrela", 0.0), ImmutableMap.of());
+        "n2/1", QuotaLedger.Coverage.NEAR, ImmutableMap.of("estrela", 0.0), ImmutableMap.of(), 0);
     ledger.reported(
-        "n2/1", QuotaLedger.Coverage.NEAR, ImmutableMap.of("estrela", 800.0), ImmutableMap.of());
+        "n2/1", QuotaLedger.Coverage.NEAR, ImmutableMap.of("estrela", 800.0), ImmutableMap.of(), 0);
 
     assertEquals(admitted(ledger, 50, 0), 1);
   }
@@ -57,7 +57,8 @@
         "n2/1",
         QuotaLedger.Coverage.NEAR,
         ImmutableMap.of("estrela", 5_000.0),
-        ImmutableMap.of("estrela", 200.0));
+        ImmutableMap.of("estrela", 200.0),
+        0);
 
     assertEquals(admitted(ledger, 50, 0), 2);
   }
@@ -67,7 +68,7 @@
   public void wholeBurstIsGrantedWhenTheFleetStarts() {
     QuotaLedger ledger = new QuotaLedger(NONE, true);
     for (int i = 0; i < 75; i++) {
-      ledger.reported("n" + i, QuotaLedger.Coverage.NEAR, ImmutableMap.of(), ImmutableMap.of());
+      ledger.reported("n" + i, QuotaLedger.Coverage.NEAR, ImmutableMap.of(), ImmutableMap.of(), 0);
     }
 
     assertEquals(admitted(ledger, 50, 0), 10);
@@ -78,7 +79,7 @@
   public void onlyAPartIsGrantedWhenAllNodesHaveStartedAgain() {
     QuotaLedger ledger = new QuotaLedger(NONE, false);
     for (int i = 0; i < 4; i++) {
-      ledger.reported("n" + i, QuotaLedger.Coverage.NEAR, ImmutableMap.of(), ImmutableMap.of());
+      ledger.reported("n" + i, QuotaLedger.Coverage.NEAR, ImmutableMap.of(), ImmutableMap.of(), 0);
     }
 
     assertEquals(admitted(ledger, 50, 0), 2);
@@ -91,9 +92,17 @@
     admitted(ledger, 1, 0);
     for (double used : new double[] {0, 300}) {
       ledger.reported(
-          "n2/1", QuotaLedger.Coverage.NEAR, ImmutableMap.of("estrela", used), ImmutableMap.of());
+          "n2/1",
+          QuotaLedger.Coverage.NEAR,
+          ImmutableMap.of("estrela", used),
+          ImmutableMap.of(),
+          0);
       ledger.reported(
-          "n3/1/c", QuotaLedger.Coverage.FAR, ImmutableMap.of("estrela", used), ImmutableMap.of());
+          "n3/1/c",
+          QuotaLedger.Coverage.FAR,
+          ImmutableMap.of("estrela", used),
+          ImmutableMap.of(),
+          0);
     }
 
     assertEquals(ledger.usedUnits(QuotaLedger.Coverage.OWN).get("estrela"), 100.0);
@@ -102,6 +111,42 @@
     assertEquals(ledger.balanceUnits("estrela"), 300.0);
   }
 
+  /**
+   * Guards against a balance that falls with the use of others and earns nothing until the team's
+   * next request. A node that started with it refused the team for as long.
+   */
+  @Test
+  public void balanceThatIsReportedHasEarnedMeanwhile() {
+    QuotaLedger seldom = new QuotaLedger(NONE, true);
+    admitted(seldom, 1, 0);
+    for (int second = 0; second <= 10; second++) {
+      seldom.reported(
+          "n2/1",
+          QuotaLedger.Coverage.NEAR,
+          ImmutableMap.of("estrela", 800.0 * second),
+          ImmutableMap.of(),
+          second * SECOND);
+    }
+    double balance = seldom.balances(10 * SECOND).get("estrela");
+    assertTrue(balance >= 0, "balance " + balance);
+
+    QuotaLedger late = new QuotaLedger(NONE, false);
+    late.reported(
+        "n1/1",
+        QuotaLedger.Coverage.NEAR,
+        ImmutableMap.of(),
+        ImmutableMap.of("estrela", -9_000.0),
+        0);
+    late.reported(
+        "n2/1",
+        QuotaLedger.Coverage.NEAR,
+        ImmutableMap.of(),
+        ImmutableMap.of("estrela", balance),
+        10 * SECOND);
+    late.take(TEAM, 0, 10 * SECOND);
+    assertEquals(late.balanceUnits("estrela"), balance, 1_000);
+  }
+
   /** Guards against both sides of a partition that each admit the whole rate. */
   @Test
   public void onlyPartOfTheRateIsUsedWhileNodesAreNotHeard() {
--- a/org.cranberrystand/src/test/java/org/cranberrystand/membership/FleetOfCellsTest.java
+++ b/org.cranberrystand/src/test/java/org/cranberrystand/membership/FleetOfCellsTest.java
@@ -10,9 +10,15 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalInt;
 import java.util.Set;
 import java.util.stream.Collectors;
+import org.cranberrystand.dispatch.QuotaLedger;
+import org.cranberrystand.dispatch.QuotaLedger.Coverage;
+import org.cranberrystand.dispatch.QuotaTolerance;
 import org.cranberrystand.dispatch.UpstreamUsage;
+import org.cranberrystand.routing.TeamPolicy;
+import org.cranberrystand.routing.TokenQuota;
 import org.testng.annotations.Test;
 
 /** Plays the reports of a fleet without network, step by step. */
@@ -20,12 +26,17 @@
   private static final long STEP_NANOS = 100_000_000L;
   private static final int SIZE = 80;
   private static final String ENGINE = "e";
+  private static final double BURST = 1e9;
+  private static final TeamPolicy TEAM =
+      new TeamPolicy(
+          "estrela", ImmutableSet.of(), OptionalInt.empty(), new TokenQuota(1e-9, BURST, true, 1));
 
   /** One node of the fleet and what it sends each step. */
   private static final class Node {
     private final KnownNode self;
     private final PeerTable table;
     private final PeerTargets targets;
+    private final QuotaLedger quotas = new QuotaLedger(new QuotaTolerance(8, 0, 0), true);
     private boolean readsStore = true;
     private long sequence;
     private int sent;
@@ -39,8 +50,32 @@
       targets = new PeerTargets(table, ImmutableSet.of(host(0), host(30), host(60)), number);
     }
 
+    private ReportedLoad load(Coverage coverage, long now) {
+      return new ReportedLoad(
+          ImmutableMap.of(ENGINE, new UpstreamUsage(1, 100)),
+          quotas.usedUnits(coverage),
+          quotas.balances(now),
+          ImmutableMap.of());
+    }
+
+    /** Takes a report as the gateway does. */
+    private PeerTable.Receipt received(PeerReport report, long now) {
+      PeerTable.Receipt receipt = table.received(report, now);
+      if (receipt == PeerTable.Receipt.COUNTED) {
+        boolean ofNode = report.reach() == ReportReach.NODE;
+        quotas.reported(
+            report.life() + "/" + report.reach().code(),
+            ofNode ? Coverage.NEAR : Coverage.FAR,
+            report.load().quotaUnits(),
+            report.load().quotaBalances(),
+            now);
+      }
+      return receipt;
+    }
+
     private PeerReport nodeReport(boolean question, long now) {
-      return report(ReportReach.NODE, question, load(), targets.mentions(now), now);
+      return report(
+          ReportReach.NODE, question, load(Coverage.OWN, now), targets.mentions(now), now);
     }
 
     private PeerReport report(
@@ -62,22 +97,18 @@
 
   private final Map<String, Node> fleet = new LinkedHashMap<>();
   private long now;
+  private boolean using;
+  private double used;
 
   private static String host(int number) {
     return "10." + number % 4 + ".0." + (10 + number / 4);
   }
 
-  private static ReportedLoad load() {
-    return new ReportedLoad(
-        ImmutableMap.of(ENGINE, new UpstreamUsage(1, 100)),
-        ImmutableMap.of(),
-        ImmutableMap.of(),
-        ImmutableMap.of());
-  }
-
   private void start(int count) {
     fleet.clear();
     now = 0;
+    using = false;
+    used = 0;
     for (int i = 0; i < count; i++) {
       Node node = new Node(i);
       fleet.put(node.self.host(), node);
@@ -89,6 +120,10 @@
       now += STEP_NANOS;
       for (Node node : List.copyOf(fleet.values())) {
         node.table.refresh(now);
+        if (using) {
+          assertTrue(node.quotas.take(TEAM, 100, now));
+          used += 100;
+        }
         if (now - node.sentNanos >= node.targets.reportIntervalNanos(true)) {
           node.sentNanos = now;
           boolean question = node.table.cellCount() == 1;
@@ -111,7 +146,7 @@
         node.report(
             ReportReach.CELL,
             false,
-            node.table.cellLoad(load(), now),
+            node.table.cellLoad(node.load(Coverage.NEAR, now), now),
             node.targets.cellNodes(now),
             now),
         node.targets.headHosts(now));
@@ -120,7 +155,7 @@
         node.report(
             ReportReach.REST,
             false,
-            node.table.restLoad(load(), now),
+            node.table.restLoad(node.load(Coverage.FAR, now), now),
             node.targets.restNodes(now),
             now),
         node.targets.mateHosts());
@@ -131,13 +166,17 @@
     for (String host : hosts) {
       Node to = fleet.get(host);
       if (to != null
-          && to.table.received(report, now) == PeerTable.Receipt.QUESTION
+          && to.received(report, now) == PeerTable.Receipt.QUESTION
           && fleet.containsKey(from.self.host())) {
         PeerReport answer =
             to.report(
-                ReportReach.NODE, false, load(), to.targets.answerTo(from.self.host(), now), now);
+                ReportReach.NODE,
+                false,
+                to.load(Coverage.OWN, now),
+                to.targets.answerTo(from.self.host(), now),
+                now);
         to.sent++;
-        from.table.received(answer, now);
+        from.received(answer, now);
       }
     }
   }
@@ -225,6 +264,45 @@
     return fleet.values().stream().mapToInt(node -> node.sent).max().orElseThrow() / 10;
   }
 
+  private void assertUseIsCounted(double least, double most) {
+    for (Node node : fleet.values()) {
+      double counted = BURST - node.quotas.balanceUnits(TEAM.name());
+      assertTrue(
+          counted >= least - 1 && counted <= most + 1,
+          node.self.node() + " counts " + counted + " of " + used);
+    }
+  }
+
+  /** Guards against use that is counted twice, which refuses teams within their quota. */
+  @Test
+  public void useOfAllNodesIsCountedOnce() {
+    start(SIZE);
+    fleet.values().forEach(node -> node.quotas.take(TEAM, 0, now));
+    steps(20);
+    double before = used + SIZE;
+    using = true;
+    steps(30);
+    using = false;
+    steps(15);
+
+    assertUseIsCounted(used, before + used);
+  }
+
+  @Test
+  public void useIsNotCountedTwiceWhenHeadsChange() {
+    start(SIZE);
+    fleet.values().forEach(node -> node.quotas.take(TEAM, 0, now));
+    steps(20);
+    using = true;
+    steps(10);
+    heads().forEach(node -> fleet.remove(node.self.host()));
+    steps(30);
+    using = false;
+    steps(15);
+
+    assertUseIsCounted(0.7 * used, used + SIZE);
+  }
+
   /** Guards against a store that every node of a large fleet asks for every change. */
   @Test
   public void fewNodesOfACellReadTheStore() {
