Name the reports of other cells OTHERS and group what a report says of its node

Cause: REST reads like the style of interfaces, and the constructor of FleetReports took eleven parameters.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/FleetReports.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/FleetReports.java
@@ -3,8 +3,6 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BooleanSupplier;
-import java.util.function.LongSupplier;
 import org.cranberrystand.daemon.internal.EventLog;
 import org.cranberrystand.dispatch.CallDispatcher;
 import org.cranberrystand.dispatch.CrashRegister;
@@ -26,14 +24,24 @@
   /** Sums are larger than the report of a node, and three of these times make word of a cell. */
   private static final long SUM_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(140);
 
+  /** What the reports say of this node beside its load. */
+  interface Source {
+    /** Returns the revision of the published state that the node knows; 0 if none. */
+    long revision();
+
+    /** Returns whether the node reads the store itself, and it answers. */
+    boolean followsStore();
+
+    /** Returns whether callers should be sent to the node. */
+    boolean isReady();
+  }
+
   private final PeerTable table;
   private final PeerTargets targets;
   private final CallDispatcher dispatcher;
   private final QuotaLedger quotas;
   private final CrashRegister crashes;
-  private final LongSupplier revision;
-  private final BooleanSupplier followsStore;
-  private final BooleanSupplier ready;
+  private final Source source;
   private final ReportSocket socket;
   private final EventLog log;
   private final long incarnation;
@@ -54,9 +62,7 @@
       CallDispatcher dispatcher,
       QuotaLedger quotas,
       CrashRegister crashes,
-      LongSupplier revision,
-      BooleanSupplier followsStore,
-      BooleanSupplier ready,
+      Source source,
       ReportSocket socket,
       EventLog log,
       long incarnation) {
@@ -65,9 +71,7 @@
     this.dispatcher = dispatcher;
     this.quotas = quotas;
     this.crashes = crashes;
-    this.revision = revision;
-    this.followsStore = followsStore;
-    this.ready = ready;
+    this.source = source;
     this.socket = socket;
     this.log = log;
     this.incarnation = incarnation;
@@ -117,7 +121,7 @@
 
   private void sendNode(long now) {
     boolean changed =
-        dispatcher.changeCount() != reportedChanges || revision.getAsLong() != reportedRevision;
+        dispatcher.changeCount() != reportedChanges || source.revision() != reportedRevision;
     if (now - sentNanos >= targets.reportIntervalNanos(changed)) {
       announce();
     }
@@ -128,8 +132,8 @@
     long now = System.nanoTime();
     sentNanos = now;
     reportedChanges = dispatcher.changeCount();
-    reportedRevision = revision.getAsLong();
-    table.setOffered(ready.getAsBoolean());
+    reportedRevision = source.revision();
+    table.setOffered(source.isReady());
     // A node that knows one cell only may be new in a larger fleet.
     socket.send(
         nodeReport(targets.mentions(now), table.cellCount() == 1, now), targets.mateHosts());
@@ -149,7 +153,7 @@
         targets.headHosts(now));
     ReportedLoad far = ownLoad(Coverage.FAR, now);
     socket.send(
-        report(ReportReach.REST, table.restLoad(far, now), targets.restNodes(now), false, now),
+        report(ReportReach.OTHERS, table.othersLoad(far, now), targets.otherNodes(now), false, now),
         targets.mateHosts());
   }
 
@@ -171,8 +175,8 @@
         table.nodeCount(now),
         table.cellCount(),
         question,
-        revision.getAsLong(),
-        followsStore.getAsBoolean(),
+        source.revision(),
+        source.followsStore(),
         load,
         others);
   }
@@ -187,7 +191,7 @@
 
   /** Does what time alone causes; to be called some times a second. */
   void refresh(long now) {
-    table.setOffered(ready.getAsBoolean());
+    table.setOffered(source.isReady());
     table.refresh(now).forEach(quotas::forget);
     boolean wasHead = head;
     head = table.isHead(now);
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Gateway.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Gateway.java
@@ -125,14 +125,29 @@
         dispatcher,
         quotas,
         crashes,
-        () -> follower == null ? 0 : follower.state().revision(),
-        () -> follower != null && follower.followsStore(),
-        this::isReady,
+        new ReportedSource(),
         new ReportSocket(loop, settings.listen().reportPort(), this::reportReceived, log),
         log,
         incarnation);
   }
 
+  private final class ReportedSource implements FleetReports.Source {
+    @Override
+    public long revision() {
+      return follower == null ? 0 : follower.state().revision();
+    }
+
+    @Override
+    public boolean followsStore() {
+      return follower != null && follower.followsStore();
+    }
+
+    @Override
+    public boolean isReady() {
+      return Gateway.this.isReady();
+    }
+  }
+
   private void reportReceived(PeerReport report) {
     reports.received(report);
   }
--- a/org.cranberrystand.daemon/src/test/java/org/cranberrystand/daemon/gateway/ReportSocketTest.java
+++ b/org.cranberrystand.daemon/src/test/java/org/cranberrystand/daemon/gateway/ReportSocketTest.java
@@ -37,7 +37,7 @@
             new KnownNode("n1", LOOPBACK, "c", true, 1),
             1,
             1,
-            ReportReach.REST,
+            ReportReach.OTHERS,
             300,
             16,
             false,
--- a/org.cranberrystand/src/main/java/org/cranberrystand/membership/PeerReport.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/membership/PeerReport.java
@@ -18,7 +18,7 @@
  * @param revision the revision of the published state that the sender knows; 0 if none
  * @param followsStore whether the sender reads the store of published values itself, and it answers
  * @param load what the covered nodes use
- * @param others nodes heard lately; for a cell or the rest, nodes that it covers
+ * @param others nodes heard lately; for a cell or other cells, nodes that these hold
  */
 public record PeerReport(
     KnownNode sender,
--- a/org.cranberrystand/src/main/java/org/cranberrystand/membership/PeerTable.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/membership/PeerTable.java
@@ -48,7 +48,7 @@
   private final NodeDirectory directory;
   private final Map<String, Heard> direct = new HashMap<>();
   private final Map<Integer, Heard> cellReports = new HashMap<>();
-  private Heard rest;
+  private Heard others;
   private int cells = 1;
   private boolean offered;
 
@@ -103,7 +103,7 @@
     return switch (report.reach()) {
       case NODE -> nodeReported(report, nowNanos);
       case CELL -> cellReported(report, nowNanos);
-      case REST -> restReported(report, nowNanos);
+      case OTHERS -> othersReported(report, nowNanos);
     };
   }
 
@@ -132,11 +132,11 @@
     return isHead(nowNanos) ? Receipt.COUNTED : Receipt.QUESTION;
   }
 
-  private Receipt restReported(PeerReport report, long nowNanos) {
-    if (report.cells() != cells || !isMate(report.sender().host()) || !isNext(rest, report)) {
+  private Receipt othersReported(PeerReport report, long nowNanos) {
+    if (report.cells() != cells || !isMate(report.sender().host()) || !isNext(others, report)) {
       return Receipt.IGNORED;
     }
-    rest = new Heard(report, nowNanos);
+    others = new Heard(report, nowNanos);
     report.others().forEach(node -> directory.told(node, nowNanos));
     return Receipt.COUNTED;
   }
@@ -161,7 +161,7 @@
     if (wanted != cells) {
       cells = wanted;
       cellReports.clear();
-      rest = null;
+      others = null;
     }
     directory.forgetSilent(nowNanos);
     ImmutableList.Builder<String> gone = ImmutableList.builder();
@@ -258,7 +258,7 @@
    * @param nowNanos the time
    * @return the sum over the cells heard lately; quotas as in {@code own}
    */
-  public ReportedLoad restLoad(ReportedLoad own, long nowNanos) {
+  public ReportedLoad othersLoad(ReportedLoad own, long nowNanos) {
     ReportedLoad.Sum sum = new ReportedLoad.Sum();
     addCells(sum, nowNanos);
     return new ReportedLoad(sum.usage(), own.quotaUnits(), own.quotaBalances(), sum.crashes());
@@ -297,10 +297,10 @@
     addMates(sum, nowNanos);
     if (isHead(nowNanos)) {
       addCells(sum, nowNanos);
-    } else if (rest != null) {
-      sum.addCrashes(rest.report().load());
-      if (rest.isFresh(nowNanos)) {
-        sum.addUsage(rest.report().load());
+    } else if (others != null) {
+      sum.addCrashes(others.report().load());
+      if (others.isFresh(nowNanos)) {
+        sum.addUsage(others.report().load());
       }
     }
     return new ReportedLoad(sum.usage(), ImmutableMap.of(), ImmutableMap.of(), sum.crashes());
--- a/org.cranberrystand/src/main/java/org/cranberrystand/membership/PeerTargets.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/membership/PeerTargets.java
@@ -238,7 +238,7 @@
    * @param nowNanos the time
    * @return nodes that their heads hear
    */
-  public ImmutableList<KnownNode> restNodes(long nowNanos) {
+  public ImmutableList<KnownNode> otherNodes(long nowNanos) {
     List<KnownNode> all =
         table.freshCells(nowNanos).stream()
             .flatMap(heard -> heard.report().others().stream())
--- a/org.cranberrystand/src/main/java/org/cranberrystand/membership/ReportReach.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/membership/ReportReach.java
@@ -9,7 +9,7 @@
   CELL("c"),
 
   /** All other cells; sent by the head to its cell. */
-  REST("r");
+  OTHERS("o");
 
   private final String code;
 
--- a/org.cranberrystand/src/test/java/org/cranberrystand/membership/FleetOfCellsTest.java
+++ b/org.cranberrystand/src/test/java/org/cranberrystand/membership/FleetOfCellsTest.java
@@ -153,10 +153,10 @@
     send(
         node,
         node.report(
-            ReportReach.REST,
+            ReportReach.OTHERS,
             false,
-            node.table.restLoad(node.load(Coverage.FAR, now), now),
-            node.targets.restNodes(now),
+            node.table.othersLoad(node.load(Coverage.FAR, now), now),
+            node.targets.otherNodes(now),
             now),
         node.targets.mateHosts());
   }
