Work out the options of a waiting request once

Cause: placing a request worked out its reader and its candidates twice, and the dispatcher wrapped its output and stored the time only to note what a pool had sent. PeerTable.usage had no caller outside tests, and EventSplitter.dropPartialEvent none at all.

Change: one pass gives the options, and the pool tells the dispatcher of each request that it starts. Sources of quota reports are named alike for nodes and cells.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/EventSplitter.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/EventSplitter.java
@@ -81,9 +81,4 @@
   boolean hasPartialEvent() {
     return pending.isReadable();
   }
-
-  /** Forgets the beginning of an event that its upstream did not finish. */
-  void dropPartialEvent() {
-    pending.clear();
-  }
 }
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/FleetReports.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/FleetReports.java
@@ -87,10 +87,9 @@
     long now = System.nanoTime();
     switch (table.received(report, now)) {
       case COUNTED -> {
-        boolean ofNode = report.reach() == ReportReach.NODE;
         quotas.reported(
-            ofNode ? report.life() : report.life() + "/" + report.reach().code(),
-            ofNode ? Coverage.NEAR : Coverage.FAR,
+            report.life() + "/" + report.reach().code(),
+            report.reach() == ReportReach.NODE ? Coverage.NEAR : Coverage.FAR,
             report.load().quotaUnits(),
             report.load().quotaBalances(),
             now);
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CallDispatcher.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CallDispatcher.java
@@ -10,7 +10,6 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.Predicate;
-import org.cranberrystand.outcome.NotRunReason;
 import org.cranberrystand.upstream.RegisteredUpstream;
 
 /**
@@ -26,7 +25,6 @@
   private final Map<Long, RunningCall> running = new HashMap<>();
   private ImmutableMap<String, UpstreamUsage> peerUsage = ImmutableMap.of();
   private Predicate<String> isHome = id -> true;
-  private long nowNanos;
   private long changes;
 
   /**
@@ -37,21 +35,7 @@
    */
   public CallDispatcher(DispatchOutput output, long seed) {
     this.random = new SplittableRandom(seed);
-    this.output =
-        new DispatchOutput() {
-          @Override
-          public void send(CallSpec call, RegisteredUpstream upstream, PlacementChoice choice) {
-            UpstreamState state = pools.get(call.pool()).find(upstream.id());
-            running.put(call.key(), new RunningCall(call, state, choice.sharedTokens(), nowNanos));
-            changes++;
-            output.send(call, upstream, choice);
-          }
-
-          @Override
-          public void refuse(CallSpec call, NotRunReason reason, long retryAfter) {
-            output.refuse(call, reason, retryAfter);
-          }
-        };
+    this.output = output;
   }
 
   /**
@@ -61,7 +45,6 @@
    * @param now the time
    */
   public void upstreamsChanged(Collection<RegisteredUpstream> usable, long now) {
-    nowNanos = now;
     Map<String, List<RegisteredUpstream>> byPool = new HashMap<>();
     usable.forEach(u -> byPool.computeIfAbsent(u.pool(), p -> new ArrayList<>()).add(u));
     Set<String> names = new HashSet<>(pools.keySet());
@@ -81,7 +64,6 @@
    * @param now the time
    */
   public void peersChanged(ImmutableMap<String, UpstreamUsage> usage, long now) {
-    nowNanos = now;
     peerUsage = usage;
     applyPeerUsage();
     pools.values().forEach(pool -> pool.pump(now));
@@ -113,7 +95,6 @@
    * @param now the time
    */
   public void submit(CallSpec call, String excluded, long now) {
-    nowNanos = now;
     pool(call.pool()).submit(call, excluded, now);
   }
 
@@ -138,7 +119,6 @@
    * @param now the time
    */
   public void eventsCame(long key, int count, long now) {
-    nowNanos = now;
     RunningCall call = running.get(key);
     if (call != null) {
       changes += call.isDecoding() ? 0 : 1;
@@ -154,7 +134,6 @@
    * @param now the time
    */
   public void ended(long key, CallEnding ending, long now) {
-    nowNanos = now;
     RunningCall call = running.remove(key);
     if (call != null) {
       changes++;
@@ -170,7 +149,6 @@
    * @param now the time
    */
   public void tick(long now) {
-    nowNanos = now;
     for (PoolDispatch pool : pools.values()) {
       List<RunningCall> calls =
           running.values().stream()
@@ -216,7 +194,13 @@
     return running.size();
   }
 
+  private void started(RunningCall call) {
+    running.put(call.call().key(), call);
+    changes++;
+  }
+
   private PoolDispatch pool(String name) {
-    return pools.computeIfAbsent(name, n -> new PoolDispatch(output, random.split()));
+    return pools.computeIfAbsent(
+        name, n -> new PoolDispatch(output, this::started, random.split()));
   }
 }
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/PoolDispatch.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/PoolDispatch.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.TreeSet;
+import java.util.function.Consumer;
 import java.util.function.Predicate;
 import org.cranberrystand.outcome.NotRunReason;
 import org.cranberrystand.upstream.EjectionPolicy;
@@ -68,7 +69,11 @@
 
   private static final long MIN_RETRY_MILLIS = 150;
 
+  /** Where a request may go now; one of the candidates may be the reader of its beginning. */
+  private record Options(CallSpec call, UpstreamState reader, List<UpstreamState> candidates) {}
+
   private final DispatchOutput output;
+  private final Consumer<RunningCall> started;
   private final SplittableRandom random;
   private final EjectionPolicy ejections;
   private final Map<String, UpstreamState> upstreams = new LinkedHashMap<>();
@@ -77,8 +82,16 @@
   private final SendRate rate = new SendRate();
   private int homes;
 
-  PoolDispatch(DispatchOutput output, SplittableRandom random) {
+  /**
+   * Creates a pool without upstreams.
+   *
+   * @param output carries out the decisions
+   * @param started told of every request before it is sent
+   * @param random the source of the choice among equal upstreams
+   */
+  PoolDispatch(DispatchOutput output, Consumer<RunningCall> started, SplittableRandom random) {
     this.output = output;
+    this.started = started;
     this.random = random;
     this.ejections = new EjectionPolicy(random.nextLong());
   }
@@ -157,23 +170,25 @@
     while (!waiting.isEmpty()) {
       List<UpstreamState> free =
           upstreams.values().stream().filter(state -> state.freeSlots(nowNanos) > 0).toList();
-      WaitingCall next = firstThatMayUse(free, nowNanos);
-      if (next == null) {
+      Options options = firstWithOptions(free, nowNanos);
+      if (options == null) {
         return;
       }
-      place(next, free, nowNanos);
+      place(options, nowNanos);
     }
   }
 
   /** A request that avoids an upstream must not hold up those behind it. */
-  private WaitingCall firstThatMayUse(List<UpstreamState> free, long nowNanos) {
+  private Options firstWithOptions(List<UpstreamState> free, long nowNanos) {
     if (free.isEmpty()) {
       return null;
     }
     for (WaitingCall entry : waiting) {
       UpstreamState reader = reader(entry, free);
-      if (free.stream().anyMatch(state -> mayUse(entry, state, reader, nowNanos))) {
-        return entry;
+      List<UpstreamState> candidates =
+          free.stream().filter(state -> mayUse(entry, state, reader, nowNanos)).toList();
+      if (!candidates.isEmpty()) {
+        return new Options(entry.call(), reader, candidates);
       }
     }
     return null;
@@ -200,17 +215,15 @@
         .orElse(null);
   }
 
-  private void place(WaitingCall next, List<UpstreamState> free, long nowNanos) {
-    CallSpec call = next.call();
-    UpstreamState reader = reader(next, free);
-    List<UpstreamState> candidates =
-        free.stream().filter(state -> mayUse(next, state, reader, nowNanos)).toList();
-    UpstreamState chosen = choose(candidates, reader, call, nowNanos);
-    int shared = chosen == reader ? call.sharedTokens() : 0;
-    PlacementChoice choice = choiceOf(chosen, call, shared, candidates.size());
+  private void place(Options options, long nowNanos) {
+    CallSpec call = options.call();
+    UpstreamState chosen = choose(options, nowNanos);
+    int shared = chosen == options.reader() ? call.sharedTokens() : 0;
+    PlacementChoice choice = choiceOf(chosen, call, shared, options.candidates().size());
     remove(call.key());
     chosen.sent((long) call.promptTokens() - shared);
     rate.sent(nowNanos);
+    started.accept(new RunningCall(call, chosen, shared, nowNanos));
     output.send(call, chosen.upstream(), choice);
   }
 
@@ -228,8 +241,10 @@
   }
 
   /** Chooses one of those that cost about the least, so that nodes do not all choose the same. */
-  private UpstreamState choose(
-      List<UpstreamState> candidates, UpstreamState reader, CallSpec call, long nowNanos) {
+  private UpstreamState choose(Options options, long nowNanos) {
+    List<UpstreamState> candidates = options.candidates();
+    UpstreamState reader = options.reader();
+    CallSpec call = options.call();
     double[] costs = new double[candidates.size()];
     double least = Double.MAX_VALUE;
     for (int i = 0; i < costs.length; i++) {
--- a/org.cranberrystand/src/main/java/org/cranberrystand/membership/PeerTable.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/membership/PeerTable.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import org.cranberrystand.dispatch.UpstreamUsage;
 
 /**
  * What this node knows of the others from their reports. Not thread-safe.
@@ -306,16 +305,6 @@
     return new ReportedLoad(sum.usage(), ImmutableMap.of(), ImmutableMap.of(), sum.crashes());
   }
 
-  /**
-   * Returns what the other nodes use.
-   *
-   * @param nowNanos the time
-   * @return the usage by upstream
-   */
-  public ImmutableMap<String, UpstreamUsage> usage(long nowNanos) {
-    return load(nowNanos).usage();
-  }
-
   /**
    * Returns the nodes to which callers may be sent, without this one.
    *
--- a/org.cranberrystand/src/test/java/org/cranberrystand/membership/FleetOfCellsTest.java
+++ b/org.cranberrystand/src/test/java/org/cranberrystand/membership/FleetOfCellsTest.java
@@ -182,7 +182,7 @@
   }
 
   private int usageSeenBy(Node node) {
-    UpstreamUsage usage = node.table.usage(now).get(ENGINE);
+    UpstreamUsage usage = node.table.load(now).usage().get(ENGINE);
     return usage == null ? 0 : usage.running();
   }
 
--- a/org.cranberrystand/src/test/java/org/cranberrystand/membership/PeerTableTest.java
+++ b/org.cranberrystand/src/test/java/org/cranberrystand/membership/PeerTableTest.java
@@ -66,8 +66,8 @@
     table.received(report("n2", 1, 1, 2), 0);
     table.received(report("n3", 1, 1, 3), SECOND);
 
-    assertEquals(table.usage(SECOND / 2).get("e"), new UpstreamUsage(5, 20));
-    assertEquals(table.usage(SECOND + SECOND / 2).get("e"), new UpstreamUsage(3, 10));
+    assertEquals(table.load(SECOND / 2).usage().get("e"), new UpstreamUsage(5, 20));
+    assertEquals(table.load(SECOND + SECOND / 2).usage().get("e"), new UpstreamUsage(3, 10));
   }
 
   /** Guards against a datagram that arrives late and takes the state back. */
