Read on from a checked document in one way

Cause: seven readers of TOML repeated how the findings of an unreadable text are passed on, the last of them new with the gateway's settings.

No change of behaviour. The whole Maven build passes.

--- a/org.cranberrystand.fake/src/main/java/org/cranberrystand/fake/PlatformFile.java
+++ b/org.cranberrystand.fake/src/main/java/org/cranberrystand/fake/PlatformFile.java
@@ -39,12 +39,12 @@
    * @return the content, or everything that is wrong with it
    */
   static Checked<PlatformFile> parse(String file, String text) {
-    Checked<TomlDocument> document = TomlDocument.parse(file, text);
-    if (document instanceof Checked.Invalid<TomlDocument> invalid) {
-      return new Checked.Invalid<>(invalid.findings());
-    }
+    return TomlDocument.parse(file, text).flatMap(document -> read(file, document));
+  }
+
+  private static Checked<PlatformFile> read(String file, TomlDocument document) {
     Findings findings = new Findings(file);
-    TomlReader root = TomlReader.ofRoot(document.orElseThrow(), findings);
+    TomlReader root = TomlReader.ofRoot(document, findings);
     int port = port(root);
     String bundleFile = root.requiredText("bundle_file");
     ImmutableList.Builder<Upstream> upstreams = ImmutableList.builder();
--- a/org.cranberrystand.pgm/src/main/java/org/cranberrystand/pgm/KeyFile.java
+++ b/org.cranberrystand.pgm/src/main/java/org/cranberrystand/pgm/KeyFile.java
@@ -31,12 +31,12 @@
   }
 
   private static Checked<KeyFile> parse(String file, String text) {
-    Checked<TomlDocument> document = TomlDocument.parse(file, text);
-    if (document instanceof Checked.Invalid<TomlDocument> invalid) {
-      return new Checked.Invalid<>(invalid.findings());
-    }
+    return TomlDocument.parse(file, text).flatMap(document -> read(file, document));
+  }
+
+  private static Checked<KeyFile> read(String file, TomlDocument document) {
     Findings findings = new Findings(file);
-    TomlReader root = TomlReader.ofRoot(document.orElseThrow(), findings);
+    TomlReader root = TomlReader.ofRoot(document, findings);
     String id = root.requiredText("id");
     String encoded = root.requiredText("private_key");
     root.rejectUnknownKeys();
--- a/org.cranberrystand.pgm/src/main/java/org/cranberrystand/pgm/load/MixParser.java
+++ b/org.cranberrystand.pgm/src/main/java/org/cranberrystand/pgm/load/MixParser.java
@@ -25,12 +25,12 @@
    * @return the classes of requests, or everything that is wrong
    */
   public static Checked<ImmutableList<RequestClass>> parse(String file, String text) {
-    Checked<TomlDocument> document = TomlDocument.parse(file, text);
-    if (document instanceof Checked.Invalid<TomlDocument> invalid) {
-      return new Checked.Invalid<>(invalid.findings());
-    }
+    return TomlDocument.parse(file, text).flatMap(document -> read(file, document));
+  }
+
+  private static Checked<ImmutableList<RequestClass>> read(String file, TomlDocument document) {
     Findings findings = new Findings(file);
-    TomlReader root = TomlReader.ofRoot(document.orElseThrow(), findings);
+    TomlReader root = TomlReader.ofRoot(document, findings);
     ImmutableList.Builder<RequestClass> classes = ImmutableList.builder();
     var tables = root.tables("requests");
     tables.forEach(table -> classes.add(read(table)));
--- a/org.cranberrystand.wire/src/main/java/org/cranberrystand/wire/bundle/BundleParser.java
+++ b/org.cranberrystand.wire/src/main/java/org/cranberrystand/wire/bundle/BundleParser.java
@@ -80,11 +80,7 @@
    */
   public static Checked<Bundle> parse(
       String file, String text, Function<String, Optional<BundlePart>> partByDigest) {
-    Checked<TomlDocument> document = TomlDocument.parse(file, text);
-    if (document instanceof Checked.Invalid<TomlDocument> invalid) {
-      return new Checked.Invalid<>(invalid.findings());
-    }
-    return new BundleParser(file, text, partByDigest).read(document.orElseThrow());
+    return TomlDocument.parse(file, text).flatMap(new BundleParser(file, text, partByDigest)::read);
   }
 
   /**
--- a/org.cranberrystand.wire/src/main/java/org/cranberrystand/wire/bundle/BundlePart.java
+++ b/org.cranberrystand.wire/src/main/java/org/cranberrystand/wire/bundle/BundlePart.java
@@ -31,12 +31,12 @@
    * @return the part, or everything that is wrong with it
    */
   public static Checked<BundlePart> parse(String file, String text) {
-    Checked<TomlDocument> document = TomlDocument.parse(file, text);
-    if (document instanceof Checked.Invalid<TomlDocument> invalid) {
-      return new Checked.Invalid<>(invalid.findings());
-    }
+    return TomlDocument.parse(file, text).flatMap(document -> read(file, text, document));
+  }
+
+  private static Checked<BundlePart> read(String file, String text, TomlDocument document) {
     Findings findings = new Findings(file);
-    TomlReader root = TomlReader.ofRoot(document.orElseThrow(), findings);
+    TomlReader root = TomlReader.ofRoot(document, findings);
     ImmutableList<Team> teams =
         root.tables("teams").stream()
             .map(BundlePart::readTeam)
--- a/org.cranberrystand.wire/src/main/java/org/cranberrystand/wire/settings/GatewaySettingsParser.java
+++ b/org.cranberrystand.wire/src/main/java/org/cranberrystand/wire/settings/GatewaySettingsParser.java
@@ -30,11 +30,7 @@
    * @return the settings, or everything that is wrong with them
    */
   public static Checked<GatewaySettings> parse(String file, String text) {
-    Checked<TomlDocument> document = TomlDocument.parse(file, text);
-    if (document instanceof Checked.Invalid<TomlDocument> invalid) {
-      return new Checked.Invalid<>(invalid.findings());
-    }
-    return new GatewaySettingsParser(file).read(document.orElseThrow());
+    return TomlDocument.parse(file, text).flatMap(new GatewaySettingsParser(file)::read);
   }
 
   private Checked<GatewaySettings> read(TomlDocument document) {
--- a/org.cranberrystand.wire/src/main/java/org/cranberrystand/wire/settings/NodeSettingsParser.java
+++ b/org.cranberrystand.wire/src/main/java/org/cranberrystand/wire/settings/NodeSettingsParser.java
@@ -33,11 +33,7 @@
    * @return the settings, or everything that is wrong with them
    */
   public static Checked<NodeSettings> parse(String file, String text) {
-    Checked<TomlDocument> document = TomlDocument.parse(file, text);
-    if (document instanceof Checked.Invalid<TomlDocument> invalid) {
-      return new Checked.Invalid<>(invalid.findings());
-    }
-    return new NodeSettingsParser(file).read(document.orElseThrow());
+    return TomlDocument.parse(file, text).flatMap(new NodeSettingsParser(file)::read);
   }
 
   private Checked<NodeSettings> read(TomlDocument document) {
--- a/org.cranberrystand/src/main/java/org/cranberrystand/util/Checked.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/util/Checked.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableList;
 import java.util.List;
+import java.util.function.Function;
 
 /**
  * Result of reading an input that may have several defects.
@@ -43,6 +44,19 @@
     return this instanceof Invalid<T> invalid ? invalid.findings() : ImmutableList.of();
   }
 
+  /**
+   * Reads on from a valid result.
+   *
+   * @param <U> the type of the value read next
+   * @param next reads it
+   * @return its result, or the findings of this one
+   */
+  default <U> Checked<U> flatMap(Function<? super T, Checked<U>> next) {
+    return this instanceof Valid<T> valid
+        ? next.apply(valid.value())
+        : new Invalid<>(ImmutableList.copyOf(findingsOrEmpty()));
+  }
+
   /**
    * Returns the value of a valid result.
    *
