Grant teams a surplus over their quota from spare capacity

The overdraft of half the tolerance was used up after 3 s; from then on only the rate was granted, while the slots of the engines stood free. Ruled out: two buckets (nodes would have to report both), a plain larger overdraft (it is used once). Change: while a pool has a slot that nobody waits for, the balance may fall below zero by a tenth of the tolerance, and it rises faster while it is there, by half of the tolerance in each window (a tenth in a fleet of cells). With requests waiting a team gets its quota and no more. The cost of a request does not count against the surplus, so large requests are not passed over. What others have probably used since their reports is subtracted.

--- /dev/null
+++ b/org.cranberrystand.bench/src/test/java/org/cranberrystand/bench/policy/QuotaFloodTest.java
@@ -0,0 +1,107 @@
+package org.cranberrystand.bench.policy;
+
+import static org.testng.Assert.assertTrue;
+
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.OptionalInt;
+import java.util.Random;
+import org.cranberrystand.dispatch.QuotaLedger;
+import org.cranberrystand.dispatch.QuotaReports;
+import org.cranberrystand.dispatch.QuotaTolerance;
+import org.cranberrystand.routing.TeamPolicy;
+import org.cranberrystand.routing.TokenQuota;
+import org.testng.annotations.Test;
+
+/** Quotas of a fleet whose nodes learn of each other's usage with a delay. */
+public final class QuotaFloodTest {
+  private static final long SECOND = 1_000_000_000L;
+  private static final QuotaTolerance TOLERANCE = new QuotaTolerance(8, 0.25, 140_000);
+  private static final TeamPolicy LARGE_TEAM =
+      new TeamPolicy(
+          "large",
+          ImmutableSet.of("k"),
+          OptionalInt.empty(),
+          new TokenQuota(29_000, 60_000, true, 200));
+
+  /**
+   * Guards against a fleet that exceeds the tolerance because its nodes learn of each other's usage
+   * late. The team floods all nodes after a calm time, with 15 times its quota.
+   */
+  @Test
+  public void smallFleetStaysWithinTheToleranceInAFlood() {
+    assertWithinTolerance(2, 9, 450_000, QuotaReports.DIRECT);
+    assertWithinTolerance(9, 9, 450_000, QuotaReports.DIRECT);
+    assertWithinTolerance(9, 20, 450_000, QuotaReports.DIRECT);
+  }
+
+  /** Guards against the same in a fleet of cells, when the team sends 4 times its quota. */
+  @Test
+  public void largeFleetStaysWithinTheTolerance() {
+    assertWithinTolerance(90, 40, 122_000, QuotaReports.BETWEEN_CELLS);
+  }
+
+  /** Guards against the same in a fleet of cells, in a flood of 15 times the quota. */
+  @Test
+  public void largeFleetStaysWithinTheToleranceInAFlood() {
+    assertWithinTolerance(90, 40, 450_000, QuotaReports.BETWEEN_CELLS);
+  }
+
+  private static void assertWithinTolerance(
+      int nodes, int delayTicks, double offeredPerSecond, QuotaReports reports) {
+    Random random = new Random(nodes);
+    List<QuotaLedger> fleet = new ArrayList<>();
+    for (int i = 0; i < nodes; i++) {
+      QuotaLedger ledger = new QuotaLedger(TOLERANCE, true);
+      ledger.setReports(reports);
+      fleet.add(ledger);
+    }
+    List<double[]> usedByTick = new ArrayList<>();
+    double offered = 0;
+    for (int tick = 0; tick < 2_000; tick++) {
+      long now = tick * SECOND / 100;
+      double[] used = new double[nodes];
+      offered += tick < 500 ? 0 : offeredPerSecond / 100;
+      while (offered > 0) {
+        long cost = random.nextInt(20) == 0 ? 30_000 : 3_000;
+        offered -= cost;
+        int node = random.nextInt(nodes);
+        used[node] += fleet.get(node).tryConsume(LARGE_TEAM, cost, true, now) ? cost : 0;
+      }
+      usedByTick.add(used);
+      if (tick % 9 == 0 && tick >= delayTicks) {
+        exchange(fleet, usedByTick.subList(0, tick + 1 - delayTicks), now);
+      }
+    }
+    double limit = (29_000 * 8 + 60_000) * 1.25 + 140_000;
+    for (int from = 0; from + 800 <= usedByTick.size(); from += 50) {
+      double inWindow =
+          usedByTick.subList(from, from + 800).stream()
+              .mapToDouble(used -> Arrays.stream(used).sum())
+              .sum();
+      assertTrue(inWindow <= limit, inWindow + " of " + limit + " from " + from);
+    }
+  }
+
+  private static void exchange(List<QuotaLedger> fleet, List<double[]> usedByTick, long now) {
+    for (int sender = 0; sender < fleet.size(); sender++) {
+      int column = sender;
+      double total = usedByTick.stream().mapToDouble(used -> used[column]).sum();
+      for (int receiver = 0; receiver < fleet.size(); receiver++) {
+        if (receiver != sender) {
+          fleet
+              .get(receiver)
+              .reported(
+                  "n" + sender,
+                  QuotaLedger.Coverage.OWN_CELL,
+                  ImmutableMap.of("large", total),
+                  ImmutableMap.of(),
+                  now);
+        }
+      }
+    }
+  }
+}
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Admission.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Admission.java
@@ -124,7 +124,10 @@
       rejectNotRun(exchange, caller, NotRunReason.OVERLOADED, LAG_RETRY_MILLIS, inputs);
       return;
     }
-    if (team.isPresent() && !context.quotas().tryConsume(team.get(), caller.quotaTokens(), now)) {
+    String pool = route.choosePool(random.nextDouble());
+    boolean spareCapacity = context.dispatcher().hasSpareCapacity(pool, now);
+    if (team.isPresent()
+        && !context.quotas().tryConsume(team.get(), caller.quotaTokens(), spareCapacity, now)) {
       rejectNotRun(
           exchange,
           caller,
@@ -137,10 +140,11 @@
               + " balance_units="
               + Math.round(context.quotas().balanceUnits(team.get().name()))
               + " units_per_second="
-              + Math.round(team.get().quota().unitsPerSecond()));
+              + Math.round(team.get().quota().unitsPerSecond())
+              + " spare_capacity="
+              + spareCapacity);
       return;
     }
-    String pool = route.choosePool(random.nextDouble());
     context.retries().requestReceived(pool);
     CallSpec spec = buildSpec(caller, route, team, pool, now - context.lag().lagNanos(now));
     RequestRelay relay = new RequestRelay(context, exchange, caller, route, team, spec);
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/FleetReports.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/FleetReports.java
@@ -8,6 +8,7 @@
 import org.cranberrystand.dispatch.CrashRegister;
 import org.cranberrystand.dispatch.QuotaLedger;
 import org.cranberrystand.dispatch.QuotaLedger.Coverage;
+import org.cranberrystand.dispatch.QuotaReports;
 import org.cranberrystand.event.LogEvent;
 import org.cranberrystand.membership.NodeInfo;
 import org.cranberrystand.membership.PeerReport;
@@ -233,6 +234,7 @@
           LogEvent.CELL_CHANGED,
           "cells=" + cellCount + " head=" + cellHead + " nodes=" + table.nodeCount(now));
     }
+    quotas.setReports(table.cellCount() == 1 ? QuotaReports.DIRECT : QuotaReports.BETWEEN_CELLS);
     quotas.setVisibleFraction(table.visibleFraction(now));
     updatePreferredUpstreams(now);
     applyPeerLoad(now);
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CallDispatcher.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CallDispatcher.java
@@ -115,6 +115,17 @@
     pool(call.pool()).resubmit(call, excludedUpstream, now);
   }
 
+  /**
+   * Returns whether a pool has a free slot that no request of this node waits for.
+   *
+   * @param pool the name of the pool
+   * @param now the current time
+   * @return true if one more request would displace no other
+   */
+  public boolean hasSpareCapacity(String pool, long now) {
+    return pool(pool).hasSpareCapacity(now);
+  }
+
   /**
    * Returns whether a request that is in progress could be sent to another upstream at once.
    *
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/PoolScheduler.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/PoolScheduler.java
@@ -203,6 +203,12 @@
         .orElse(nowNanos);
   }
 
+  /** Returns whether a slot is free that no request waits for. */
+  boolean hasSpareCapacity(long nowNanos) {
+    return waiting.isEmpty()
+        && upstreams.values().stream().anyMatch(state -> state.freeSlots(nowNanos) > 0);
+  }
+
   /** Returns whether a request could be sent to another upstream at once. */
   boolean canMove(CallSpec call, String fromUpstream, long nowNanos) {
     WaitingCall entry = new WaitingCall(call, fromUpstream, true, call.deadlineNanos(), true);
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/QuotaLedger.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/QuotaLedger.java
@@ -12,8 +12,12 @@
  *
  * <p>Each node keeps a bucket of the full size for every team and subtracts the usage that other
  * nodes report. While some nodes are unreachable, each bucket refills only at this node's visible
- * fraction of the rate, so that the sides of a partition together stay within the quota. Not
- * thread-safe.
+ * fraction of the rate, so that the sides of a partition together stay within the quota.
+ *
+ * <p>Answers teams that send more than their quota, by far or for long. While upstreams have spare
+ * capacity, a team may use a part of the tolerance as a surplus: its balance may then fall below
+ * zero, and rises faster while it is there. Otherwise the quota is all that it gets, so that it
+ * takes nothing from other teams. Not thread-safe.
  */
 public final class QuotaLedger {
   /** The set of nodes whose usage a sum covers. */
@@ -35,12 +39,24 @@
     private TokenQuota quota;
     private double balanceUnits;
     private final EnumMap<Coverage, Double> usedUnits = new EnumMap<>(Coverage.class);
+
+    /** Usage reported by other nodes, weighted by its age. They probably used as much since. */
+    private double recentPeerUnits;
+
     private long refilledNanos;
 
-    private void refill(double visibleFraction, long nowNanos) {
+    private void refill(
+        double visibleFraction, QuotaTolerance tolerance, QuotaReports reports, long nowNanos) {
       double seconds = (nowNanos - refilledNanos) / 1e9;
       refilledNanos = nowNanos;
-      double earnedUnits = quota.unitsPerSecond() * visibleFraction * seconds;
+      recentPeerUnits *= Math.exp(-seconds / reports.delaySeconds());
+      double ratePerSecond = quota.unitsPerSecond() * visibleFraction;
+      double surplusPerSecond = tolerance.surplusUnitsPerSecond(quota, reports) * visibleFraction;
+      double debtSeconds =
+          balanceUnits < 0
+              ? Math.min(seconds, -balanceUnits / (ratePerSecond + surplusPerSecond))
+              : 0;
+      double earnedUnits = ratePerSecond * seconds + surplusPerSecond * debtSeconds;
       balanceUnits = Math.min(quota.burstUnits(), balanceUnits + earnedUnits);
     }
 
@@ -49,8 +65,23 @@
       usedUnits.merge(coverage, units, Double::sum);
       if (coverage == Coverage.THIS_NODE) {
         usedUnits.merge(Coverage.OWN_CELL, units, Double::sum);
+      } else {
+        recentPeerUnits += units;
       }
     }
+
+    private boolean covers(double cost) {
+      return balanceUnits >= cost;
+    }
+
+    /**
+     * Returns whether the surplus allows a request. Its own cost does not count, since large
+     * requests would otherwise hardly ever get through between small ones.
+     */
+    private boolean hasSurplus(QuotaTolerance tolerance) {
+      double overdraftUnits = tolerance.overdraftUnits(quota);
+      return overdraftUnits > 0 && balanceUnits - recentPeerUnits > -overdraftUnits;
+    }
   }
 
   /** Older balances are outdated; those of lost nodes stay in the map for some time. */
@@ -61,6 +92,7 @@
   private final Map<String, ReportedBalances> balancesBySource = new HashMap<>();
   private final QuotaTolerance tolerance;
   private final boolean startsWithFleet;
+  private QuotaReports reports = QuotaReports.DIRECT;
   private double visibleFraction = 1;
 
   /**
@@ -84,22 +116,32 @@
     visibleFraction = value;
   }
 
+  /**
+   * Sets how this node learns of the usage of other nodes.
+   *
+   * @param value the way of the reports
+   */
+  public void setReports(QuotaReports value) {
+    reports = value;
+  }
+
   /**
    * Subtracts the cost of a request from the quota of its team if the quota allows the request.
    *
    * @param team the team
    * @param tokens the tokens of the request; 0 if not declared
+   * @param spareCapacity whether the request would take a slot that no other request waits for
    * @param nowNanos the current time
    * @return false if the request would exceed the quota; the balance is unchanged then
    */
-  public boolean tryConsume(TeamPolicy team, long tokens, long nowNanos) {
+  public boolean tryConsume(TeamPolicy team, long tokens, boolean spareCapacity, long nowNanos) {
     TokenQuota quota = team.quota();
     if (!quota.isLimited()) {
       return true;
     }
     Bucket bucket = refill(team.name(), quota, nowNanos);
     double cost = quota.cost(tokens);
-    if (bucket.balanceUnits - cost < -tolerance.overdraftUnits(quota)) {
+    if (!bucket.covers(cost) && !(spareCapacity && bucket.hasSurplus(tolerance))) {
       return false;
     }
     bucket.consume(cost, Coverage.THIS_NODE);
@@ -140,7 +182,7 @@
       buckets.put(team, bucket);
     }
     bucket.quota = quota;
-    bucket.refill(visibleFraction, nowNanos);
+    bucket.refill(visibleFraction, tolerance, reports, nowNanos);
     return bucket;
   }
 
@@ -192,7 +234,7 @@
           double increase = used - previous.getOrDefault(team, 0.0);
           Bucket bucket = buckets.get(team);
           if (bucket != null) {
-            bucket.refill(visibleFraction, nowNanos);
+            bucket.refill(visibleFraction, tolerance, reports, nowNanos);
             bucket.consume(increase, coverage);
           }
         });
@@ -220,7 +262,7 @@
         (team, bucket) -> {
           // Without a refill, reported usage of other nodes would only ever lower the balance of a
           // team that sends this node few requests.
-          bucket.refill(visibleFraction, nowNanos);
+          bucket.refill(visibleFraction, tolerance, reports, nowNanos);
           balances.put(team, bucket.balanceUnits);
         });
     return balances.build();
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/QuotaTolerance.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/QuotaTolerance.java
@@ -5,22 +5,41 @@
 /**
  * How far a team may exceed its quota within a time window, over all nodes.
  *
+ * <p>Part of the tolerance is granted as a surplus from spare capacity. The rest covers usage that
+ * other nodes have not reported yet.
+ *
  * @param windowSeconds the length of the window in seconds
  * @param excessFraction the allowed excess as a fraction of what the quota grants in the window
  * @param slackUnits the allowed excess in addition to the fraction, in units
  */
 public record QuotaTolerance(double windowSeconds, double excessFraction, double slackUnits) {
-  /** The rest of the tolerance covers usage that other nodes have not reported yet. */
-  private static final double USED_FRACTION = 0.5;
+  /** Fraction of the tolerance that a team may use at once. */
+  private static final double OVERDRAFT_FRACTION = 0.1;
 
   /**
-   * Returns how far the balance of a team may fall below zero.
+   * Returns how far the balance of a team may fall below zero before a request that uses spare
+   * capacity.
    *
    * @param quota the quota of the team
    * @return the allowed overdraft in units
    */
-  public double overdraftUnits(TokenQuota quota) {
+  double overdraftUnits(TokenQuota quota) {
+    return OVERDRAFT_FRACTION * toleratedUnits(quota);
+  }
+
+  /**
+   * Returns how fast the balance of a team that exceeds its quota rises in addition to its rate.
+   *
+   * @param quota the quota of the team
+   * @param reports how nodes learn of each other's usage
+   * @return the additional units per second
+   */
+  double surplusUnitsPerSecond(TokenQuota quota, QuotaReports reports) {
+    return reports.surplusFraction() * toleratedUnits(quota) / windowSeconds;
+  }
+
+  private double toleratedUnits(TokenQuota quota) {
     double windowUnits = quota.unitsPerSecond() * windowSeconds + quota.burstUnits();
-    return USED_FRACTION * (excessFraction * windowUnits + slackUnits);
+    return excessFraction * windowUnits + slackUnits;
   }
 }
--- a/org.cranberrystand/src/test/java/org/cranberrystand/dispatch/QuotaLedgerTest.java
+++ b/org.cranberrystand/src/test/java/org/cranberrystand/dispatch/QuotaLedgerTest.java
@@ -1,6 +1,7 @@
 package org.cranberrystand.dispatch;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import com.google.common.collect.ImmutableMap;
@@ -23,7 +24,7 @@
   private static int admitted(QuotaLedger ledger, int requests, long now) {
     int count = 0;
     for (int i = 0; i < requests; i++) {
-      count += ledger.tryConsume(TEAM, 100, now) ? 1 : 0;
+      count += ledger.tryConsume(TEAM, 100, true, now) ? 1 : 0;
     }
     return count;
   }
@@ -154,7 +155,7 @@
         ImmutableMap.of(),
         ImmutableMap.of("estrela", balance),
         10 * SECOND);
-    startedLater.tryConsume(TEAM, 0, 10 * SECOND);
+    startedLater.tryConsume(TEAM, 0, true, 10 * SECOND);
     assertEquals(startedLater.balanceUnits("estrela"), balance, 1_000);
   }
 
@@ -174,15 +175,47 @@
     admitted(ledger, 10, 0);
     ledger.refund(TEAM, 100);
 
-    assertTrue(ledger.tryConsume(TEAM, 100, 0));
+    assertTrue(ledger.tryConsume(TEAM, 100, true, 0));
     assertEquals(ledger.usedUnits(QuotaLedger.Coverage.THIS_NODE).get("estrela"), 1_000.0);
   }
 
   @Test
   public void requestWithoutTokensCostsTheDefault() {
     QuotaLedger ledger = new QuotaLedger(NONE, false);
-    ledger.tryConsume(TEAM, 0, 0);
+    ledger.tryConsume(TEAM, 0, true, 0);
 
     assertEquals(ledger.usedUnits(QuotaLedger.Coverage.THIS_NODE).get("estrela"), 200.0);
   }
+
+  private static final QuotaTolerance TOLERANCE = new QuotaTolerance(8, 0.25, 140_000);
+  private static final TeamPolicy LARGE_TEAM =
+      new TeamPolicy(
+          "large",
+          ImmutableSet.of("k"),
+          OptionalInt.empty(),
+          new TokenQuota(29_000, 60_000, true, 200));
+
+  /** Guards against a team that exceeds its quota at the expense of the requests that wait. */
+  @Test
+  public void surplusIsGrantedFromSpareCapacityOnly() {
+    QuotaLedger ledger = new QuotaLedger(TOLERANCE, true);
+    assertTrue(ledger.tryConsume(LARGE_TEAM, 60_000, false, 0));
+
+    assertFalse(ledger.tryConsume(LARGE_TEAM, 5_000, false, 0));
+    assertTrue(ledger.tryConsume(LARGE_TEAM, 5_000, true, 0));
+  }
+
+  /** Guards against large requests that never find enough balance between small ones. */
+  @Test
+  public void largeRequestsGetTheirShareOfTheSurplus() {
+    QuotaLedger ledger = new QuotaLedger(TOLERANCE, true);
+    int[] admitted = new int[2];
+    for (int i = 0; i < 20_000; i++) {
+      boolean large = i % 10 == 0;
+      if (ledger.tryConsume(LARGE_TEAM, large ? 40_000 : 2_000, true, i * SECOND / 200)) {
+        admitted[large ? 1 : 0]++;
+      }
+    }
+    assertTrue(admitted[1] > admitted[0] / 9 / 2, admitted[1] + " large, " + admitted[0]);
+  }
 }
--- a/org.cranberrystand/src/test/java/org/cranberrystand/membership/FleetOfCellsTest.java
+++ b/org.cranberrystand/src/test/java/org/cranberrystand/membership/FleetOfCellsTest.java
@@ -130,7 +130,7 @@
       for (Node node : List.copyOf(fleet.values())) {
         node.table.refresh(now);
         if (consumingQuota) {
-          assertTrue(node.quotaLedger.tryConsume(TEAM, 100, now));
+          assertTrue(node.quotaLedger.tryConsume(TEAM, 100, true, now));
           consumedUnits += 100;
         }
         if (now - node.sentNanos >= node.targets.reportIntervalNanos(true)) {
@@ -288,7 +288,7 @@
   @Test
   public void quotaUsageOfAllNodesIsCountedOnce() {
     start(SIZE);
-    fleet.values().forEach(node -> node.quotaLedger.tryConsume(TEAM, 0, now));
+    fleet.values().forEach(node -> node.quotaLedger.tryConsume(TEAM, 0, true, now));
     runSteps(20);
     double before = consumedUnits + SIZE;
     consumingQuota = true;
@@ -302,7 +302,7 @@
   @Test
   public void quotaUsageIsNotCountedTwiceWhenHeadsChange() {
     start(SIZE);
-    fleet.values().forEach(node -> node.quotaLedger.tryConsume(TEAM, 0, now));
+    fleet.values().forEach(node -> node.quotaLedger.tryConsume(TEAM, 0, true, now));
     runSteps(20);
     consumingQuota = true;
     runSteps(10);
