--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/QuotaLedger.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/QuotaLedger.java
@@ -43,7 +43,10 @@
     /** Usage reported by other nodes, weighted by its age. They probably used as much since. */
     private double recentPeerUnits;
 
-    /** The largest recent value of {@link #recentPeerUnits}. */
+    /** Usage reported by other nodes within about {@link #FLOOD_SECONDS}. */
+    private double floodUnits;
+
+    /** The most that other nodes recently used within the delay of a report. */
     private double peakPeerUnits;
 
     private double admissionCredit = 0.5;
@@ -54,6 +57,7 @@
       double seconds = (nowNanos - refilledNanos) / 1e9;
       refilledNanos = nowNanos;
       recentPeerUnits *= Math.exp(-seconds / reports.delaySeconds());
+      floodUnits *= Math.exp(-seconds / FLOOD_SECONDS);
       peakPeerUnits *= Math.exp(-seconds / PEAK_MEMORY_SECONDS);
       double ratePerSecond = quota.unitsPerSecond() * visibleFraction;
       double surplusPerSecond = tolerance.surplusUnitsPerSecond(quota, reports) * visibleFraction;
@@ -65,14 +69,16 @@
       balanceUnits = Math.min(quota.burstUnits(), balanceUnits + earnedUnits);
     }
 
-    private void consume(double units, Coverage coverage) {
+    private void consume(double units, Coverage coverage, QuotaReports reports) {
       balanceUnits -= units;
       usedUnits.merge(coverage, units, Double::sum);
       if (coverage == Coverage.THIS_NODE) {
         usedUnits.merge(Coverage.OWN_CELL, units, Double::sum);
       } else {
         recentPeerUnits += units;
-        peakPeerUnits = Math.max(peakPeerUnits, recentPeerUnits);
+        floodUnits += units;
+        peakPeerUnits =
+            Math.max(peakPeerUnits, floodUnits * reports.delaySeconds() / FLOOD_SECONDS);
       }
     }
 
@@ -108,6 +114,9 @@
     }
   }
 
+  /** Averages over single large requests. */
+  private static final double FLOOD_SECONDS = 0.5;
+
   /** Longer than the window in which quotas are checked. */
   private static final double PEAK_MEMORY_SECONDS = 10;
 
@@ -171,7 +180,7 @@
     if (!bucket.admits(cost, spareCapacity, tolerance)) {
       return false;
     }
-    bucket.consume(cost, Coverage.THIS_NODE);
+    bucket.consume(cost, Coverage.THIS_NODE, reports);
     return true;
   }
 
@@ -196,7 +205,7 @@
   public void refund(TeamPolicy team, long tokens) {
     Bucket bucket = buckets.get(team.name());
     if (bucket != null && team.quota().isLimited()) {
-      bucket.consume(-team.quota().cost(tokens), Coverage.THIS_NODE);
+      bucket.consume(-team.quota().cost(tokens), Coverage.THIS_NODE, reports);
     }
   }
 
@@ -262,7 +271,7 @@
           Bucket bucket = buckets.get(team);
           if (bucket != null) {
             bucket.refill(visibleFraction, tolerance, reports, nowNanos);
-            bucket.consume(increase, coverage);
+            bucket.consume(increase, coverage, reports);
           }
         });
   }
