--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/QuotaReports.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/QuotaReports.java
@@ -6,7 +6,7 @@
  */
 public enum QuotaReports {
   /** All nodes report to each other. */
-  DIRECT(0.15, 0.7),
+  DIRECT(0.15, 0.6),
 
   /** Usage of other cells arrives as a sum, over the heads of two cells. */
   BETWEEN_CELLS(0.4, 0.1);
