--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/QuotaLedger.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/QuotaLedger.java
@@ -82,12 +82,14 @@
       }
     }
 
-    private boolean admits(double cost, boolean spareCapacity, QuotaTolerance tolerance) {
+    private boolean admits(
+        double cost, boolean spareCapacity, QuotaTolerance tolerance, QuotaReports reports) {
       boolean covered = balanceUnits >= cost;
-      if (!covered && !(spareCapacity && hasSurplus(tolerance))) {
+      if (!covered && !(spareCapacity && hasSurplus(tolerance, reports))) {
         return false;
       }
-      double headroomUnits = balanceUnits + (spareCapacity ? tolerance.overdraftUnits(quota) : 0);
+      double headroomUnits =
+          balanceUnits + (spareCapacity ? tolerance.overdraftUnits(quota, reports) : 0);
       return headroomUnits >= peakPeerUnits || takeCredit(headroomUnits / peakPeerUnits);
     }
 
@@ -108,8 +110,8 @@
      * Returns whether the surplus allows a request. Its own cost does not count, since large
      * requests would otherwise hardly ever get through between small ones.
      */
-    private boolean hasSurplus(QuotaTolerance tolerance) {
-      double overdraftUnits = tolerance.overdraftUnits(quota);
+    private boolean hasSurplus(QuotaTolerance tolerance, QuotaReports reports) {
+      double overdraftUnits = tolerance.overdraftUnits(quota, reports);
       return overdraftUnits > 0 && balanceUnits - recentPeerUnits > -overdraftUnits;
     }
   }
@@ -177,7 +179,7 @@
     }
     Bucket bucket = refill(team.name(), quota, nowNanos);
     double cost = quota.cost(tokens);
-    if (!bucket.admits(cost, spareCapacity, tolerance)) {
+    if (!bucket.admits(cost, spareCapacity, tolerance, reports)) {
       return false;
     }
     bucket.consume(cost, Coverage.THIS_NODE, reports);
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/QuotaReports.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/QuotaReports.java
@@ -6,16 +6,18 @@
  */
 public enum QuotaReports {
   /** All nodes report to each other. */
-  DIRECT(0.15, 0.6),
+  DIRECT(0.15, 0.3, 0.4),
 
   /** Usage of other cells arrives as a sum, over the heads of two cells. */
-  BETWEEN_CELLS(0.4, 0.1);
+  BETWEEN_CELLS(0.4, 0.1, 0.1);
 
   private final double delaySeconds;
+  private final double overdraftFraction;
   private final double surplusFraction;
 
-  QuotaReports(double delaySeconds, double surplusFraction) {
+  QuotaReports(double delaySeconds, double overdraftFraction, double surplusFraction) {
     this.delaySeconds = delaySeconds;
+    this.overdraftFraction = overdraftFraction;
     this.surplusFraction = surplusFraction;
   }
 
@@ -28,6 +30,15 @@
     return delaySeconds;
   }
 
+  /**
+   * Returns how much of the tolerance a team may use at once.
+   *
+   * @return a fraction of the tolerance
+   */
+  double overdraftFraction() {
+    return overdraftFraction;
+  }
+
   /**
    * Returns how much of the tolerance a team may use evenly over each window.
    *
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/QuotaTolerance.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/QuotaTolerance.java
@@ -13,18 +13,16 @@
  * @param slackUnits the allowed excess in addition to the fraction, in units
  */
 public record QuotaTolerance(double windowSeconds, double excessFraction, double slackUnits) {
-  /** Fraction of the tolerance that a team may use at once. */
-  private static final double OVERDRAFT_FRACTION = 0.1;
-
   /**
    * Returns how far the balance of a team may fall below zero before a request that uses spare
    * capacity.
    *
    * @param quota the quota of the team
+   * @param reports how nodes learn of each other's usage
    * @return the allowed overdraft in units
    */
-  double overdraftUnits(TokenQuota quota) {
-    return OVERDRAFT_FRACTION * toleratedUnits(quota);
+  double overdraftUnits(TokenQuota quota, QuotaReports reports) {
+    return reports.overdraftFraction() * toleratedUnits(quota);
   }
 
   /**
--- a/org.cranberrystand/src/test/java/org/cranberrystand/dispatch/QuotaLedgerTest.java
+++ b/org.cranberrystand/src/test/java/org/cranberrystand/dispatch/QuotaLedgerTest.java
@@ -7,6 +7,7 @@
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
 import java.util.OptionalInt;
+import java.util.Random;
 import org.cranberrystand.routing.TeamPolicy;
 import org.cranberrystand.routing.TokenQuota;
 import org.testng.annotations.Test;
@@ -209,9 +210,10 @@
   @Test
   public void largeRequestsGetTheirShareOfTheSurplus() {
     QuotaLedger ledger = new QuotaLedger(TOLERANCE, true);
+    Random random = new Random(1);
     int[] admitted = new int[2];
     for (int i = 0; i < 20_000; i++) {
-      boolean large = i % 10 == 0;
+      boolean large = random.nextInt(10) == 0;
       if (ledger.tryConsume(LARGE_TEAM, large ? 40_000 : 2_000, true, i * SECOND / 200)) {
         admitted[large ? 1 : 0]++;
       }
