Start without the command line parser

Ruled out: leaving picocli (house style; the command line keeps it), a class version of 50 in a copied jar (a build step on a library). Change: GatewayProgram runs a gateway without arguments directly (GatewayRun); GatewayCommand parses arguments.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/GatewayProgram.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/GatewayProgram.java
@@ -1,156 +1,41 @@
 package org.cranberrystand.daemon;
 
-import java.io.IOException;
 import java.io.PrintWriter;
-import java.nio.file.Files;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
-import java.util.concurrent.Callable;
-import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.TimeUnit;
-import java.util.logging.Handler;
-import java.util.logging.Level;
-import org.cranberrystand.daemon.gateway.Gateway;
 import org.cranberrystand.daemon.gateway.GatewayPorts;
-import org.cranberrystand.daemon.internal.EventLog;
-import org.cranberrystand.event.LogEvent;
-import org.cranberrystand.util.Checked;
-import org.cranberrystand.wire.settings.GatewaySettings;
-import org.cranberrystand.wire.settings.GatewaySettingsParser;
-import picocli.CommandLine;
-import picocli.CommandLine.Command;
-import picocli.CommandLine.Model.CommandSpec;
-import picocli.CommandLine.Option;
-import picocli.CommandLine.Spec;
 
 /**
- * Command line program of a gateway: reads the settings, handles signals and starts the gateway.
+ * The program of a gateway. Thread-safe.
+ *
+ * <p>Without arguments it takes its settings file from the environment and does without the command
+ * line parser; this is how the platform starts it, and a restart has to be fast.
  */
-@Command(
-    name = "cranberrystand-gateway",
-    mixinStandardHelpOptions = true,
-    version = "cranberrystand-gateway 0.1.0",
-    description = "Runs one node that forwards callers' requests by declared routes.",
-    exitCodeListHeading = "Exit codes:%n",
-    exitCodeList = {
-      "0:ended after a graceful shutdown, or the checked settings are valid",
-      "1:the node could not be started or failed to shut down",
-      "2:the command line or the settings are invalid"
-    })
-public final class GatewayProgram implements Callable<Integer> {
-  private static final int EXIT_FAILED = 1;
-  private static final int EXIT_INVALID = 2;
+public final class GatewayProgram {
+  /** Names the settings file if the command line does not. */
+  static final String CONFIG_VARIABLE = "CRANBERRYSTAND_CONFIG";
 
-  /** How often the settings file is read, since it may change without a SIGHUP. */
-  private static final long SETTINGS_POLL_INTERVAL_SECONDS = 2;
+  /** A system property: true for a start that records its classes for the class archive. */
+  static final String TRAINING_PROPERTY = "cranberrystand.training";
 
-  private final GatewayPorts ports;
-
-  @Spec private CommandSpec spec;
-
-  @Option(
-      names = "--config",
-      paramLabel = "FILE",
-      defaultValue = "${env:CRANBERRYSTAND_CONFIG}",
-      required = true,
-      description =
-          "Settings of the node in TOML; by default the file that CRANBERRYSTAND_CONFIG"
-              + " names.")
-  private Path config;
-
-  @Option(names = "--check", description = "Check the settings and exit.")
-  private boolean checkOnly;
-
-  @Option(
-      names = "--training-run",
-      description =
-          "Start, answer some requests of its own and end, to record the classes of a"
-              + " start with -XX:ArchiveClassesAtExit.")
-  private boolean trainingRun;
-
-  private GatewayProgram(GatewayPorts ports) {
-    this.ports = ports;
-  }
+  private GatewayProgram() {}
 
   /**
-   * Parses the command line and runs the gateway until it is told to stop.
+   * Runs the gateway until it is told to stop.
    *
    * @param ports the adapters to the platform of the gateway
    * @param args the command line
    * @return the exit code: 0 for success, 1 for a failure, 2 for invalid input
+   * @throws InterruptedException if the thread is interrupted while the gateway runs
    */
-  public static int execute(GatewayPorts ports, String... args) {
-    return new CommandLine(new GatewayProgram(ports)).execute(args);
-  }
-
-  @Override
-  public Integer call() throws Exception {
-    PrintWriter err = spec.commandLine().getErr();
-    String settingsText;
-    try {
-      settingsText = Files.readString(config);
-    } catch (IOException e) {
-      err.println(config + ": cannot be read: " + e);
-      return EXIT_INVALID;
-    }
-    Checked<GatewaySettings> settings =
-        GatewaySettingsParser.parse(config.toString(), settingsText);
-    if (settings instanceof Checked.Invalid<GatewaySettings> invalid) {
-      invalid.findings().forEach(err::println);
-      return EXIT_INVALID;
-    }
-    if (checkOnly) {
-      spec.commandLine().getOut().println(config + ": settings are valid");
-      return 0;
-    }
-    Handler output = LogOutput.installJsonLinesHandler(Level.INFO);
-    int exitCode = runGateway(settings.orElseThrow(), settingsText);
-    output.close();
-    return exitCode;
-  }
-
-  private int runGateway(GatewaySettings settings, String settingsText) {
-    EventLog log = new EventLog(settings.node());
-    CountDownLatch terminated = new CountDownLatch(1);
-    try {
-      // Installed before the start, so that a signal during the start causes a graceful shutdown.
-      ProcessSignals.onTermination(terminated::countDown);
-      // SIGHUP would end the process; the poll below already reloads changed settings.
-      ProcessSignals.onReload(() -> {});
-      try (Gateway gateway = Gateway.start(settings, ports, log)) {
-        if (trainingRun) {
-          TrainingRun.execute(gateway);
-          return 0;
-        }
-        String currentText = settingsText;
-        while (!terminated.await(SETTINGS_POLL_INTERVAL_SECONDS, TimeUnit.SECONDS)) {
-          currentText = reloadIfChanged(gateway, currentText, log);
-        }
-        gateway.shutDownGracefully().toCompletableFuture().join();
-      }
-    } catch (Exception e) {
-      log.write(LogEvent.TASK_FAILED, "task=gateway", e);
-      return EXIT_FAILED;
-    }
-    return 0;
-  }
-
-  private String reloadIfChanged(Gateway gateway, String currentText, EventLog log) {
-    String newText;
-    try {
-      newText = Files.readString(config);
-    } catch (IOException e) {
-      log.write(LogEvent.SETTINGS_INVALID, "file=" + config, e);
-      return currentText;
-    }
-    if (newText.equals(currentText)) {
-      return currentText;
-    }
-    Checked<GatewaySettings> newSettings = GatewaySettingsParser.parse(config.toString(), newText);
-    if (newSettings instanceof Checked.Invalid<GatewaySettings> invalid) {
-      log.write(LogEvent.SETTINGS_INVALID, "cause=" + invalid.findings());
-    } else {
-      gateway.reload(newSettings.orElseThrow());
+  public static int execute(GatewayPorts ports, String... args) throws InterruptedException {
+    String config = System.getenv(CONFIG_VARIABLE);
+    if (args.length > 0 || config == null) {
+      return GatewayCommand.execute(ports, args);
     }
-    return newText;
+    PrintWriter err = new PrintWriter(System.err, true, StandardCharsets.UTF_8);
+    GatewayRun.Mode mode =
+        Boolean.getBoolean(TRAINING_PROPERTY) ? GatewayRun.Mode.TRAIN : GatewayRun.Mode.SERVE;
+    return new GatewayRun(ports, Path.of(config), err).execute(mode);
   }
 }
