Check where a resumed stream begins

Cause: an upstream that ignores the identifier of the last event gave the caller the same events twice; "id:" inside the data of an event counted as an event and slowed learned paces. Identifiers are read at the start of lines.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/EventSplitter.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/EventSplitter.java
@@ -1,5 +1,6 @@
 package org.cranberrystand.daemon.gateway;
 
+import com.google.common.primitives.Longs;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import java.nio.charset.StandardCharsets;
@@ -14,6 +15,7 @@
   private static final String ID_FIELD = "id:";
 
   private final ByteBuf pending = Unpooled.buffer();
+  private String firstEventId;
   private String lastEventId;
   private int eventCount;
 
@@ -54,20 +56,23 @@
 
   private void recordEvents(ByteBuf events) {
     String text = events.toString(StandardCharsets.UTF_8);
-    for (int index = text.indexOf(ID_FIELD);
-        index >= 0;
-        index = text.indexOf(ID_FIELD, index + 1)) {
-      eventCount++;
-    }
-    int index = text.lastIndexOf("\n" + ID_FIELD);
-    int start = index >= 0 ? index + 1 : text.startsWith(ID_FIELD) ? 0 : -1;
-    if (start >= 0) {
-      int end = text.indexOf('\n', start);
-      lastEventId =
-          text.substring(start + ID_FIELD.length(), end < 0 ? text.length() : end).strip();
+    int lineStart = 0;
+    while (lineStart < text.length()) {
+      int newline = text.indexOf('\n', lineStart);
+      int lineEnd = newline < 0 ? text.length() : newline;
+      if (text.startsWith(ID_FIELD, lineStart)) {
+        recordEventId(text.substring(lineStart + ID_FIELD.length(), lineEnd).strip());
+      }
+      lineStart = lineEnd + 1;
     }
   }
 
+  private void recordEventId(String id) {
+    eventCount++;
+    firstEventId = firstEventId == null ? id : firstEventId;
+    lastEventId = id;
+  }
+
   /** Returns the number of events completed since the last call. */
   int takeEventCount() {
     int taken = eventCount;
@@ -75,6 +80,16 @@
     return taken;
   }
 
+  /**
+   * Returns whether the stream begins after an event, as it must if it was resumed there.
+   * Identifiers that are not numbers cannot be compared and are accepted.
+   */
+  boolean beginsAfter(String eventId) {
+    Long first = firstEventId == null ? null : Longs.tryParse(firstEventId);
+    Long previous = Longs.tryParse(eventId);
+    return first == null || previous == null || first > previous;
+  }
+
   /** Returns the identifier of the last complete event, or null. */
   String lastEventId() {
     return lastEventId;
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/ResponseAssembler.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/ResponseAssembler.java
@@ -67,6 +67,11 @@
     return response.status();
   }
 
+  /** Returns whether the stream begins after an event, as it must if it was resumed there. */
+  boolean beginsAfter(String eventId) {
+    return eventSplitter.beginsAfter(eventId);
+  }
+
   /** Returns whether the upstream states that it did not run the request. */
   boolean isNotRun() {
     return headers.notRun();
--- a/org.cranberrystand.daemon/src/test/java/org/cranberrystand/daemon/gateway/EventSplitterTest.java
+++ b/org.cranberrystand.daemon/src/test/java/org/cranberrystand/daemon/gateway/EventSplitterTest.java
@@ -35,6 +35,20 @@
     assertFalse(splitter.hasPartialEvent());
   }
 
+  /**
+   * Guards against counting the data of an event as events, and against a wrong last identifier.
+   */
+  @Test
+  public void identifiersAreReadAtTheStartOfLinesOnly() {
+    add("id: 4\ndata: id: 9 id: 8\n\nid: 5\ndata: x\n\n");
+
+    assertEquals(splitter.takeEventCount(), 2);
+    assertEquals(splitter.lastEventId(), "5");
+    assertTrue(splitter.beginsAfter("3"));
+    assertFalse(splitter.beginsAfter("4"));
+    assertTrue(splitter.beginsAfter("x"));
+  }
+
   @Test
   public void lineEndsWithCarriageReturnsAreRead() {
     assertEquals(add("id: 7\r\ndata: a\r\n\r"), "");
