Bound idle connections by what upstreams accept from all nodes

Cause: MaxConnections was decoded and not used. 90 nodes with 8 idle connections each hold 720 at an upstream that takes 600; it resets what goes beyond, requests too. Found by reading. Ruled out: bounding connections in use (slots bound them). Change: half of the limit, divided by the known nodes, 1 to 8 for each node and upstream.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/FleetState.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/FleetState.java
@@ -1,7 +1,9 @@
 package org.cranberrystand.daemon.gateway;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.Maps;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicReference;
@@ -130,6 +132,16 @@
     registry.sourceRegained(System.nanoTime());
   }
 
+  /** Limits the idle connections to upstreams so that those of all nodes stay within the limits. */
+  void limitIdleConnections(int nodes) {
+    RoutingTable table = routing.get();
+    if (table != null) {
+      client.setMaxIdleConnections(
+          ImmutableMap.copyOf(
+              Maps.transformValues(table.pools(), pool -> pool.idleConnectionsPerNode(nodes))));
+    }
+  }
+
   /** An upstream announced in a response to this node that it is leaving. */
   void upstreamLeaving(RegisteredUpstream upstream) {
     if (registry.announcedLeaving(upstream)) {
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Gateway.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Gateway.java
@@ -249,6 +249,7 @@
     reports.refresh(now);
     int nodes = peers.nodeCount(now);
     retries.setNodeCount(nodes);
+    fleet.limitIdleConnections(nodes);
     metrics.setLoad(
         dispatcher.waitingCount(), dispatcher.runningCount(), callers.connectionCount(), nodes);
     offer.set(buildOffer(now));
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/UpstreamClient.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/UpstreamClient.java
@@ -1,5 +1,6 @@
 package org.cranberrystand.daemon.gateway;
 
+import com.google.common.collect.ImmutableMap;
 import com.google.common.net.HostAndPort;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
@@ -34,8 +35,8 @@
   /** A reachable upstream accepts a connection within a few milliseconds. */
   private static final int CONNECT_TIMEOUT_MILLIS = 250;
 
-  /** Limit of idle connections per upstream. */
-  private static final int MAX_IDLE_CONNECTIONS = 8;
+  /** Limit of idle connections per upstream before the declaration of its pool is known. */
+  private static final int DEFAULT_MAX_IDLE_CONNECTIONS = 1;
 
   private static final int MAX_LINE_BYTES = 8_192;
   private static final int MAX_HEADER_BYTES = 32_768;
@@ -45,6 +46,7 @@
   private final HeaderCodec headerCodec;
   private final EventLog log;
   private final Map<String, Deque<UpstreamConnection>> idleConnections = new HashMap<>();
+  private ImmutableMap<String, Integer> maxIdleByPool = ImmutableMap.of();
 
   UpstreamClient(EventLoop loop, HeaderCodec headerCodec, EventLog log) {
     this.headerCodec = headerCodec;
@@ -69,6 +71,11 @@
                 });
   }
 
+  /** Sets how many idle connections are kept to one upstream, by pool. */
+  void setMaxIdleConnections(ImmutableMap<String, Integer> byPool) {
+    maxIdleByPool = byPool;
+  }
+
   /**
    * Sends a request.
    *
@@ -104,21 +111,22 @@
             exchange.cancelled = true;
             listener.connectFailed(future.cause());
           } else {
-            UpstreamConnection opened = open(upstream.id(), connect.channel());
+            UpstreamConnection opened = open(upstream, connect.channel());
             exchange.start(opened, opened.send(request, body, requestId, listener));
           }
         });
     return exchange;
   }
 
-  private UpstreamConnection open(String id, Channel channel) {
+  private UpstreamConnection open(RegisteredUpstream upstream, Channel channel) {
+    String id = upstream.id();
     UpstreamConnection connection =
         new UpstreamConnection(
             headerCodec,
             new UpstreamConnection.Owner() {
               @Override
               public void connectionIdle(UpstreamConnection idleConnection) {
-                addIdle(id, idleConnection);
+                addIdle(upstream, idleConnection);
               }
 
               @Override
@@ -136,10 +144,11 @@
     return connection;
   }
 
-  private void addIdle(String id, UpstreamConnection connection) {
+  private void addIdle(RegisteredUpstream upstream, UpstreamConnection connection) {
     Deque<UpstreamConnection> connections =
-        idleConnections.computeIfAbsent(id, i -> new ArrayDeque<>());
-    if (connections.size() >= MAX_IDLE_CONNECTIONS) {
+        idleConnections.computeIfAbsent(upstream.id(), i -> new ArrayDeque<>());
+    int maxIdle = maxIdleByPool.getOrDefault(upstream.pool(), DEFAULT_MAX_IDLE_CONNECTIONS);
+    while (connections.size() >= maxIdle) {
       connections.pollLast().close();
     }
     connections.addFirst(connection);
