--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RequestRelay.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RequestRelay.java
@@ -402,7 +402,9 @@
         ResponseAssembler received, ByteBuf events, int count, String eventId) {
       if (!attemptHasEvents && lastEventId != null && !received.beginsAfter(lastEventId)) {
         events.release();
-        failAttempt("stream not resumed after event " + lastEventId);
+        attempt.cancel();
+        attempt = null;
+        retryOrFail("stream not resumed after event " + lastEventId, CallEnding.FAILED);
         return;
       }
       if (firstResponseNanos == 0) {
@@ -415,16 +417,6 @@
       exchange.sendPart(events);
     }
 
-    /** Ends an attempt whose response is wrong while the upstream is still sending it. */
-    private void failAttempt(String cause) {
-      endAttempt(CallEnding.FAILED);
-      if (tryAcquireRetry()) {
-        retry(cause);
-      } else {
-        fail(HttpResponseStatus.BAD_GATEWAY, cause);
-      }
-    }
-
     private void startResponse(ResponseAssembler received) {
       if (!responseStarted) {
         responseStarted = true;
