Take the first read of a later era for no restoration

Cause: found by reading the change again. The follower and FleetState each decided whether the store had been restored, and FleetState's check lacked the follower's guard for a node that has read nothing yet. A node that started while the store was in era 1 or later kept removed upstreams for 2.2 s, 0.2 s longer than an upstream without a word may get requests. Change: the follower alone decides and tells its listener (storeRestored).

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/FleetState.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/FleetState.java
@@ -50,11 +50,13 @@
     return published.get();
   }
 
+  @Override
+  public void storeRestored() {
+    registry.sourceRestored(System.nanoTime());
+  }
+
   @Override
   public void stateReplaced(PublishedState state) {
-    if (!state.version().isSameEra(published.get().version())) {
-      registry.sourceRestored(System.nanoTime());
-    }
     published.set(state);
     List<RegisteredUpstream> listed = new ArrayList<>();
     state.values().values().forEach(value -> apply(value, listed));
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/PublishedFollower.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/PublishedFollower.java
@@ -34,6 +34,9 @@
 
   /** Receives changes of the published state and of the store's availability. */
   interface Listener {
+    /** The store was restored from a copy; a call of {@link #stateReplaced} follows. */
+    void storeRestored();
+
     /** The complete state was read again. */
     void stateReplaced(PublishedState state);
 
@@ -176,6 +179,7 @@
       log.write(
           LogEvent.STORE_RESTORED,
           "version=" + replacement.version() + " known=" + version() + " source=" + source);
+      listener.storeRestored();
     }
     state = replacement;
     listener.stateReplaced(state);
--- a/org.cranberrystand.daemon/src/test/java/org/cranberrystand/daemon/gateway/PublishedFollowerTest.java
+++ b/org.cranberrystand.daemon/src/test/java/org/cranberrystand/daemon/gateway/PublishedFollowerTest.java
@@ -62,6 +62,11 @@
   private static final class RecordedCalls implements PublishedFollower.Listener {
     private final BlockingQueue<String> calls = new LinkedBlockingQueue<>();
 
+    @Override
+    public void storeRestored() {
+      calls.add("restored");
+    }
+
     @Override
     public void stateReplaced(PublishedState state) {
       calls.add("replaced " + state.version());
@@ -177,6 +182,7 @@
     store.nextWatch().answer().complete(new PublishedStore.HistoryLost());
     store.nextList().complete(state(2, 80));
 
+    assertEquals(listener.next(), "restored");
     assertEquals(listener.next(), "replaced 2.80");
     assertEquals(store.nextWatch().after(), version(2, 80));
   }
@@ -195,6 +201,7 @@
         .complete(new PublishedStore.Changes(version(2, 101), ImmutableList.of(value)));
     store.nextList().complete(state(2, 101));
 
+    assertEquals(listener.next(), "restored");
     assertEquals(listener.next(), "replaced 2.101");
     assertEquals(store.nextWatch().after(), version(2, 101));
   }
@@ -208,6 +215,7 @@
         () ->
             follower.applyPeerUpdate(
                 new PublishedUpdate(version(2, 80), true, ImmutableList.of())));
+    assertEquals(listener.next(), "restored");
     assertEquals(listener.next(), "replaced 2.80");
     delayed.answer().complete(new PublishedStore.Changes(version(1, 101), ImmutableList.of()));
 
