Simplify the quota bucket, idle limits and the start of a gateway

Found by reading the change again. - The bucket of a team is an inner class of the ledger; tolerance, reports and the visible fraction were handed through four methods, and the overdraft was worked out twice. - QuotaFloodTest stands beside the test of the ledger and uses its team and tolerance. Before the first count, a tenth of a second after the start, a node counts itself only. - Event 5024 names the upstreams of a report; the list of records garbled its fields. - GatewayRun throws nothing that it catches itself; the name of the variable with the settings stands once; one exchange() serves the tests with a gateway; PlatformStore.era returns early. No change of behaviour but the log line and the first tenth of a second. No bound or expectation of a test changed.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/GatewayCommand.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/GatewayCommand.java
@@ -29,10 +29,11 @@
   @Option(
       names = "--config",
       paramLabel = "FILE",
-      defaultValue = "${env:CRANBERRYSTAND_CONFIG}",
+      defaultValue = "${env:" + GatewayProgram.CONFIG_VARIABLE + "}",
       required = true,
       description =
-          "Settings of the node in TOML; by default the file that CRANBERRYSTAND_CONFIG"
+          "Settings of the node in TOML; by default the file that "
+              + GatewayProgram.CONFIG_VARIABLE
               + " names.")
   private Path config;
 
@@ -55,7 +56,7 @@
   }
 
   @Override
-  public Integer call() throws Exception {
+  public Integer call() {
     GatewayRun.Mode mode = checkOnly ? GatewayRun.Mode.CHECK : GatewayRun.Mode.SERVE;
     int exitCode = new GatewayRun(ports, config, spec.commandLine().getErr()).execute(mode);
     if (checkOnly && exitCode == 0) {
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/GatewayProgram.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/GatewayProgram.java
@@ -16,7 +16,7 @@
   static final String CONFIG_VARIABLE = "CRANBERRYSTAND_CONFIG";
 
   /** A system property: true for a start that records its classes for the class archive. */
-  static final String TRAINING_PROPERTY = "cranberrystand.training";
+  private static final String TRAINING_PROPERTY = "cranberrystand.training";
 
   private GatewayProgram() {}
 
@@ -26,9 +26,8 @@
    * @param ports the adapters to the platform of the gateway
    * @param args the command line
    * @return the exit code: 0 for success, 1 for a failure, 2 for invalid input
-   * @throws InterruptedException if the thread is interrupted while the gateway runs
    */
-  public static int execute(GatewayPorts ports, String... args) throws InterruptedException {
+  public static int execute(GatewayPorts ports, String... args) {
     String config = System.getenv(CONFIG_VARIABLE);
     if (args.length > 0 || config == null) {
       return GatewayCommand.execute(ports, args);
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/GatewayRun.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/GatewayRun.java
@@ -23,8 +23,8 @@
  * start. Used by one thread.
  */
 final class GatewayRun {
-  static final int EXIT_FAILED = 1;
-  static final int EXIT_INVALID = 2;
+  private static final int EXIT_FAILED = 1;
+  private static final int EXIT_INVALID = 2;
 
   /** How often the settings file is read, since it may change without a SIGHUP. */
   private static final long SETTINGS_POLL_INTERVAL_SECONDS = 2;
@@ -57,7 +57,7 @@
   }
 
   /** Runs the gateway and returns the exit code of the process. */
-  int execute(Mode mode) throws InterruptedException {
+  int execute(Mode mode) {
     String settingsText;
     try {
       settingsText = Files.readString(config);
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/FleetReports.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/FleetReports.java
@@ -47,7 +47,7 @@
 
   /** Receives the announcements of leaving upstreams that a report contains. */
   interface LeavingListener {
-    void leavingReported(String peer, Iterable<DrainTracker.Report> reports);
+    void leavingReported(String peer, ImmutableList<DrainTracker.Report> reports);
   }
 
   private final PeerTable table;
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/FleetState.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/FleetState.java
@@ -1,12 +1,11 @@
 package org.cranberrystand.daemon.gateway;
 
 import com.google.common.collect.ImmutableList;
-import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
-import com.google.common.collect.Maps;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.stream.Collectors;
 import org.cranberrystand.daemon.internal.EventLog;
 import org.cranberrystand.dispatch.CallDispatcher;
 import org.cranberrystand.event.LogEvent;
@@ -134,16 +133,6 @@
     registry.sourceRegained(System.nanoTime());
   }
 
-  /** Limits the idle connections to upstreams so that those of all nodes stay within the limits. */
-  void limitIdleConnections(int nodes) {
-    RoutingTable table = routing.get();
-    if (table != null) {
-      client.setMaxIdleConnections(
-          ImmutableMap.copyOf(
-              Maps.transformValues(table.pools(), pool -> pool.idleConnectionsPerNode(nodes))));
-    }
-  }
-
   /** An upstream announced in a response to this node that it is leaving. */
   void upstreamLeaving(RegisteredUpstream upstream) {
     if (registry.announcedLeaving(upstream)) {
@@ -153,9 +142,11 @@
   }
 
   /** Applies announcements of leaving upstreams that another node received. */
-  void leavingReported(String peer, Iterable<DrainTracker.Report> reports) {
+  void leavingReported(String peer, ImmutableList<DrainTracker.Report> reports) {
     if (registry.announcementsReported(reports)) {
-      log.write(LogEvent.UPSTREAM_LEAVING, "upstreams=" + reports + " source=" + peer);
+      String upstreams =
+          reports.stream().map(DrainTracker.Report::upstream).collect(Collectors.joining(","));
+      log.write(LogEvent.UPSTREAM_LEAVING, "upstreams=" + upstreams + " source=" + peer);
       applyUpstreams("peer");
     }
   }
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Gateway.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Gateway.java
@@ -30,6 +30,7 @@
 import org.cranberrystand.membership.PublishedVersion;
 import org.cranberrystand.routing.CallerLimits;
 import org.cranberrystand.routing.RoutingTable;
+import org.cranberrystand.routing.ServicePool;
 import org.cranberrystand.upstream.DrainTracker;
 import org.cranberrystand.wire.settings.GatewaySettings;
 import ratpack.exec.ExecController;
@@ -80,6 +81,7 @@
   private boolean fetchingState;
   private long upToDateNanos;
   private int ticks;
+  private int nodeCount = 1;
 
   private Gateway(GatewaySettings settings, GatewayPorts ports, EventLog log) {
     this.settings = settings;
@@ -89,7 +91,8 @@
     this.quotas = new QuotaLedger(settings.limits().quotaTolerance(), settings.startsWithFleet());
     this.retries =
         new RetryAllowance(settings.limits().retryRatio(), settings.limits().retrySlack());
-    UpstreamClient client = new UpstreamClient(loop, ports.headers(), log);
+    UpstreamClient client =
+        new UpstreamClient(loop, ports.headers(), this::maxIdleConnections, log);
     this.fleet = new FleetState(ports.decoder(), dispatcher, client, log);
     this.callers = new CallerServer(loop, this::callerLimits, admission::handleRequest);
     this.peers = new PeerTable(self(settings.listen().callers()));
@@ -229,6 +232,13 @@
     return table == null ? CallerLimits.defaults() : table.limits();
   }
 
+  /** Returns how many idle connections this node may keep to one upstream of a pool. */
+  private int maxIdleConnections(String pool) {
+    RoutingTable table = fleet.routing();
+    ServicePool declared = table == null ? null : table.pools().get(pool);
+    return declared == null ? 1 : declared.idleConnectionsPerNode(nodeCount);
+  }
+
   private void tick() {
     try {
       long now = System.nanoTime();
@@ -247,11 +257,10 @@
   private void refresh(long now) {
     fleet.expireUpstreams(now);
     reports.refresh(now);
-    int nodes = peers.nodeCount(now);
-    retries.setNodeCount(nodes);
-    fleet.limitIdleConnections(nodes);
+    nodeCount = peers.nodeCount(now);
+    retries.setNodeCount(nodeCount);
     metrics.setLoad(
-        dispatcher.waitingCount(), dispatcher.runningCount(), callers.connectionCount(), nodes);
+        dispatcher.waitingCount(), dispatcher.runningCount(), callers.connectionCount(), nodeCount);
     offer.set(buildOffer(now));
     follower.setPassive(peers.isStoreReadByOthers(now));
     fetchStateIfBehind(now);
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/UpstreamClient.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/UpstreamClient.java
@@ -1,6 +1,5 @@
 package org.cranberrystand.daemon.gateway;
 
-import com.google.common.collect.ImmutableMap;
 import com.google.common.net.HostAndPort;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
@@ -19,6 +18,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.ToIntFunction;
 import org.cranberrystand.daemon.internal.EventLog;
 import org.cranberrystand.event.LogEvent;
 import org.cranberrystand.upstream.RegisteredUpstream;
@@ -35,21 +35,31 @@
   /** A reachable upstream accepts a connection within a few milliseconds. */
   private static final int CONNECT_TIMEOUT_MILLIS = 250;
 
-  /** Limit of idle connections per upstream before the declaration of its pool is known. */
-  private static final int DEFAULT_MAX_IDLE_CONNECTIONS = 1;
-
   private static final int MAX_LINE_BYTES = 8_192;
   private static final int MAX_HEADER_BYTES = 32_768;
   private static final int MAX_CHUNK_BYTES = 16_384;
 
   private final Bootstrap bootstrap;
   private final HeaderCodec headerCodec;
+  private final ToIntFunction<String> maxIdleConnections;
   private final EventLog log;
   private final Map<String, Deque<UpstreamConnection>> idleConnections = new HashMap<>();
-  private ImmutableMap<String, Integer> maxIdleByPool = ImmutableMap.of();
 
-  UpstreamClient(EventLoop loop, HeaderCodec headerCodec, EventLog log) {
+  /**
+   * Creates a client without connections.
+   *
+   * @param loop the event loop on which the client is used
+   * @param headerCodec reads the headers of responses
+   * @param maxIdleConnections returns how many idle connections to keep to one upstream of a pool
+   * @param log the event log
+   */
+  UpstreamClient(
+      EventLoop loop,
+      HeaderCodec headerCodec,
+      ToIntFunction<String> maxIdleConnections,
+      EventLog log) {
     this.headerCodec = headerCodec;
+    this.maxIdleConnections = maxIdleConnections;
     this.log = log;
     this.bootstrap =
         new Bootstrap()
@@ -71,11 +81,6 @@
                 });
   }
 
-  /** Sets how many idle connections are kept to one upstream, by pool. */
-  void setMaxIdleConnections(ImmutableMap<String, Integer> byPool) {
-    maxIdleByPool = byPool;
-  }
-
   /**
    * Sends a request.
    *
@@ -147,7 +152,7 @@
   private void addIdle(RegisteredUpstream upstream, UpstreamConnection connection) {
     Deque<UpstreamConnection> connections =
         idleConnections.computeIfAbsent(upstream.id(), i -> new ArrayDeque<>());
-    int maxIdle = maxIdleByPool.getOrDefault(upstream.pool(), DEFAULT_MAX_IDLE_CONNECTIONS);
+    int maxIdle = maxIdleConnections.applyAsInt(upstream.pool());
     while (connections.size() >= maxIdle) {
       connections.pollLast().close();
     }
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/QuotaLedger.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/QuotaLedger.java
@@ -35,7 +35,8 @@
   /** The balances of teams that a source reported, in units, and the time of the report. */
   private record ReportedBalances(ImmutableMap<String, Double> balances, long receivedNanos) {}
 
-  private static final class Bucket {
+  /** The token bucket of one team. */
+  private final class Bucket {
     private TokenQuota quota;
     private double balanceUnits;
     private final EnumMap<Coverage, Double> usedUnits = new EnumMap<>(Coverage.class);
@@ -52,8 +53,7 @@
     private double admissionCredit = 0.5;
     private long refilledNanos;
 
-    private void refill(
-        double visibleFraction, QuotaTolerance tolerance, QuotaReports reports, long nowNanos) {
+    private void refill(long nowNanos) {
       double seconds = (nowNanos - refilledNanos) / 1e9;
       refilledNanos = nowNanos;
       recentPeerUnits *= Math.exp(-seconds / reports.delaySeconds());
@@ -69,7 +69,7 @@
       balanceUnits = Math.min(quota.burstUnits(), balanceUnits + earnedUnits);
     }
 
-    private void consume(double units, Coverage coverage, QuotaReports reports) {
+    private void consume(double units, Coverage coverage) {
       balanceUnits -= units;
       usedUnits.merge(coverage, units, Double::sum);
       if (coverage == Coverage.THIS_NODE) {
@@ -82,14 +82,12 @@
       }
     }
 
-    private boolean admits(
-        double cost, boolean spareCapacity, QuotaTolerance tolerance, QuotaReports reports) {
-      boolean covered = balanceUnits >= cost;
-      if (!covered && !(spareCapacity && hasSurplus(tolerance, reports))) {
+    private boolean admits(double cost, boolean spareCapacity) {
+      double overdraftUnits = spareCapacity ? tolerance.overdraftUnits(quota, reports) : 0;
+      if (balanceUnits < cost && !hasSurplus(overdraftUnits)) {
         return false;
       }
-      double headroomUnits =
-          balanceUnits + (spareCapacity ? tolerance.overdraftUnits(quota, reports) : 0);
+      double headroomUnits = balanceUnits + overdraftUnits;
       return headroomUnits >= peakPeerUnits || takeCredit(headroomUnits / peakPeerUnits);
     }
 
@@ -110,8 +108,7 @@
      * Returns whether the surplus allows a request. Its own cost does not count, since large
      * requests would otherwise hardly ever get through between small ones.
      */
-    private boolean hasSurplus(QuotaTolerance tolerance, QuotaReports reports) {
-      double overdraftUnits = tolerance.overdraftUnits(quota, reports);
+    private boolean hasSurplus(double overdraftUnits) {
       return overdraftUnits > 0 && balanceUnits - recentPeerUnits > -overdraftUnits;
     }
   }
@@ -179,10 +176,10 @@
     }
     Bucket bucket = refill(team.name(), quota, nowNanos);
     double cost = quota.cost(tokens);
-    if (!bucket.admits(cost, spareCapacity, tolerance, reports)) {
+    if (!bucket.admits(cost, spareCapacity)) {
       return false;
     }
-    bucket.consume(cost, Coverage.THIS_NODE, reports);
+    bucket.consume(cost, Coverage.THIS_NODE);
     return true;
   }
 
@@ -207,7 +204,7 @@
   public void refund(TeamPolicy team, long tokens) {
     Bucket bucket = buckets.get(team.name());
     if (bucket != null && team.quota().isLimited()) {
-      bucket.consume(-team.quota().cost(tokens), Coverage.THIS_NODE, reports);
+      bucket.consume(-team.quota().cost(tokens), Coverage.THIS_NODE);
     }
   }
 
@@ -220,7 +217,7 @@
       buckets.put(team, bucket);
     }
     bucket.quota = quota;
-    bucket.refill(visibleFraction, tolerance, reports, nowNanos);
+    bucket.refill(nowNanos);
     return bucket;
   }
 
@@ -272,8 +269,8 @@
           double increase = used - previous.getOrDefault(team, 0.0);
           Bucket bucket = buckets.get(team);
           if (bucket != null) {
-            bucket.refill(visibleFraction, tolerance, reports, nowNanos);
-            bucket.consume(increase, coverage, reports);
+            bucket.refill(nowNanos);
+            bucket.consume(increase, coverage);
           }
         });
   }
@@ -300,7 +297,7 @@
         (team, bucket) -> {
           // Without a refill, reported usage of other nodes would only ever lower the balance of a
           // team that sends this node few requests.
-          bucket.refill(visibleFraction, tolerance, reports, nowNanos);
+          bucket.refill(nowNanos);
           balances.put(team, bucket.balanceUnits);
         });
     return balances.build();
--- a/org.cranberrystand.bench/src/test/java/org/cranberrystand/bench/policy/QuotaFloodTest.java
+++ b/org.cranberrystand/src/test/java/org/cranberrystand/dispatch/QuotaFloodTest.java
@@ -1,21 +1,14 @@
-package org.cranberrystand.bench.policy;
+package org.cranberrystand.dispatch;
 
 import static org.testng.Assert.assertTrue;
 
 import com.google.common.collect.ImmutableMap;
-import com.google.common.collect.ImmutableSet;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
-import java.util.OptionalInt;
 import java.util.Queue;
 import java.util.Random;
-import org.cranberrystand.dispatch.QuotaLedger;
-import org.cranberrystand.dispatch.QuotaReports;
-import org.cranberrystand.dispatch.QuotaTolerance;
-import org.cranberrystand.routing.TeamPolicy;
-import org.cranberrystand.routing.TokenQuota;
 import org.testng.annotations.Test;
 
 /** Quotas of a fleet whose nodes learn of each other's usage with a delay. */
@@ -26,14 +19,6 @@
   /** What a node reports of its teams. */
   private record Report(ImmutableMap<String, Double> used, ImmutableMap<String, Double> balances) {}
 
-  private static final QuotaTolerance TOLERANCE = new QuotaTolerance(8, 0.25, 140_000);
-  private static final TeamPolicy LARGE_TEAM =
-      new TeamPolicy(
-          "large",
-          ImmutableSet.of("k"),
-          OptionalInt.empty(),
-          new TokenQuota(29_000, 60_000, true, 200));
-
   /**
    * Guards against a fleet that exceeds the tolerance because its nodes learn of each other's usage
    * late. The team floods all nodes after a calm time, with 15 times its quota.
@@ -62,7 +47,7 @@
     Random random = new Random(nodes);
     List<QuotaLedger> fleet = new ArrayList<>();
     for (int i = 0; i < nodes; i++) {
-      QuotaLedger ledger = new QuotaLedger(TOLERANCE, true);
+      QuotaLedger ledger = new QuotaLedger(QuotaLedgerTest.TOLERANCE, true);
       ledger.setReports(reports);
       fleet.add(ledger);
     }
@@ -77,7 +62,8 @@
         long cost = random.nextInt(20) == 0 ? 30_000 : 3_000;
         offered -= cost;
         int node = random.nextInt(nodes);
-        used[node] += fleet.get(node).tryConsume(LARGE_TEAM, cost, true, now) ? cost : 0;
+        used[node] +=
+            fleet.get(node).tryConsume(QuotaLedgerTest.LARGE_TEAM, cost, true, now) ? cost : 0;
       }
       usedByTick.add(used);
       if (tick % REPORT_INTERVAL_TICKS == 0) {
--- a/org.cranberrystand/src/test/java/org/cranberrystand/dispatch/QuotaLedgerTest.java
+++ b/org.cranberrystand/src/test/java/org/cranberrystand/dispatch/QuotaLedgerTest.java
@@ -188,8 +188,8 @@
     assertEquals(ledger.usedUnits(QuotaLedger.Coverage.THIS_NODE).get("estrela"), 200.0);
   }
 
-  private static final QuotaTolerance TOLERANCE = new QuotaTolerance(8, 0.25, 140_000);
-  private static final TeamPolicy LARGE_TEAM =
+  static final QuotaTolerance TOLERANCE = new QuotaTolerance(8, 0.25, 140_000);
+  static final TeamPolicy LARGE_TEAM =
       new TeamPolicy(
           "large",
           ImmutableSet.of("k"),
