Log the rate limits that upstreams state

The header is decoded, kept from callers and logged when it changes (5027), and a gauge counts the upstreams with a limit. Placement is unchanged.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Gateway.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Gateway.java
@@ -21,6 +21,7 @@
 import org.cranberrystand.dispatch.CrashRegister;
 import org.cranberrystand.dispatch.QuotaLedger;
 import org.cranberrystand.dispatch.RetryAllowance;
+import org.cranberrystand.dispatch.UpstreamLimits;
 import org.cranberrystand.event.LogEvent;
 import org.cranberrystand.membership.AddressOffer;
 import org.cranberrystand.membership.NodeInfo;
@@ -67,6 +68,7 @@
   private final QuotaLedger quotas;
   private final RetryAllowance retries;
   private final CrashRegister crashes = new CrashRegister();
+  private final UpstreamLimits limits = new UpstreamLimits();
   private final PeerTable peers;
   private final FleetState fleet;
   private final CallerServer callers;
@@ -110,7 +112,7 @@
             quotas,
             retries,
             crashes,
-            new UpstreamSignals(fleet, dispatcher, log),
+            new UpstreamSignals(fleet, dispatcher, limits, log),
             fleet::routing,
             shutdown::isRefusingRequests,
             lag,
@@ -261,6 +263,7 @@
     retries.setNodeCount(nodeCount);
     metrics.setLoad(
         dispatcher.waitingCount(), dispatcher.runningCount(), callers.connectionCount(), nodeCount);
+    metrics.setLimitedUpstreams(limits.limitedCount());
     offer.set(buildOffer(now));
     follower.setPassive(peers.isStoreReadByOthers(now));
     fetchStateIfBehind(now);
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/GatewayMetrics.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/GatewayMetrics.java
@@ -32,6 +32,7 @@
   private final AtomicInteger running = gauge("requests.running");
   private final AtomicInteger connections = gauge("caller.connections");
   private final AtomicInteger nodes = gauge("nodes");
+  private final AtomicInteger limitedUpstreams = gauge("upstreams.limited");
   private final Map<String, Counter> outcomes = new HashMap<>();
   private final Map<String, Timer> firstResponseTimers = new HashMap<>();
 
@@ -48,6 +49,10 @@
     nodes.set(nodeCount);
   }
 
+  void setLimitedUpstreams(int count) {
+    limitedUpstreams.set(count);
+  }
+
   /** Records a finished request; must be called on the event loop. */
   void recordEnded(
       Route route, String outcome, long arrivalNanos, long firstResponseNanos, long endNanos) {
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RequestRelay.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RequestRelay.java
@@ -67,6 +67,7 @@
   private boolean responseStarted;
   private boolean attemptHasEvents;
   private long firstResponseNanos;
+  private long sentNanos;
   private long lastByteNanos;
   private String lastEventId;
   private ResponseAssembler response;
@@ -131,7 +132,8 @@
     upstream = chosen;
     placement = choice;
     attemptHasEvents = false;
-    lastByteNanos = System.nanoTime();
+    sentNanos = System.nanoTime();
+    lastByteNanos = sentNanos;
     runCount++;
     log.placed(chosen, choice, runCount);
     response = new ResponseAssembler(new ResponseForwarder(), route.kind().isStreaming());
@@ -379,7 +381,7 @@
 
     @Override
     public void headReceived(ResponseHeaders headers) {
-      context.signals().received(upstream, headers);
+      context.signals().received(upstream, headers, sentNanos);
       bytesReceived();
     }
 
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/ResponseHeaders.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/ResponseHeaders.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import org.cranberrystand.dispatch.PauseRequest;
+import org.cranberrystand.dispatch.RateLimit;
 
 /**
  * The parsed headers of an upstream's response.
@@ -12,13 +13,15 @@
  * @param leaving whether the upstream states that it is leaving
  * @param pause how long the upstream wants no further requests from this node; empty if it does not
  *     say
+ * @param limit the rate to which the upstream limits all nodes together
  */
 public record ResponseHeaders(
     String requestId,
     boolean sealed,
     boolean notRun,
     boolean leaving,
-    Optional<PauseRequest> pause) {
+    Optional<PauseRequest> pause,
+    RateLimit limit) {
 
   /** Returns the text that the log writes after got=; the log keeps the old name of the record. */
   @Override
--- a/org.cranberrystand/src/main/java/org/cranberrystand/event/LogEvent.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/event/LogEvent.java
@@ -89,7 +89,9 @@
   /** An upstream wants no requests from this node for some time. */
   UPSTREAM_PAUSED(5025, Severity.INFO, "upstream paused by its own request"),
   /** A header of the platform has a value that cannot be used. */
-  HEADER_IGNORED(5026, Severity.WARNING, "value of a header ignored");
+  HEADER_IGNORED(5026, Severity.WARNING, "value of a header ignored"),
+  /** An upstream set, changed or removed the limit of its request rate. */
+  UPSTREAM_LIMITED(5027, Severity.INFO, "rate limit of an upstream changed");
 
   private final int number;
   private final Severity severity;
