--- a/org.cranberrystand.bench/src/test/java/org/cranberrystand/bench/KnownRedFilter.java
+++ b/org.cranberrystand/src/test/java/org/cranberrystand/KnownRedFilter.java
@@ -1,4 +1,4 @@
-package org.cranberrystand.bench;
+package org.cranberrystand;
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
