Share the rate limit that an upstream states among the nodes

Callers saw nothing, but an upstream that takes 1.2 requests a second from all nodes together got 19 in 4 s, as many as before it had said so.

Evidence: 26 and 19 placements in 4 s after the limit was stated, with 13 candidates each time; hypothesis 2 (each node takes the whole limit) is ruled out by one node that sent 13 of them, hypothesis 3 (retries) by the lack of any event of a retry.

Change: the statements are kept by incarnation and passed on with their age in reports between nodes. A response without the header ends the limit only if its request was sent after the limit was known.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/FleetReports.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/FleetReports.java
@@ -17,7 +17,7 @@
 import org.cranberrystand.membership.PublishedVersion;
 import org.cranberrystand.membership.ReportScope;
 import org.cranberrystand.membership.ReportedLoad;
-import org.cranberrystand.upstream.DrainTracker;
+import org.cranberrystand.membership.SharedObservations;
 
 /**
  * Exchanges load reports with the other nodes and passes the reported load to the dispatcher, the
@@ -41,13 +41,13 @@
     /** Returns whether callers may be directed to this node. */
     boolean isReady();
 
-    /** Returns the recent announcements of leaving upstreams. */
-    ImmutableList<DrainTracker.Report> leavingUpstreams();
+    /** Returns what this node knows of upstreams and other nodes should know. */
+    SharedObservations observations();
   }
 
-  /** Receives the announcements of leaving upstreams that a report contains. */
-  interface LeavingListener {
-    void leavingReported(String peer, ImmutableList<DrainTracker.Report> reports);
+  /** Receives what other nodes observed. */
+  interface ObservationListener {
+    void observationsReported(NodeInfo sender, SharedObservations observations);
   }
 
   private final PeerTable table;
@@ -56,7 +56,7 @@
   private final QuotaLedger quotas;
   private final CrashRegister crashes;
   private final Source source;
-  private final LeavingListener leavingListener;
+  private final ObservationListener observationListener;
   private final ReportSocket socket;
   private final EventLog log;
   private final long incarnation;
@@ -78,7 +78,7 @@
       QuotaLedger quotas,
       CrashRegister crashes,
       Source source,
-      LeavingListener leavingListener,
+      ObservationListener observationListener,
       ReportSocket socket,
       EventLog log,
       long incarnation) {
@@ -88,7 +88,7 @@
     this.quotas = quotas;
     this.crashes = crashes;
     this.source = source;
-    this.leavingListener = leavingListener;
+    this.observationListener = observationListener;
     this.socket = socket;
     this.log = log;
     this.incarnation = incarnation;
@@ -102,7 +102,7 @@
   /** Applies or replies to a report of another node. */
   void handleReport(PeerReport report) {
     long now = System.nanoTime();
-    leavingListener.leavingReported(report.sender().node(), report.leavingUpstreams());
+    observationListener.observationsReported(report.sender(), report.observations());
     switch (table.receive(report, now)) {
       case APPLIED -> {
         quotas.reported(
@@ -210,7 +210,7 @@
         source.version(),
         source.readsStore(),
         load,
-        source.leavingUpstreams(),
+        source.observations(),
         listedNodes);
   }
 
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Gateway.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Gateway.java
@@ -21,7 +21,6 @@
 import org.cranberrystand.dispatch.CrashRegister;
 import org.cranberrystand.dispatch.QuotaLedger;
 import org.cranberrystand.dispatch.RetryAllowance;
-import org.cranberrystand.dispatch.UpstreamLimits;
 import org.cranberrystand.event.LogEvent;
 import org.cranberrystand.membership.AddressOffer;
 import org.cranberrystand.membership.NodeInfo;
@@ -29,10 +28,10 @@
 import org.cranberrystand.membership.PeerTable;
 import org.cranberrystand.membership.PeerTargets;
 import org.cranberrystand.membership.PublishedVersion;
+import org.cranberrystand.membership.SharedObservations;
 import org.cranberrystand.routing.CallerLimits;
 import org.cranberrystand.routing.RoutingTable;
 import org.cranberrystand.routing.ServicePool;
-import org.cranberrystand.upstream.DrainTracker;
 import org.cranberrystand.wire.settings.GatewaySettings;
 import ratpack.exec.ExecController;
 import ratpack.util.MultiValueMap;
@@ -68,7 +67,7 @@
   private final QuotaLedger quotas;
   private final RetryAllowance retries;
   private final CrashRegister crashes = new CrashRegister();
-  private final UpstreamLimits limits = new UpstreamLimits();
+  private final RateLimiter limiter;
   private final PeerTable peers;
   private final FleetState fleet;
   private final CallerServer callers;
@@ -99,6 +98,7 @@
     this.callers = new CallerServer(loop, this::callerLimits, admission::handleRequest);
     this.peers = new PeerTable(self(settings.listen().callers()));
     this.targets = new PeerTargets(peers, seedHosts(settings), incarnation);
+    this.limiter = new RateLimiter(dispatcher, peers, log);
     this.reports = createReports();
     this.shutdown =
         new GatewayShutdown(
@@ -112,7 +112,7 @@
             quotas,
             retries,
             crashes,
-            new UpstreamSignals(fleet, dispatcher, limits, log),
+            new UpstreamSignals(fleet, dispatcher, limiter, log),
             fleet::routing,
             shutdown::isRefusingRequests,
             lag,
@@ -132,7 +132,7 @@
         quotas,
         crashes,
         new ReportSource(),
-        fleet::leavingReported,
+        this::observationsReported,
         new ReportSocket(loop, settings.listen().reportPort(), this::handleReport, log),
         log,
         incarnation);
@@ -155,11 +155,16 @@
     }
 
     @Override
-    public ImmutableList<DrainTracker.Report> leavingUpstreams() {
-      return fleet.leavingUpstreams();
+    public SharedObservations observations() {
+      return new SharedObservations(fleet.leavingUpstreams(), limiter.reports());
     }
   }
 
+  private void observationsReported(NodeInfo sender, SharedObservations observations) {
+    fleet.leavingReported(sender.node(), observations.leavingUpstreams());
+    limiter.reported(sender.node(), observations.upstreamLimits());
+  }
+
   private void handleReport(PeerReport report) {
     reports.handleReport(report);
   }
@@ -259,11 +264,12 @@
   private void refresh(long now) {
     fleet.expireUpstreams(now);
     reports.refresh(now);
+    limiter.refresh(now);
     nodeCount = peers.nodeCount(now);
     retries.setNodeCount(nodeCount);
     metrics.setLoad(
         dispatcher.waitingCount(), dispatcher.runningCount(), callers.connectionCount(), nodeCount);
-    metrics.setLimitedUpstreams(limits.limitedCount());
+    metrics.setLimitedUpstreams(limiter.limitedCount());
     offer.set(buildOffer(now));
     follower.setPassive(peers.isStoreReadByOthers(now));
     fetchStateIfBehind(now);
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/UpstreamSignals.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/UpstreamSignals.java
@@ -3,8 +3,6 @@
 import org.cranberrystand.daemon.internal.EventLog;
 import org.cranberrystand.dispatch.CallDispatcher;
 import org.cranberrystand.dispatch.PauseRequest;
-import org.cranberrystand.dispatch.RateLimit;
-import org.cranberrystand.dispatch.UpstreamLimits;
 import org.cranberrystand.event.LogEvent;
 import org.cranberrystand.upstream.RegisteredUpstream;
 
@@ -16,14 +14,13 @@
 final class UpstreamSignals {
   private final FleetState fleet;
   private final CallDispatcher dispatcher;
-  private final UpstreamLimits limits;
+  private final RateLimiter limiter;
   private final EventLog log;
 
-  UpstreamSignals(
-      FleetState fleet, CallDispatcher dispatcher, UpstreamLimits limits, EventLog log) {
+  UpstreamSignals(FleetState fleet, CallDispatcher dispatcher, RateLimiter limiter, EventLog log) {
     this.fleet = fleet;
     this.dispatcher = dispatcher;
-    this.limits = limits;
+    this.limiter = limiter;
     this.log = log;
   }
 
@@ -35,31 +32,13 @@
    * @param sentNanos when the request was sent
    */
   void received(RegisteredUpstream upstream, ResponseHeaders headers, long sentNanos) {
-    limitStated(upstream, headers.limit(), sentNanos);
+    limiter.stated(upstream, headers.limit(), sentNanos);
     if (headers.leaving()) {
       fleet.upstreamLeaving(upstream);
     }
     headers.pause().ifPresent(pause -> paused(upstream, pause));
   }
 
-  private void limitStated(RegisteredUpstream upstream, RateLimit limit, long sentNanos) {
-    if (!limit.isValid()) {
-      log.write(LogEvent.HEADER_IGNORED, "header=limit upstream=" + upstream.id());
-    }
-    double before = limits.perSecond(upstream);
-    if (limits.stated(upstream, limit, sentNanos, System.nanoTime())) {
-      log.write(
-          LogEvent.UPSTREAM_LIMITED,
-          "upstream="
-              + upstream.id()
-              + " per_second="
-              + limit.perSecond()
-              + " before="
-              + before
-              + " source=answer");
-    }
-  }
-
   private void paused(RegisteredUpstream upstream, PauseRequest pause) {
     log.write(
         LogEvent.UPSTREAM_PAUSED,
--- a/org.cranberrystand.daemon/src/test/java/org/cranberrystand/daemon/gateway/ReportSocketTest.java
+++ b/org.cranberrystand.daemon/src/test/java/org/cranberrystand/daemon/gateway/ReportSocketTest.java
@@ -15,6 +15,7 @@
 import org.cranberrystand.membership.PublishedVersion;
 import org.cranberrystand.membership.ReportScope;
 import org.cranberrystand.membership.ReportedLoad;
+import org.cranberrystand.membership.SharedObservations;
 import org.testng.annotations.Test;
 
 public final class ReportSocketTest {
@@ -45,7 +46,7 @@
             PublishedVersion.NONE,
             true,
             ReportedLoad.NONE,
-            ImmutableList.of(),
+            SharedObservations.NONE,
             others.build());
     BlockingQueue<PeerReport> received = new ArrayBlockingQueue<>(1);
     NioEventLoopGroup group = new NioEventLoopGroup(1);
--- a/org.cranberrystand.wire/src/main/java/org/cranberrystand/wire/peer/PeerReportCodec.java
+++ b/org.cranberrystand.wire/src/main/java/org/cranberrystand/wire/peer/PeerReportCodec.java
@@ -9,17 +9,22 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import java.io.IOException;
+import org.cranberrystand.dispatch.UpstreamLimits;
 import org.cranberrystand.dispatch.UpstreamUsage;
 import org.cranberrystand.membership.NodeInfo;
 import org.cranberrystand.membership.PeerReport;
 import org.cranberrystand.membership.PublishedVersion;
 import org.cranberrystand.membership.ReportScope;
 import org.cranberrystand.membership.ReportedLoad;
+import org.cranberrystand.membership.SharedObservations;
 import org.cranberrystand.upstream.DrainTracker;
 import org.cranberrystand.wire.Json;
 
 /** Encodes and decodes peer reports as JSON; one-letter keys keep the frequent messages short. */
 public final class PeerReportCodec {
+  /** JSON has no infinite numbers. */
+  private static final double NO_LIMIT = -1;
+
   private PeerReportCodec() {}
 
   /**
@@ -54,8 +59,19 @@
         .forEach((fingerprint, count) -> crashes.put(Long.toHexString(fingerprint), count));
     ObjectNode leaving = root.putObject("d");
     report
+        .observations()
         .leavingUpstreams()
         .forEach(one -> leaving.put(one.upstream(), NANOSECONDS.toMillis(one.ageNanos())));
+    ObjectNode limits = root.putObject("t");
+    report
+        .observations()
+        .upstreamLimits()
+        .forEach(
+            one ->
+                limits
+                    .putArray(one.incarnation())
+                    .add(NANOSECONDS.toMillis(one.ageNanos()))
+                    .add(Double.isFinite(one.perSecond()) ? one.perSecond() : NO_LIMIT));
     ArrayNode otherNodes = root.putArray("p");
     report.listedNodes().forEach(node -> writeNode(otherNodes.addArray(), node));
     return Json.toBytes(root);
@@ -137,10 +153,25 @@
             readDoubles(root.path("q")),
             readDoubles(root.path("b")),
             crashes.build()),
-        leaving.build(),
+        new SharedObservations(leaving.build(), readLimits(root.path("t"))),
         others.build());
   }
 
+  private static ImmutableList<UpstreamLimits.Report> readLimits(JsonNode node) {
+    ImmutableList.Builder<UpstreamLimits.Report> limits = ImmutableList.builder();
+    node.properties()
+        .forEach(
+            e -> {
+              double perSecond = e.getValue().path(1).asDouble(NO_LIMIT);
+              limits.add(
+                  new UpstreamLimits.Report(
+                      e.getKey(),
+                      perSecond < 0 ? Double.POSITIVE_INFINITY : perSecond,
+                      MILLISECONDS.toNanos(e.getValue().path(0).asLong())));
+            });
+    return limits.build();
+  }
+
   private static ImmutableMap<String, Double> readDoubles(JsonNode node) {
     ImmutableMap.Builder<String, Double> values = ImmutableMap.builder();
     node.properties().forEach(e -> values.put(e.getKey(), e.getValue().asDouble()));
--- a/org.cranberrystand.wire/src/test/java/org/cranberrystand/wire/peer/PeerReportCodecTest.java
+++ b/org.cranberrystand.wire/src/test/java/org/cranberrystand/wire/peer/PeerReportCodecTest.java
@@ -7,12 +7,14 @@
 import com.google.common.collect.ImmutableMap;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import org.cranberrystand.dispatch.UpstreamLimits;
 import org.cranberrystand.dispatch.UpstreamUsage;
 import org.cranberrystand.membership.NodeInfo;
 import org.cranberrystand.membership.PeerReport;
 import org.cranberrystand.membership.PublishedVersion;
 import org.cranberrystand.membership.ReportScope;
 import org.cranberrystand.membership.ReportedLoad;
+import org.cranberrystand.membership.SharedObservations;
 import org.cranberrystand.upstream.DrainTracker;
 import org.testng.annotations.Test;
 
@@ -35,7 +37,11 @@
                 ImmutableMap.of("estrela", 12.5),
                 ImmutableMap.of("estrela", -3.0),
                 ImmutableMap.of(-1L, 2)),
-            ImmutableList.of(new DrainTracker.Report("e@1", 2_000_000_000L)),
+            new SharedObservations(
+                ImmutableList.of(new DrainTracker.Report("e@1", 2_000_000_000L)),
+                ImmutableList.of(
+                    new UpstreamLimits.Report("e@1", 1.6, 3_000_000_000L),
+                    new UpstreamLimits.Report("f@1", Double.POSITIVE_INFINITY, 0))),
             ImmutableList.of(new NodeInfo("n2", "10.0.0.2", "10.0.0.2:80", false, 1.5)));
 
     assertEquals(PeerReportCodec.decode(PeerReportCodec.encode(report)), report);
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CallDispatcher.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CallDispatcher.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.Predicate;
+import java.util.function.ToLongFunction;
 import org.cranberrystand.upstream.RegisteredUpstream;
 
 /**
@@ -28,6 +29,7 @@
   private final Map<Long, RunningCall> running = new HashMap<>();
   private ImmutableMap<String, UpstreamUsage> peerUsage = ImmutableMap.of();
   private Predicate<String> isPreferred = id -> true;
+  private ToLongFunction<RegisteredUpstream> minSendIntervals = upstream -> 0;
   private long usageChanges;
 
   /**
@@ -56,6 +58,7 @@
     for (String name : names) {
       pool(name).updateUpstreams(byPool.getOrDefault(name, List.of()), now);
       pool(name).setPreferredUpstreams(isPreferred);
+      pool(name).setMinSendIntervals(minSendIntervals);
     }
     applyPeerUsage();
     pools.values().forEach(pool -> pool.dispatchWaiting(now));
@@ -83,6 +86,17 @@
     pools.values().forEach(pool -> pool.setPreferredUpstreams(value));
   }
 
+  /**
+   * Replaces the shortest intervals at which this node may send requests to the upstreams.
+   *
+   * @param value returns the interval in nanoseconds; 0 without a limit, {@link
+   *     UpstreamLimits#NEVER} if this node must not send any
+   */
+  public void minSendIntervalsChanged(ToLongFunction<RegisteredUpstream> value) {
+    minSendIntervals = value;
+    pools.values().forEach(pool -> pool.setMinSendIntervals(value));
+  }
+
   private void applyPeerUsage() {
     for (PoolScheduler pool : pools.values()) {
       for (UpstreamState state : pool.upstreams()) {
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/PoolScheduler.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/PoolScheduler.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
+import java.util.function.ToLongFunction;
 import org.cranberrystand.outcome.NotRunReason;
 import org.cranberrystand.upstream.EjectionPolicy;
 import org.cranberrystand.upstream.RegisteredUpstream;
@@ -188,17 +189,20 @@
     }
     double startNanos =
         Math.max(
-            nowNanos + expectedWaitNanos(entry, nowNanos), (double) endOfPausesNanos(nowNanos));
+            nowNanos + expectedWaitNanos(entry, nowNanos), (double) nextOpeningNanos(nowNanos));
     if (startNanos > entry.latestWaitNanos()) {
       remove(call.key());
       refuse(call, NotRunReason.OVERLOADED, nowNanos);
     }
   }
 
-  /** Returns when the first upstream accepts requests again, if all of them asked for a pause. */
-  private long endOfPausesNanos(long nowNanos) {
+  /**
+   * Returns when this node may send to the first upstream, if all of them asked for a pause or
+   * limit their rate; {@link Long#MAX_VALUE} if only other nodes may.
+   */
+  private long nextOpeningNanos(long nowNanos) {
     return upstreams.values().stream()
-        .mapToLong(state -> Math.max(nowNanos, state.pausedUntilNanos()))
+        .mapToLong(state -> Math.max(nowNanos, state.closedUntilNanos()))
         .min()
         .orElse(nowNanos);
   }
@@ -295,7 +299,7 @@
     PlacementChoice choice =
         placementChoice(chosen, call, cachedTokens, options.candidates().size());
     remove(call.key());
-    chosen.sent((long) call.promptTokens() - cachedTokens);
+    chosen.sent((long) call.promptTokens() - cachedTokens, nowNanos);
     sendRate.sent(nowNanos);
     started.accept(new RunningCall(call, chosen, cachedTokens, nowNanos));
     output.send(call, chosen.upstream(), choice);
@@ -305,6 +309,13 @@
     return preferredCount >= MIN_PREFERRED_UPSTREAMS && !state.isPreferred();
   }
 
+  /** Sets the shortest interval between two requests of this node to each upstream. */
+  void setMinSendIntervals(ToLongFunction<RegisteredUpstream> intervalNanos) {
+    upstreams
+        .values()
+        .forEach(state -> state.setMinSendInterval(intervalNanos.applyAsLong(state.upstream())));
+  }
+
   /** Sets the upstreams that the cell of this node prefers. */
   void setPreferredUpstreams(Predicate<String> isPreferred) {
     preferredCount = 0;
@@ -419,8 +430,9 @@
     double remainingMillis = (call.deadlineNanos() - nowNanos) / NANOS_PER_MILLI;
     double fraction =
         MIN_RETRY_FRACTION + (MAX_RETRY_FRACTION - MIN_RETRY_FRACTION) * random.nextDouble();
-    double pauseMillis = (endOfPausesNanos(nowNanos) - nowNanos) / NANOS_PER_MILLI;
-    double retryMillis = Math.max(remainingMillis * fraction, pauseMillis);
+    long opening = nextOpeningNanos(nowNanos);
+    double closedMillis = opening == Long.MAX_VALUE ? 0 : (opening - nowNanos) / NANOS_PER_MILLI;
+    double retryMillis = Math.max(remainingMillis * fraction, closedMillis);
     output.refuse(call, reason, (long) Math.max(MIN_RETRY_MILLIS, retryMillis));
   }
 
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/UpstreamState.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/UpstreamState.java
@@ -50,6 +50,10 @@
   private double admittedFraction = 1;
   private long blockedUntilNanos = Long.MIN_VALUE;
   private long pausedUntilNanos = Long.MIN_VALUE;
+  private long minSendIntervalNanos;
+  private long limitedUntilNanos = Long.MIN_VALUE;
+  private boolean sentBefore;
+  private long lastSentNanos;
   private long lastReceivedNanos = Long.MIN_VALUE;
   private int backoffFactor = 1;
   private final long coldUntilNanos;
@@ -135,15 +139,37 @@
     pausedUntilNanos = Math.max(pausedUntilNanos, untilNanos);
   }
 
-  long pausedUntilNanos() {
-    return pausedUntilNanos;
+  /**
+   * Sets the shortest interval between two requests of this node; 0 for none, {@link
+   * UpstreamLimits#NEVER} if this node must not send any.
+   */
+  void setMinSendInterval(long intervalNanos) {
+    minSendIntervalNanos = intervalNanos;
+    updateLimitedUntil();
+  }
+
+  private void updateLimitedUntil() {
+    if (minSendIntervalNanos == UpstreamLimits.NEVER) {
+      limitedUntilNanos = Long.MAX_VALUE;
+    } else {
+      limitedUntilNanos = sentBefore ? lastSentNanos + minSendIntervalNanos : Long.MIN_VALUE;
+    }
+  }
+
+  /**
+   * Returns until when this node must not send requests, because the upstream asked for a pause or
+   * limits their rate; {@link Long#MAX_VALUE} if it must not send any.
+   */
+  long closedUntilNanos() {
+    return Math.max(pausedUntilNanos, limitedUntilNanos);
   }
 
   /**
-   * Returns the free slots as far as this node knows; 0 while the upstream is blocked or paused.
+   * Returns the free slots as far as this node knows; 0 while the upstream is blocked, paused or at
+   * its rate limit.
    */
   int freeSlots(long nowNanos) {
-    if (nowNanos < blockedUntilNanos || nowNanos < pausedUntilNanos || admittedFraction <= 0) {
+    if (nowNanos < blockedUntilNanos || nowNanos < closedUntilNanos() || admittedFraction <= 0) {
       return 0;
     }
     int slots = Math.max(1, (int) Math.round(upstream.slots() * admittedFraction));
@@ -165,8 +191,11 @@
   }
 
   /** Records that a request was sent, with the prompt tokens that need prefill. */
-  void sent(long prefillTokens) {
+  void sent(long prefillTokens, long nowNanos) {
     running++;
+    sentBefore = true;
+    lastSentNanos = nowNanos;
+    updateLimitedUntil();
     pendingPrefillTokens += prefillTokens;
   }
 
--- a/org.cranberrystand/src/main/java/org/cranberrystand/membership/CellLayout.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/membership/CellLayout.java
@@ -65,7 +65,7 @@
     return preferred;
   }
 
-  private static long hash(String text) {
+  static long hash(String text) {
     return Hashing.murmur3_128().hashUnencodedChars(text).asLong();
   }
 }
--- a/org.cranberrystand/src/main/java/org/cranberrystand/membership/PeerReport.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/membership/PeerReport.java
@@ -1,8 +1,6 @@
 package org.cranberrystand.membership;
 
 import com.google.common.collect.ImmutableList;
-import org.cranberrystand.upstream.DrainTracker;
-import org.cranberrystand.upstream.RegisteredUpstream;
 
 /**
  * A load report that one node sends to others several times a second.
@@ -21,8 +19,7 @@
  * @param readsStore whether the sender itself reads the store of published values, and the store
  *     answers
  * @param load the load of the nodes in the scope
- * @param leavingUpstreams upstreams that announced recently that they are leaving, by {@linkplain
- *     RegisteredUpstream#incarnationKey incarnation}
+ * @param observations what the sender observed of upstreams
  * @param listedNodes nodes with a recent report; for a cell or other cells, nodes of these cells
  */
 public record PeerReport(
@@ -36,7 +33,7 @@
     PublishedVersion version,
     boolean readsStore,
     ReportedLoad load,
-    ImmutableList<DrainTracker.Report> leavingUpstreams,
+    SharedObservations observations,
     ImmutableList<NodeInfo> listedNodes) {
 
   /**
--- a/org.cranberrystand/src/main/java/org/cranberrystand/membership/PeerTable.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/membership/PeerTable.java
@@ -2,11 +2,13 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.cranberrystand.dispatch.UpstreamLimits;
 
 /**
  * The latest reports of the other nodes, and the fleet state derived from them. Not thread-safe.
@@ -401,6 +403,30 @@
     return list.build();
   }
 
+  /**
+   * Returns the shortest interval at which this node may send requests to a limited upstream.
+   *
+   * @param upstream the identifier of the upstream
+   * @param perSecond the limit in requests per second, for all nodes together
+   * @param cellWeights the weights of the cells
+   * @param nowNanos the current monotonic time, in nanoseconds
+   * @return the interval in nanoseconds; {@link UpstreamLimits#NEVER} if other nodes use the
+   *     upstream
+   */
+  public long minSendIntervalNanos(
+      String upstream, double perSecond, ImmutableList<Double> cellWeights, long nowNanos) {
+    if (!isPreferredUpstream(upstream, cellWeights)) {
+      return UpstreamLimits.NEVER;
+    }
+    List<String> hosts = new ArrayList<>();
+    hosts.add(self.host());
+    directory.presumedAlive(nowNanos).stream()
+        .map(NodeInfo::host)
+        .filter(this::isInOwnCell)
+        .forEach(hosts::add);
+    return RateShare.minIntervalNanos(upstream, perSecond, self.host(), hosts);
+  }
+
   /**
    * Returns whether the cell of this node prefers an upstream.
    *
--- a/org.cranberrystand/src/test/java/org/cranberrystand/dispatch/CallDispatcherTest.java
+++ b/org.cranberrystand/src/test/java/org/cranberrystand/dispatch/CallDispatcherTest.java
@@ -110,6 +110,35 @@
     assertEquals(dispatcher.waitingCount(), 1);
   }
 
+  /** Guards against requests that wait for an upstream whose rate is used by other nodes. */
+  @Test
+  public void upstreamLimitedForOtherNodesGetsNoRequests() {
+    dispatcher.minSendIntervalsChanged(u -> u.id().equals("a") ? UpstreamLimits.NEVER : 0);
+    for (int key = 1; key <= SLOTS; key++) {
+      dispatcher.submit(call(key, 0, 0), null, 0);
+    }
+    assertTrue(decisions.sent.stream().allMatch(s -> s.upstream().equals("b")));
+    assertEquals(decisions.sent.size(), SLOTS);
+
+    dispatcher.minSendIntervalsChanged(u -> UpstreamLimits.NEVER);
+    dispatcher.submit(call(9, 0, 0), null, 0);
+    assertEquals(decisions.refused.get(0).key(), 9L);
+  }
+
+  /** Guards against exceeding the share of this node in the rate limit of an upstream. */
+  @Test
+  public void limitedUpstreamGetsOneRequestInEachInterval() {
+    dispatcher.upstreamsChanged(List.of(engine("a")), 0);
+    dispatcher.minSendIntervalsChanged(u -> 500 * MILLI);
+    for (int tick = 0; tick <= 20; tick++) {
+      dispatcher.submit(call(tick + 1, 0, tick * 50), null, tick * 50 * MILLI);
+      dispatcher.tick(tick * 50 * MILLI);
+      decisions.sentKeys().forEach(key -> dispatcher.ended(key, CallEnding.ANSWERED, 0));
+    }
+
+    assertEquals(decisions.sent.size(), 3);
+  }
+
   /** Guards against nodes of several cells that use the same slots, based on stale reports. */
   @Test
   public void preferredUpstreamsAreFilledFirstAndOthersKeepOneSlotFree() {
--- a/org.cranberrystand/src/test/java/org/cranberrystand/membership/FleetOfCellsTest.java
+++ b/org.cranberrystand/src/test/java/org/cranberrystand/membership/FleetOfCellsTest.java
@@ -99,7 +99,7 @@
           new PublishedVersion(0, 1),
           readsStore && !table.isStoreReadByOthers(now),
           load,
-          ImmutableList.of(),
+          SharedObservations.NONE,
           ImmutableList.copyOf(listedNodes));
     }
   }
--- a/org.cranberrystand/src/test/java/org/cranberrystand/membership/PeerTableTest.java
+++ b/org.cranberrystand/src/test/java/org/cranberrystand/membership/PeerTableTest.java
@@ -41,7 +41,7 @@
             ImmutableMap.of(),
             ImmutableMap.of(),
             ImmutableMap.of()),
-        ImmutableList.of(),
+        SharedObservations.NONE,
         ImmutableList.of(node("further")));
   }
 
