Log software versions of upstreams and streams that callers resume

Registrations are decoded with the version, 5001 shows it, and 5028 names the stream and the event after which its caller resumes it. Placement is unchanged.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/CallerHeaders.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/CallerHeaders.java
@@ -12,6 +12,8 @@
  * @param maxOutputTokens the maximum number of output tokens; 0 if not given
  * @param outputTokensHint the caller's estimate of the number of output tokens; 0 if not given
  * @param lastEventId the last event that the caller received; null to start from the first event
+ * @param resumedStream identifies the stream that the caller resumes: the identifier of its attempt
+ *     that received the first event; null if not given
  */
 public record CallerHeaders(
     String requestId,
@@ -22,7 +24,8 @@
     int prefixTokens,
     int maxOutputTokens,
     int outputTokensHint,
-    String lastEventId) {
+    String lastEventId,
+    String resumedStream) {
 
   /** Returns the number of tokens charged to the team's quota. */
   public long quotaTokens() {
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RelayLog.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RelayLog.java
@@ -42,6 +42,8 @@
         requestFields
             + " upstream="
             + upstream.id()
+            + " version="
+            + upstream.softwareVersion()
             + " run="
             + runCount
             + " waited_ms="
@@ -60,6 +62,13 @@
             + choice.candidates());
   }
 
+  /** Logs that the caller resumes a stream after an event. */
+  void resumed(String stream, String lastEventId) {
+    log.write(
+        LogEvent.STREAM_RESUMED,
+        requestFields + " stream=" + stream + " after_event=" + lastEventId);
+  }
+
   void refused(NotRunReason reason, int waiting, long retryAfterMillis) {
     log.write(
         LogEvent.REQUEST_REFUSED,
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RequestRelay.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RequestRelay.java
@@ -120,6 +120,9 @@
                 this::deadlinePassed,
                 Math.max(0, spec.deadlineNanos() - System.nanoTime()),
                 TimeUnit.NANOSECONDS);
+    if (caller.lastEventId() != null) {
+      log.resumed(caller.resumedStream(), caller.lastEventId());
+    }
     context.dispatcher().submit(spec, null, System.nanoTime());
   }
 
--- a/org.cranberrystand/src/main/java/org/cranberrystand/event/LogEvent.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/event/LogEvent.java
@@ -91,7 +91,9 @@
   /** A header of the platform has a value that cannot be used. */
   HEADER_IGNORED(5026, Severity.WARNING, "value of a header ignored"),
   /** An upstream set, changed or removed the limit of its request rate. */
-  UPSTREAM_LIMITED(5027, Severity.INFO, "rate limit of an upstream changed");
+  UPSTREAM_LIMITED(5027, Severity.INFO, "rate limit of an upstream changed"),
+  /** A caller resumes a stream that another request of it began. */
+  STREAM_RESUMED(5028, Severity.INFO, "stream resumed by its caller");
 
   private final int number;
   private final Severity severity;
--- a/org.cranberrystand/src/main/java/org/cranberrystand/upstream/RegisteredUpstream.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/upstream/RegisteredUpstream.java
@@ -7,6 +7,7 @@
  * @param pool the pool it belongs to
  * @param address host and port
  * @param failureDomain the failure domain of its VM
+ * @param softwareVersion the version of its software; streams cannot go on at another version
  * @param slots the number of requests that it runs concurrently
  * @param startedAtMillis the wall-clock time of its start, which distinguishes two incarnations
  *     with the same identifier; 0 if unknown
@@ -18,6 +19,7 @@
     String pool,
     String address,
     String failureDomain,
+    String softwareVersion,
     int slots,
     long startedAtMillis,
     long coldRemainingMillis,
--- a/org.cranberrystand/src/test/java/org/cranberrystand/dispatch/CallDispatcherTest.java
+++ b/org.cranberrystand/src/test/java/org/cranberrystand/dispatch/CallDispatcherTest.java
@@ -29,7 +29,7 @@
   }
 
   private static RegisteredUpstream engine(String id) {
-    return new RegisteredUpstream(id, "llm", "10.0.0.1:80", "d", SLOTS, 1, 0, false);
+    return new RegisteredUpstream(id, "llm", "10.0.0.1:80", "d", "v1", SLOTS, 1, 0, false);
   }
 
   private static CallSpec call(long key, int priority, long arrivalMillis) {
@@ -355,7 +355,7 @@
     assertEquals(decisions.sent.size(), SLOTS);
 
     RegisteredUpstream restarted =
-        new RegisteredUpstream("a", "llm", "10.0.0.1:80", "d", SLOTS, 2, 0, false);
+        new RegisteredUpstream("a", "llm", "10.0.0.1:80", "d", "v1", SLOTS, 2, 0, false);
     dispatcher.upstreamsChanged(List.of(restarted, engine("b")), 0);
     assertEquals(decisions.sent.size(), 2 * SLOTS);
   }
--- a/org.cranberrystand/src/test/java/org/cranberrystand/dispatch/UpstreamLimitsTest.java
+++ b/org.cranberrystand/src/test/java/org/cranberrystand/dispatch/UpstreamLimitsTest.java
@@ -11,7 +11,7 @@
 public final class UpstreamLimitsTest {
   private static final double NONE = Double.POSITIVE_INFINITY;
   private static final RegisteredUpstream UPSTREAM =
-      new RegisteredUpstream("u", "llm", "10.0.0.1:80", "d", 4, 1, 0, false);
+      new RegisteredUpstream("u", "llm", "10.0.0.1:80", "d", "v1", 4, 1, 0, false);
   private final UpstreamLimits limits = new UpstreamLimits();
 
   private static RateLimit limit(String stated) {
--- a/org.cranberrystand/src/test/java/org/cranberrystand/upstream/UpstreamRegistryTest.java
+++ b/org.cranberrystand/src/test/java/org/cranberrystand/upstream/UpstreamRegistryTest.java
@@ -21,7 +21,7 @@
   }
 
   private static RegisteredUpstream upstream(String id, boolean leaving) {
-    return new RegisteredUpstream(id, "pool", "10.0.0.1:80", "d", 4, 1, 0, leaving);
+    return new RegisteredUpstream(id, "pool", "10.0.0.1:80", "d", "v1", 4, 1, 0, leaving);
   }
 
   private List<String> usable() {
@@ -82,7 +82,8 @@
   }
 
   private static RegisteredUpstream startedAt(String id, long startedAtMillis) {
-    return new RegisteredUpstream(id, "pool", "10.0.0.1:80", "d", 4, startedAtMillis, 0, false);
+    return new RegisteredUpstream(
+        id, "pool", "10.0.0.1:80", "d", "v1", 4, startedAtMillis, 0, false);
   }
 
   /**
