Continue streams only at the software version that began them

Callers got streams in one piece, with the seal of the upstream, but 64 of them held events of two software versions.

Cause: the placement did not know versions at all. A stream that its caller resumed was placed like a new request, and a node that went on with a broken stream chose any upstream. Evidence: the registration's Version was decoded nowhere and Resumes was not read; the traced stream began at v1.1 and was placed at v1.2 by another node.

Change: the first event that a node passes on binds the request to the version of its upstream, and the origin of the stream goes to the other nodes with the next reports. A request that resumes a stream is bound to its pool and version; a node that does not know it asks the others for 0.2 s and refuses it as not run if nobody does, because after a restart or a partition a guess would mix versions.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Admission.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Admission.java
@@ -12,6 +12,7 @@
 import org.cranberrystand.dispatch.CallSpec;
 import org.cranberrystand.dispatch.DispatchOutput;
 import org.cranberrystand.dispatch.PlacementChoice;
+import org.cranberrystand.dispatch.StreamOrigins;
 import org.cranberrystand.event.LogEvent;
 import org.cranberrystand.outcome.NotRunReason;
 import org.cranberrystand.routing.Route;
@@ -40,6 +41,9 @@
   private static final long LEAVING_RETRY_MILLIS = 50;
   private static final long QUOTA_RETRY_MILLIS = 1_000;
 
+  /** Another node may know the stream, or this one may have just started. */
+  private static final long UNKNOWN_STREAM_RETRY_MILLIS = 300;
+
   /**
    * A request is refused if the event loop lags by this time or by a fraction of the caller's
    * timeout, because the caller has probably disconnected by then.
@@ -72,7 +76,7 @@
 
   int activeRequestCount() {
     relays.values().removeIf(RequestRelay::isDone);
-    return relays.size();
+    return relays.size() + context.streams().pendingCount();
   }
 
   /** Admits or rejects a completely received request of a caller. */
@@ -90,7 +94,7 @@
     HttpRequest request = exchange.request();
     RouteMatch match = table.find(host(request), path(request), caller.apiKey());
     if (match instanceof RouteMatch.Matched matched) {
-      admit(exchange, caller, matched.route(), matched.team());
+      findOrigin(exchange, caller, matched.route(), matched.team());
     } else if (match instanceof RouteMatch.KeyRefused) {
       deny(exchange, caller, HttpResponseStatus.UNAUTHORIZED, "no team holds the key", table);
     } else {
@@ -114,8 +118,59 @@
     return query < 0 ? uri : uri.substring(0, query);
   }
 
-  private void admit(
+  /** Admits a request, and first finds out where its stream began if the caller resumes one. */
+  private void findOrigin(
       CallerExchange exchange, CallerHeaders caller, Route route, Optional<TeamPolicy> team) {
+    boolean resumes =
+        route.isResumable() && caller.lastEventId() != null && caller.resumedStream() != null;
+    if (!resumes) {
+      admit(exchange, caller, route, team, Optional.empty());
+      return;
+    }
+    ResumedRequest resumed = new ResumedRequest();
+    exchange.setListener(resumed);
+    context
+        .streams()
+        .find(
+            caller.resumedStream(),
+            origin -> {
+              if (resumed.disconnected) {
+                return;
+              }
+              if (origin.isPresent() && route.usesPool(origin.get().pool())) {
+                admit(exchange, caller, route, team, origin);
+              } else {
+                rejectNotRun(
+                    exchange,
+                    caller,
+                    NotRunReason.UNKNOWN_STREAM,
+                    UNKNOWN_STREAM_RETRY_MILLIS,
+                    " stream=" + caller.resumedStream() + " origin=" + origin);
+              }
+            });
+  }
+
+  /** Watches the caller's connection until it is known where the stream began. */
+  private static final class ResumedRequest implements CallerExchange.Listener {
+    private boolean disconnected;
+
+    @Override
+    public void callerDisconnected() {
+      disconnected = true;
+    }
+
+    @Override
+    public void writabilityChanged(boolean writable) {
+      // Nothing is sent yet.
+    }
+  }
+
+  private void admit(
+      CallerExchange exchange,
+      CallerHeaders caller,
+      Route route,
+      Optional<TeamPolicy> team,
+      Optional<StreamOrigins.Origin> origin) {
     long now = System.nanoTime();
     long lagMillis = TimeUnit.NANOSECONDS.toMillis(context.lag().lagNanos(now));
     if (lagMillis >= Math.min(MAX_LAG_MILLIS, waitMillis(caller, route) / LAG_WAIT_DIVISOR)) {
@@ -124,7 +179,10 @@
       rejectNotRun(exchange, caller, NotRunReason.OVERLOADED, LAG_RETRY_MILLIS, inputs);
       return;
     }
-    String pool = route.choosePool(random.nextDouble());
+    String pool =
+        origin
+            .map(StreamOrigins.Origin::pool)
+            .orElseGet(() -> route.choosePool(random.nextDouble()));
     boolean spareCapacity = context.dispatcher().hasSpareCapacity(pool, now);
     if (team.isPresent()
         && !context.quotas().tryConsume(team.get(), caller.quotaTokens(), spareCapacity, now)) {
@@ -146,7 +204,9 @@
       return;
     }
     context.retries().requestReceived(pool);
-    CallSpec spec = buildSpec(caller, route, team, pool, now - context.lag().lagNanos(now));
+    CallSpec begun = buildSpec(caller, route, team, pool, now - context.lag().lagNanos(now));
+    CallSpec spec =
+        origin.map(StreamOrigins.Origin::softwareVersion).map(begun::continuedAt).orElse(begun);
     RequestRelay relay = new RequestRelay(context, exchange, caller, route, team, spec);
     relays.put(spec.key(), relay);
     relay.start();
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/FleetReports.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/FleetReports.java
@@ -2,6 +2,8 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
+import java.util.HashSet;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.cranberrystand.daemon.internal.EventLog;
 import org.cranberrystand.dispatch.CallDispatcher;
@@ -9,6 +11,7 @@
 import org.cranberrystand.dispatch.QuotaLedger;
 import org.cranberrystand.dispatch.QuotaLedger.Coverage;
 import org.cranberrystand.dispatch.QuotaReports;
+import org.cranberrystand.dispatch.StreamOrigins;
 import org.cranberrystand.event.LogEvent;
 import org.cranberrystand.membership.NodeInfo;
 import org.cranberrystand.membership.PeerReport;
@@ -187,6 +190,27 @@
         targets.ownCellHosts());
   }
 
+  /** Asks the own cell, and the heads of the other cells, where streams began. */
+  void askForStreams(ImmutableList<String> streams) {
+    long now = System.nanoTime();
+    Set<String> hosts = new HashSet<>(targets.ownCellHosts());
+    if (table.cellCount() > 1) {
+      hosts.addAll(targets.otherHeadHosts(now));
+    }
+    socket.send(messageWith(source.observations().asking(streams), now), hosts);
+  }
+
+  /** Answers a question of another node. */
+  void answerStreams(String host, ImmutableList<StreamOrigins.Origin> origins) {
+    long now = System.nanoTime();
+    socket.send(messageWith(source.observations().answering(origins), now), ImmutableSet.of(host));
+  }
+
+  private PeerReport messageWith(SharedObservations observations, long now) {
+    ReportedLoad load = ownLoad(Coverage.THIS_NODE, now);
+    return report(ReportScope.NODE, load, ImmutableList.of(), false, observations, now);
+  }
+
   private PeerReport nodeReport(
       ImmutableList<NodeInfo> listedNodes, boolean replyRequested, long now) {
     return report(
@@ -199,6 +223,16 @@
       ImmutableList<NodeInfo> listedNodes,
       boolean replyRequested,
       long now) {
+    return report(scope, load, listedNodes, replyRequested, source.observations(), now);
+  }
+
+  private PeerReport report(
+      ReportScope scope,
+      ReportedLoad load,
+      ImmutableList<NodeInfo> listedNodes,
+      boolean replyRequested,
+      SharedObservations observations,
+      long now) {
     return new PeerReport(
         table.self(),
         incarnation,
@@ -210,7 +244,7 @@
         source.version(),
         source.readsStore(),
         load,
-        source.observations(),
+        observations,
         listedNodes);
   }
 
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Gateway.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Gateway.java
@@ -21,6 +21,7 @@
 import org.cranberrystand.dispatch.CrashRegister;
 import org.cranberrystand.dispatch.QuotaLedger;
 import org.cranberrystand.dispatch.RetryAllowance;
+import org.cranberrystand.dispatch.StreamOrigins;
 import org.cranberrystand.event.LogEvent;
 import org.cranberrystand.membership.AddressOffer;
 import org.cranberrystand.membership.NodeInfo;
@@ -68,6 +69,7 @@
   private final RetryAllowance retries;
   private final CrashRegister crashes = new CrashRegister();
   private final RateLimiter limiter;
+  private final StreamLookup streams;
   private final PeerTable peers;
   private final FleetState fleet;
   private final CallerServer callers;
@@ -100,6 +102,19 @@
     this.targets = new PeerTargets(peers, seedHosts(settings), incarnation);
     this.limiter = new RateLimiter(dispatcher, peers, log);
     this.reports = createReports();
+    this.streams =
+        new StreamLookup(
+            new StreamLookup.Messenger() {
+              @Override
+              public void ask(ImmutableList<String> sought) {
+                reports.askForStreams(sought);
+              }
+
+              @Override
+              public void answer(String host, ImmutableList<StreamOrigins.Origin> origins) {
+                reports.answerStreams(host, origins);
+              }
+            });
     this.shutdown =
         new GatewayShutdown(
             loop, callers, admission, settings.limits().shutdownMillis(), reports::sendNodeReport);
@@ -113,6 +128,7 @@
             retries,
             crashes,
             new UpstreamSignals(fleet, dispatcher, limiter, log),
+            streams,
             fleet::routing,
             shutdown::isRefusingRequests,
             lag,
@@ -156,13 +172,15 @@
 
     @Override
     public SharedObservations observations() {
-      return new SharedObservations(fleet.leavingUpstreams(), limiter.reports());
+      return new SharedObservations(
+          fleet.leavingUpstreams(), limiter.reports(), streams.recent(), ImmutableList.of());
     }
   }
 
   private void observationsReported(NodeInfo sender, SharedObservations observations) {
     fleet.leavingReported(sender.node(), observations.leavingUpstreams());
     limiter.reported(sender.node(), observations.upstreamLimits());
+    streams.reported(sender.host(), observations.streamOrigins(), observations.soughtStreams());
   }
 
   private void handleReport(PeerReport report) {
@@ -253,6 +271,7 @@
       ticks++;
       reports.tick(now);
       dispatcher.tick(now);
+      streams.tick(now);
       if (ticks % TICKS_PER_REFRESH == 0) {
         refresh(now);
       }
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RelayContext.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RelayContext.java
@@ -20,6 +20,7 @@
  * @param retries limits retries
  * @param crashes tracks requests during which upstreams crashed
  * @param signals applies what upstreams say of themselves in responses
+ * @param streams knows at which software version streams began
  * @param routing supplies the current declaration; null before the first one
  * @param refusingRequests supplies whether new requests are refused because of a shutdown
  * @param lag measures the lag of the event loop
@@ -35,6 +36,7 @@
     RetryAllowance retries,
     CrashRegister crashes,
     UpstreamSignals signals,
+    StreamLookup streams,
     Supplier<RoutingTable> routing,
     Supplier<Boolean> refusingRequests,
     LoopLag lag,
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RequestRelay.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RequestRelay.java
@@ -54,10 +54,10 @@
   private final CallerHeaders caller;
   private final Route route;
   private final Optional<TeamPolicy> team;
-  private final CallSpec spec;
   private final long fingerprint;
   private final RelayLog log;
 
+  private CallSpec spec;
   private UpstreamExchange attempt;
   private RegisteredUpstream upstream;
   private PlacementChoice placement;
@@ -415,6 +415,9 @@
       if (firstResponseNanos == 0) {
         firstResponseNanos = lastByteNanos;
       }
+      if (!responseStarted) {
+        bindToVersion();
+      }
       attemptHasEvents = true;
       context.dispatcher().eventsReceived(spec.key(), count, lastByteNanos);
       startResponse(received);
@@ -422,6 +425,14 @@
       exchange.sendPart(events);
     }
 
+    /** Binds the stream to the software version of the upstream that sent its first event. */
+    private void bindToVersion() {
+      spec = spec.continuedAt(upstream.softwareVersion());
+      if (route.isResumable() && caller.lastEventId() == null && caller.requestId() != null) {
+        context.streams().began(caller.requestId(), upstream);
+      }
+    }
+
     private void startResponse(ResponseAssembler received) {
       if (!responseStarted) {
         responseStarted = true;
--- a/org.cranberrystand.wire/src/main/java/org/cranberrystand/wire/peer/PeerReportCodec.java
+++ b/org.cranberrystand.wire/src/main/java/org/cranberrystand/wire/peer/PeerReportCodec.java
@@ -8,7 +8,9 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.Streams;
 import java.io.IOException;
+import org.cranberrystand.dispatch.StreamOrigins;
 import org.cranberrystand.dispatch.UpstreamLimits;
 import org.cranberrystand.dispatch.UpstreamUsage;
 import org.cranberrystand.membership.NodeInfo;
@@ -72,6 +74,14 @@
                     .putArray(one.incarnation())
                     .add(NANOSECONDS.toMillis(one.ageNanos()))
                     .add(Double.isFinite(one.perSecond()) ? one.perSecond() : NO_LIMIT));
+    ArrayNode origins = root.putArray("o");
+    report
+        .observations()
+        .streamOrigins()
+        .forEach(
+            one -> origins.addArray().add(one.stream()).add(one.pool()).add(one.softwareVersion()));
+    ArrayNode sought = root.putArray("a");
+    report.observations().soughtStreams().forEach(sought::add);
     ArrayNode otherNodes = root.putArray("p");
     report.listedNodes().forEach(node -> writeNode(otherNodes.addArray(), node));
     return Json.toBytes(root);
@@ -153,10 +163,25 @@
             readDoubles(root.path("q")),
             readDoubles(root.path("b")),
             crashes.build()),
-        new SharedObservations(leaving.build(), readLimits(root.path("t"))),
+        new SharedObservations(
+            leaving.build(),
+            readLimits(root.path("t")),
+            readOrigins(root.path("o")),
+            Streams.stream(root.path("a"))
+                .map(JsonNode::asText)
+                .collect(ImmutableList.toImmutableList())),
         others.build());
   }
 
+  private static ImmutableList<StreamOrigins.Origin> readOrigins(JsonNode array) {
+    return Streams.stream(array)
+        .map(
+            one ->
+                new StreamOrigins.Origin(
+                    one.path(0).asText(), one.path(1).asText(), one.path(2).asText()))
+        .collect(ImmutableList.toImmutableList());
+  }
+
   private static ImmutableList<UpstreamLimits.Report> readLimits(JsonNode node) {
     ImmutableList.Builder<UpstreamLimits.Report> limits = ImmutableList.builder();
     node.properties()
--- a/org.cranberrystand.wire/src/test/java/org/cranberrystand/wire/peer/PeerReportCodecTest.java
+++ b/org.cranberrystand.wire/src/test/java/org/cranberrystand/wire/peer/PeerReportCodecTest.java
@@ -7,6 +7,7 @@
 import com.google.common.collect.ImmutableMap;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import org.cranberrystand.dispatch.StreamOrigins;
 import org.cranberrystand.dispatch.UpstreamLimits;
 import org.cranberrystand.dispatch.UpstreamUsage;
 import org.cranberrystand.membership.NodeInfo;
@@ -41,7 +42,9 @@
                 ImmutableList.of(new DrainTracker.Report("e@1", 2_000_000_000L)),
                 ImmutableList.of(
                     new UpstreamLimits.Report("e@1", 1.6, 3_000_000_000L),
-                    new UpstreamLimits.Report("f@1", Double.POSITIVE_INFINITY, 0))),
+                    new UpstreamLimits.Report("f@1", Double.POSITIVE_INFINITY, 0)),
+                ImmutableList.of(new StreamOrigins.Origin("a1", "llm", "v1.1")),
+                ImmutableList.of("a2", "a3")),
             ImmutableList.of(new NodeInfo("n2", "10.0.0.2", "10.0.0.2:80", false, 1.5)));
 
     assertEquals(PeerReportCodec.decode(PeerReportCodec.encode(report)), report);
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CallSpec.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CallSpec.java
@@ -1,6 +1,7 @@
 package org.cranberrystand.dispatch;
 
 import java.util.Objects;
+import org.cranberrystand.upstream.RegisteredUpstream;
 
 /**
  * The properties of a request that scheduling decisions depend on.
@@ -10,6 +11,7 @@
 public final class CallSpec {
   private final long key;
   private final String pool;
+  private final String softwareVersion;
   private final boolean streaming;
   private final int priority;
   private final int promptTokens;
@@ -25,6 +27,7 @@
   private CallSpec(Builder builder) {
     this.key = builder.key;
     this.pool = Objects.requireNonNull(builder.pool, "pool");
+    this.softwareVersion = builder.softwareVersion;
     this.streaming = builder.streaming;
     this.priority = builder.priority;
     this.promptTokens = builder.promptTokens;
@@ -57,6 +60,34 @@
     return pool;
   }
 
+  /**
+   * Returns whether an upstream may serve this request.
+   *
+   * @param upstream an upstream of the pool
+   * @return false if the request continues a stream that another software version began
+   */
+  public boolean accepts(RegisteredUpstream upstream) {
+    return softwareVersion == null || softwareVersion.equals(upstream.softwareVersion());
+  }
+
+  /**
+   * Returns this request as the continuation of a stream.
+   *
+   * @param version the software version that began the stream
+   * @return a copy that only upstreams of this version accept
+   */
+  public CallSpec continuedAt(String version) {
+    return new Builder(key, pool)
+        .softwareVersion(version)
+        .streaming(streaming)
+        .priority(priority)
+        .size(promptTokens, expectedEvents)
+        .prefix(prefixKey, prefixTokens)
+        .streamTiming(gapTargetNanos, maxFirstEventWaitNanos)
+        .times(arrivalNanos, targetNanos, deadlineNanos)
+        .build();
+  }
+
   public boolean isStreaming() {
     return streaming;
   }
@@ -113,6 +144,7 @@
   public static final class Builder {
     private final long key;
     private final String pool;
+    private String softwareVersion;
     private boolean streaming;
     private int priority;
     private int promptTokens;
@@ -130,6 +162,17 @@
       this.pool = pool;
     }
 
+    /**
+     * Sets the software version that must serve the request.
+     *
+     * @param value the version; null for any
+     * @return this builder
+     */
+    public Builder softwareVersion(String value) {
+      this.softwareVersion = value;
+      return this;
+    }
+
     /**
      * Sets whether the response is a stream of events.
      *
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/PoolScheduler.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/PoolScheduler.java
@@ -13,6 +13,7 @@
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 import java.util.function.ToLongFunction;
+import java.util.stream.Stream;
 import org.cranberrystand.outcome.NotRunReason;
 import org.cranberrystand.upstream.EjectionPolicy;
 import org.cranberrystand.upstream.RegisteredUpstream;
@@ -178,7 +179,7 @@
 
   private void submit(WaitingCall entry, long nowNanos) {
     CallSpec call = entry.call();
-    if (upstreams.isEmpty()) {
+    if (accepted(call).findAny().isEmpty()) {
       refuse(call, NotRunReason.NO_UPSTREAM, nowNanos);
       return;
     }
@@ -189,19 +190,24 @@
     }
     double startNanos =
         Math.max(
-            nowNanos + expectedWaitNanos(entry, nowNanos), (double) nextOpeningNanos(nowNanos));
+            nowNanos + expectedWaitNanos(entry, nowNanos),
+            (double) nextOpeningNanos(call, nowNanos));
     if (startNanos > entry.latestWaitNanos()) {
       remove(call.key());
       refuse(call, NotRunReason.OVERLOADED, nowNanos);
     }
   }
 
+  private Stream<UpstreamState> accepted(CallSpec call) {
+    return upstreams.values().stream().filter(state -> call.accepts(state.upstream()));
+  }
+
   /**
-   * Returns when this node may send to the first upstream, if all of them asked for a pause or
-   * limit their rate; {@link Long#MAX_VALUE} if only other nodes may.
+   * Returns when this node may send a request to the first upstream, if all of them asked for a
+   * pause or limit their rate; {@link Long#MAX_VALUE} if only other nodes may.
    */
-  private long nextOpeningNanos(long nowNanos) {
-    return upstreams.values().stream()
+  private long nextOpeningNanos(CallSpec call, long nowNanos) {
+    return accepted(call)
         .mapToLong(state -> Math.max(nowNanos, state.closedUntilNanos()))
         .min()
         .orElse(nowNanos);
@@ -277,7 +283,10 @@
   }
 
   private boolean isExcluded(WaitingCall entry, UpstreamState state) {
-    return upstreams.size() > 1 && state.upstream().id().equals(entry.excludedUpstream());
+    CallSpec call = entry.call();
+    return !call.accepts(state.upstream())
+        || (state.upstream().id().equals(entry.excludedUpstream())
+            && accepted(call).anyMatch(other -> other != state));
   }
 
   /** Returns the free upstream whose cache holds the prompt prefix; null if there is none. */
@@ -430,7 +439,7 @@
     double remainingMillis = (call.deadlineNanos() - nowNanos) / NANOS_PER_MILLI;
     double fraction =
         MIN_RETRY_FRACTION + (MAX_RETRY_FRACTION - MIN_RETRY_FRACTION) * random.nextDouble();
-    long opening = nextOpeningNanos(nowNanos);
+    long opening = nextOpeningNanos(call, nowNanos);
     double closedMillis = opening == Long.MAX_VALUE ? 0 : (opening - nowNanos) / NANOS_PER_MILLI;
     double retryMillis = Math.max(remainingMillis * fraction, closedMillis);
     output.refuse(call, reason, (long) Math.max(MIN_RETRY_MILLIS, retryMillis));
--- a/org.cranberrystand/src/main/java/org/cranberrystand/outcome/NotRunReason.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/outcome/NotRunReason.java
@@ -22,6 +22,8 @@
   NOT_READY(503, true),
   /** The content of the request crashed upstreams before. */
   QUARANTINED(503, true),
+  /** No node knows at which software version the stream began that the caller resumes. */
+  UNKNOWN_STREAM(503, true),
   /** The caller cancelled the request while it was queued. */
   CANCELLED(503, false);
 
--- a/org.cranberrystand/src/main/java/org/cranberrystand/routing/Route.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/routing/Route.java
@@ -68,6 +68,16 @@
     return pools;
   }
 
+  /**
+   * Returns whether requests may go to a pool.
+   *
+   * @param pool the name of the pool
+   * @return true if the route names it with a weight above 0
+   */
+  public boolean usesPool(String pool) {
+    return pools.stream().anyMatch(one -> one.pool().equals(pool) && one.weight() > 0);
+  }
+
   /** Returns the maximum time that a caller waits for the complete response. */
   public int timeoutMillis() {
     return timeoutMillis;
