--- a/org.cranberrystand.daemon/src/test/java/org/cranberrystand/daemon/gateway/StreamLookupTest.java
+++ b/org.cranberrystand.daemon/src/test/java/org/cranberrystand/daemon/gateway/StreamLookupTest.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.TimeUnit;
 import org.cranberrystand.dispatch.StreamOrigins.Origin;
 import org.cranberrystand.upstream.RegisteredUpstream;
+import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
 public final class StreamLookupTest {
@@ -34,7 +35,12 @@
     }
   }
 
-  private final List<Optional<Origin>> found = new ArrayList<>();
+  private List<Optional<Origin>> found;
+
+  @BeforeMethod
+  public void forgetFound() {
+    found = new ArrayList<>();
+  }
 
   private static Node connected(Node node) {
     Node other = new Node();
