Send an order again over a new connection

The users kept no logs.

Cause found: a node that sends a refused request again uses the same identifier, as it must, and may use the same connection. A second, late response to the first send then matches the second send, and counts as its refusal while the upstream runs it. The node then sends it once more (TWICE) or, without attempts left, refuses it (REFUSED).

Ruled out by reading: failed connects (nothing is written before the connect succeeds), resets and silence (never repeated where a second run does harm), statuses 408, 421, 429 and 503 without the statement that the request did not run (answered 502). Whether the users' runs had this cause is not known; it needs upstreams that respond twice and two refusals in a row.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RequestRelay.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RequestRelay.java
@@ -12,7 +12,9 @@
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.ScheduledFuture;
+import java.util.HashSet;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.cranberrystand.dispatch.CallEnding;
 import org.cranberrystand.dispatch.CallSpec;
@@ -57,6 +59,7 @@
   private final long fingerprint;
   private final RelayLog log;
 
+  private final Set<String> triedUpstreams = new HashSet<>();
   private CallSpec spec;
   private UpstreamExchange attempt;
   private RegisteredUpstream upstream;
@@ -148,6 +151,7 @@
                 buildUpstreamRequest(chosen),
                 exchange.body().retainedDuplicate(),
                 caller.requestId(),
+                !triedUpstreams.add(chosen.id()),
                 response);
     startSilenceTimer();
   }
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/UpstreamClient.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/UpstreamClient.java
@@ -88,6 +88,8 @@
    * @param request the complete request line and headers
    * @param body the request body; released
    * @param requestId the identifier that the response must repeat
+   * @param sentBefore whether a request with the same identifier was sent to the upstream before; a
+   *     new connection is used then, since a second response to the first one may arrive on the old
    * @param listener receives the response
    * @return the exchange, to cancel it or to pause reading
    */
@@ -96,9 +98,10 @@
       HttpRequest request,
       ByteBuf body,
       String requestId,
+      boolean sentBefore,
       ResponseListener listener) {
     Exchange exchange = new Exchange();
-    UpstreamConnection reused = takeIdle(upstream.id());
+    UpstreamConnection reused = sentBefore ? null : takeIdle(upstream.id());
     if (reused != null) {
       exchange.start(reused, reused.send(request, body, requestId, listener));
       return exchange;
