Fail a request that gets a refusal without identifier on a reused connection

Responses name the request that they belong to; a refusal without a name was taken for the pending request on any connection. On a reused connection it may be a second response to an earlier request: the pending one ran, and was sent again or refused. It fails now, which promises nothing, and is repeated only where a second run does no harm. The test saw the order sent again over a second connection before.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/UpstreamConnection.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/UpstreamConnection.java
@@ -47,6 +47,7 @@
   private final Owner owner;
   private final Channel channel;
   private PendingRequest active;
+  private int requestCount;
   private boolean releasePending;
   private boolean untrusted;
   private boolean connectionReset;
@@ -80,6 +81,7 @@
   PendingRequest send(
       HttpRequest request, ByteBuf body, String requestId, ResponseListener listener) {
     PendingRequest started = new PendingRequest(requestId, listener);
+    requestCount++;
     active = started;
     channel.write(request);
     channel
@@ -154,6 +156,11 @@
       return;
     }
     ResponseHeaders headers = headerCodec.readResponse(response);
+    if (headers.requestId() == null && headers.notRun() && requestCount > 1) {
+      // It may be a second response to an earlier request, so this one may have run.
+      fail(current, new IOException("refusal without identifier on a reused connection"));
+      return;
+    }
     if (isMismatched(current, headers)) {
       skipMismatched(current, headers);
       return;
