--- a/org.cranberrystand/src/test/java/org/cranberrystand/dispatch/CallDispatcherTest.java
+++ b/org.cranberrystand/src/test/java/org/cranberrystand/dispatch/CallDispatcherTest.java
@@ -130,7 +130,7 @@
   public void limitedUpstreamGetsOneRequestInEachInterval() {
     dispatcher.upstreamsChanged(List.of(engine("a")), 0);
     dispatcher.minSendIntervalsChanged(u -> 500 * MILLI);
-    for (int tick = 0; tick <= 20; tick++) {
+    for (long tick = 0; tick <= 20; tick++) {
       dispatcher.submit(call(tick + 1, 0, tick * 50), null, tick * 50 * MILLI);
       dispatcher.tick(tick * 50 * MILLI);
       decisions.sentKeys().forEach(key -> dispatcher.ended(key, CallEnding.ANSWERED, 0));
