Work out the weights of the cells once for all limited upstreams

RateLimiter added up the cores of all cells once for each limited upstream, ten times a second. The weights are the same for all of them. A comment that the formatter had broken is reworded.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RateLimiter.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RateLimiter.java
@@ -56,7 +56,7 @@
   }
 
   private String intervalMillis(RegisteredUpstream upstream, long nowNanos) {
-    long nanos = minIntervalNanos(upstream, nowNanos);
+    long nanos = minIntervalNanos(upstream, peers.cellWeights(nowNanos), nowNanos);
     return nanos == UpstreamLimits.NEVER ? "never" : Long.toString(nanos / 1_000_000);
   }
 
@@ -100,14 +100,15 @@
 
   private void updateIntervals(long nowNanos) {
     limited = limits.limitedCount() > 0;
-    dispatcher.minSendIntervalsChanged(upstream -> minIntervalNanos(upstream, nowNanos));
+    ImmutableList<Double> weights = peers.cellWeights(nowNanos);
+    dispatcher.minSendIntervalsChanged(upstream -> minIntervalNanos(upstream, weights, nowNanos));
   }
 
-  private long minIntervalNanos(RegisteredUpstream upstream, long nowNanos) {
+  private long minIntervalNanos(
+      RegisteredUpstream upstream, ImmutableList<Double> cellWeights, long nowNanos) {
     double perSecond = limits.perSecond(upstream);
     return Double.isFinite(perSecond)
-        ? peers.minSendIntervalNanos(
-            upstream.id(), perSecond, peers.cellWeights(nowNanos), nowNanos)
+        ? peers.minSendIntervalNanos(upstream.id(), perSecond, cellWeights, nowNanos)
         : 0;
   }
 }
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/UpstreamConnection.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/UpstreamConnection.java
@@ -157,9 +157,8 @@
     }
     ResponseHeaders headers = headerCodec.readResponse(response);
     if (headers.requestId() == null && headers.notRun() && requestCount > 1) {
-      // It may be a second response to an earlier request, so this one may have run. What it says
-      // of
-      // the upstream holds all the same.
+      // It may be a second response to an earlier request, so this one may have run. Its other
+      // headers still describe the upstream.
       current.listener.headReceived(headers, response);
       fail(current, new IOException("refusal without identifier on a reused connection"));
       return;
