Log the identity of requests that may have crashed their upstream

Event 5029 names the upstream, the fingerprint of the content and the shared parts of the prompt, for requests that had got nothing of their answer when the connection ended.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/CallerHeaders.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/CallerHeaders.java
@@ -1,5 +1,7 @@
 package org.cranberrystand.daemon.gateway;
 
+import com.google.common.collect.ImmutableList;
+
 /**
  * The parsed headers of a caller's request.
  *
@@ -9,6 +11,7 @@
  * @param promptTokens the number of prompt tokens; 0 if not given
  * @param prefixKey identifies the prompt prefix that several requests may share
  * @param prefixTokens the number of tokens of the shared prefix; 0 if there is none
+ * @param sharedParts identifies the parts of the prompt that several requests may share, in order
  * @param maxOutputTokens the maximum number of output tokens; 0 if not given
  * @param outputTokensHint the caller's estimate of the number of output tokens; 0 if not given
  * @param lastEventId the last event that the caller received; null to start from the first event
@@ -22,6 +25,7 @@
     int promptTokens,
     long prefixKey,
     int prefixTokens,
+    ImmutableList<Long> sharedParts,
     int maxOutputTokens,
     int outputTokensHint,
     String lastEventId,
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RelayLog.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RelayLog.java
@@ -1,6 +1,8 @@
 package org.cranberrystand.daemon.gateway;
 
+import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 import org.cranberrystand.daemon.internal.EventLog;
 import org.cranberrystand.dispatch.PlacementChoice;
 import org.cranberrystand.event.LogEvent;
@@ -117,4 +119,17 @@
         LogEvent.UPSTREAM_BROKEN,
         requestFields + " upstream=" + upstream.id() + " call=" + call + " cause=" + cause);
   }
+
+  /** Logs that an upstream may have crashed because of the request, and what identifies it. */
+  void crashSuspected(RegisteredUpstream upstream, long content, List<Long> parts) {
+    log.write(
+        LogEvent.CRASH_SUSPECTED,
+        requestFields
+            + " upstream="
+            + upstream.id()
+            + " content="
+            + Long.toHexString(content)
+            + " parts="
+            + parts.stream().map(Long::toHexString).collect(Collectors.joining(",")));
+  }
 }
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RequestRelay.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RequestRelay.java
@@ -524,6 +524,9 @@
     public void connectionBroken(Throwable cause) {
       attempt = null;
       context.crashes().crashed(fingerprint, System.nanoTime());
+      if (!attemptHasEvents) {
+        log.crashSuspected(upstream, fingerprint, caller.sharedParts());
+      }
       log.broken(upstream, "answer", cause);
       retryOrFail("connection broke", CallEnding.BROKEN);
     }
--- a/org.cranberrystand/src/main/java/org/cranberrystand/event/LogEvent.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/event/LogEvent.java
@@ -93,7 +93,9 @@
   /** An upstream set, changed or removed the limit of its request rate. */
   UPSTREAM_LIMITED(5027, Severity.INFO, "rate limit of an upstream changed"),
   /** A caller resumes a stream that another request of it began. */
-  STREAM_RESUMED(5028, Severity.INFO, "stream resumed by its caller");
+  STREAM_RESUMED(5028, Severity.INFO, "stream resumed by its caller"),
+  /** An upstream ended its connection before it sent anything of the answer to a request. */
+  CRASH_SUSPECTED(5029, Severity.INFO, "request may have crashed its upstream");
 
   private final int number;
   private final Severity severity;
