Refuse prompt parts that crash upstreams, not only whole requests

Cause: the register of crashes identified a request by path, team and whole content. Requests that share a part and nothing else had other identities, so each counted one crash at most and nothing was refused.

Ruled out: counts that do not reach other nodes (one node saw four crashes by itself), crashes that are not counted (each broke a connection), queues (waited_ms 0 to 3).

The change: a request has a key for its content and one for each shared part of its prompt. A key is refused after three crashes without an answer in between, at whatever nodes. An answer at any node clears a key, so parts that many sound requests share stay accepted. Crashes at about the same moment count once (lost domain, lost link). A crash counts only if no other connection of the node to the upstream stays open. Waiting requests with a refused key are refused at once, and none is repeated. What nodes know of crashes travels with their other observations, as sets that can be merged in any order, and no longer as sums of the load reports, where one crash seen by two nodes counted twice.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Admission.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Admission.java
@@ -1,5 +1,6 @@
 package org.cranberrystand.daemon.gateway;
 
+import com.google.common.collect.ImmutableList;
 import com.google.common.net.HostAndPort;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpRequest;
@@ -102,6 +103,11 @@
     }
   }
 
+  /** Refuses the waiting requests whose content crashes upstreams. */
+  void refuseQuarantined() {
+    ImmutableList.copyOf(relays.values()).forEach(RequestRelay::refuseIfQuarantined);
+  }
+
   private static String host(HttpRequest request) {
     String value = request.headers().get(HttpHeaderNames.HOST, "");
     try {
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/FleetReports.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/FleetReports.java
@@ -7,7 +7,6 @@
 import java.util.concurrent.TimeUnit;
 import org.cranberrystand.daemon.internal.EventLog;
 import org.cranberrystand.dispatch.CallDispatcher;
-import org.cranberrystand.dispatch.CrashRegister;
 import org.cranberrystand.dispatch.QuotaLedger;
 import org.cranberrystand.dispatch.QuotaLedger.Coverage;
 import org.cranberrystand.dispatch.QuotaReports;
@@ -23,8 +22,8 @@
 import org.cranberrystand.membership.SharedObservations;
 
 /**
- * Exchanges load reports with the other nodes and passes the reported load to the dispatcher, the
- * quotas and the crash register. Used only on the event loop.
+ * Exchanges load reports with the other nodes and passes the reported load to the dispatcher and
+ * the quotas. Used only on the event loop.
  */
 final class FleetReports {
   /**
@@ -57,7 +56,6 @@
   private final PeerTargets targets;
   private final CallDispatcher dispatcher;
   private final QuotaLedger quotas;
-  private final CrashRegister crashes;
   private final Source source;
   private final ObservationListener observationListener;
   private final ReportSocket socket;
@@ -79,7 +77,6 @@
       PeerTargets targets,
       CallDispatcher dispatcher,
       QuotaLedger quotas,
-      CrashRegister crashes,
       Source source,
       ObservationListener observationListener,
       ReportSocket socket,
@@ -89,7 +86,6 @@
     this.targets = targets;
     this.dispatcher = dispatcher;
     this.quotas = quotas;
-    this.crashes = crashes;
     this.source = source;
     this.observationListener = observationListener;
     this.socket = socket;
@@ -250,10 +246,7 @@
 
   private ReportedLoad ownLoad(Coverage coverage, long now) {
     return new ReportedLoad(
-        dispatcher.ownUsage(),
-        quotas.usedUnits(coverage),
-        quotas.balances(now),
-        crashes.counts(now));
+        dispatcher.ownUsage(), quotas.usedUnits(coverage), quotas.balances(now));
   }
 
   /** Updates state that depends on the current time; to be called several times per second. */
@@ -285,7 +278,6 @@
   private void applyPeerLoad(long now) {
     peerLoadChanged = false;
     ReportedLoad peerLoad = table.peerLoad(now);
-    crashes.setPeerCounts(peerLoad.crashCounts());
     dispatcher.peerUsageChanged(peerLoad.usage(), now);
   }
 
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Gateway.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Gateway.java
@@ -18,7 +18,6 @@
 import java.util.concurrent.atomic.AtomicReference;
 import org.cranberrystand.daemon.internal.EventLog;
 import org.cranberrystand.dispatch.CallDispatcher;
-import org.cranberrystand.dispatch.CrashRegister;
 import org.cranberrystand.dispatch.QuotaLedger;
 import org.cranberrystand.dispatch.RetryAllowance;
 import org.cranberrystand.dispatch.StreamOrigins;
@@ -67,7 +66,7 @@
   private final Admission admission;
   private final QuotaLedger quotas;
   private final RetryAllowance retries;
-  private final CrashRegister crashes = new CrashRegister();
+  private final CrashDetector crashes;
   private final RateLimiter limiter;
   private final StreamLookup streams;
   private final PeerTable peers;
@@ -96,6 +95,8 @@
         new RetryAllowance(settings.limits().retryRatio(), settings.limits().retrySlack());
     UpstreamClient client =
         new UpstreamClient(loop, ports.headers(), this::maxIdleConnections, log);
+    this.crashes = new CrashDetector(loop, client, log);
+    crashes.setRefusalListener(admission::refuseQuarantined);
     this.fleet = new FleetState(ports.decoder(), dispatcher, client, log);
     this.callers = new CallerServer(loop, this::callerLimits, admission::handleRequest);
     this.peers = new PeerTable(self(settings.listen().callers()));
@@ -146,7 +147,6 @@
         targets,
         dispatcher,
         quotas,
-        crashes,
         new ReportSource(),
         this::observationsReported,
         new ReportSocket(loop, settings.listen().reportPort(), this::handleReport, log),
@@ -173,13 +173,18 @@
     @Override
     public SharedObservations observations() {
       return new SharedObservations(
-          fleet.leavingUpstreams(), limiter.reports(), streams.recent(), ImmutableList.of());
+          fleet.leavingUpstreams(),
+          limiter.reports(),
+          crashes.reports(),
+          streams.recent(),
+          ImmutableList.of());
     }
   }
 
   private void observationsReported(NodeInfo sender, SharedObservations observations) {
     fleet.leavingReported(sender.node(), observations.leavingUpstreams());
     limiter.reported(sender.node(), observations.upstreamLimits());
+    crashes.reported(sender.node(), observations.crashes());
     streams.reported(sender.host(), observations.streamOrigins(), observations.soughtStreams());
   }
 
@@ -289,6 +294,7 @@
     metrics.setLoad(
         dispatcher.waitingCount(), dispatcher.runningCount(), callers.connectionCount(), nodeCount);
     metrics.setLimitedUpstreams(limiter.limitedCount());
+    metrics.setQuarantined(crashes.refusedCount());
     offer.set(buildOffer(now));
     follower.setPassive(peers.isStoreReadByOthers(now));
     fetchStateIfBehind(now);
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/GatewayMetrics.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/GatewayMetrics.java
@@ -33,6 +33,7 @@
   private final AtomicInteger connections = gauge("caller.connections");
   private final AtomicInteger nodes = gauge("nodes");
   private final AtomicInteger limitedUpstreams = gauge("upstreams.limited");
+  private final AtomicInteger quarantined = gauge("content.quarantined");
   private final Map<String, Counter> outcomes = new HashMap<>();
   private final Map<String, Timer> firstResponseTimers = new HashMap<>();
 
@@ -53,6 +54,10 @@
     limitedUpstreams.set(count);
   }
 
+  void setQuarantined(int count) {
+    quarantined.set(count);
+  }
+
   /** Records a finished request; must be called on the event loop. */
   void recordEnded(
       Route route, String outcome, long arrivalNanos, long firstResponseNanos, long endNanos) {
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RelayContext.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RelayContext.java
@@ -4,7 +4,6 @@
 import java.util.function.Supplier;
 import org.cranberrystand.daemon.internal.EventLog;
 import org.cranberrystand.dispatch.CallDispatcher;
-import org.cranberrystand.dispatch.CrashRegister;
 import org.cranberrystand.dispatch.QuotaLedger;
 import org.cranberrystand.dispatch.RetryAllowance;
 import org.cranberrystand.routing.RoutingTable;
@@ -18,7 +17,7 @@
  * @param dispatcher decides when and to which upstream requests are sent
  * @param quotas tracks the quota usage of teams
  * @param retries limits retries
- * @param crashes tracks requests during which upstreams crashed
+ * @param crashes knows which content crashes upstreams
  * @param signals applies what upstreams say of themselves in responses
  * @param streams knows at which software version streams began
  * @param routing supplies the current declaration; null before the first one
@@ -34,7 +33,7 @@
     CallDispatcher dispatcher,
     QuotaLedger quotas,
     RetryAllowance retries,
-    CrashRegister crashes,
+    CrashDetector crashes,
     UpstreamSignals signals,
     StreamLookup streams,
     Supplier<RoutingTable> routing,
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RelayLog.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RelayLog.java
@@ -121,15 +121,13 @@
   }
 
   /** Logs that an upstream may have crashed because of the request, and what identifies it. */
-  void crashSuspected(RegisteredUpstream upstream, long content, List<Long> parts) {
+  void crashSuspected(RegisteredUpstream upstream, List<Long> contentKeys) {
     log.write(
         LogEvent.CRASH_SUSPECTED,
         requestFields
             + " upstream="
             + upstream.id()
-            + " content="
-            + Long.toHexString(content)
-            + " parts="
-            + parts.stream().map(Long::toHexString).collect(Collectors.joining(",")));
+            + " keys="
+            + contentKeys.stream().map(Long::toHexString).collect(Collectors.joining(",")));
   }
 }
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RequestRelay.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RequestRelay.java
@@ -1,5 +1,6 @@
 package org.cranberrystand.daemon.gateway;
 
+import com.google.common.collect.ImmutableList;
 import com.google.common.hash.Hasher;
 import com.google.common.hash.Hashing;
 import io.netty.buffer.ByteBuf;
@@ -56,7 +57,10 @@
   private final CallerHeaders caller;
   private final Route route;
   private final Optional<TeamPolicy> team;
-  private final long fingerprint;
+
+  /** Identifies the content in the register of crashes: the whole, and the shared parts. */
+  private final ImmutableList<Long> contentKeys;
+
   private final RelayLog log;
 
   private final Set<String> triedUpstreams = new HashSet<>();
@@ -90,7 +94,8 @@
     this.route = route;
     this.team = team;
     this.spec = spec;
-    this.fingerprint = fingerprint();
+    this.contentKeys =
+        ImmutableList.<Long>builder().add(fingerprint()).addAll(caller.sharedParts()).build();
     this.log =
         new RelayLog(
             context.log(),
@@ -112,8 +117,7 @@
   /** Submits the request to the dispatcher. */
   void start() {
     exchange.setListener(this);
-    if (context.crashes().isRefused(fingerprint, System.nanoTime())) {
-      refuse(NotRunReason.QUARANTINED, RETRY_AFTER_MILLIS);
+    if (refuseIfQuarantined()) {
       return;
     }
     deadlineTimer =
@@ -129,6 +133,17 @@
     context.dispatcher().submit(spec, null, System.nanoTime());
   }
 
+  /** Refuses the request if it is not at an upstream and its content crashes upstreams. */
+  boolean refuseIfQuarantined() {
+    long refusalMillis = done || attempt != null ? 0 : context.crashes().refusalMillis(contentKeys);
+    if (refusalMillis == 0) {
+      return false;
+    }
+    context.dispatcher().ended(spec.key(), CallEnding.CANCELLED, System.nanoTime());
+    refuse(NotRunReason.QUARANTINED, refusalMillis);
+    return true;
+  }
+
   boolean isDone() {
     return done;
   }
@@ -363,6 +378,7 @@
     boolean resumable = !responseStarted || lastEventId != null;
     return route.isRetryable()
         && resumable
+        && context.crashes().refusalMillis(contentKeys) == 0
         && runCount < route.maxAttempts()
         && millis(spec.deadlineNanos() - System.nanoTime()) > MIN_RETRY_MILLIS
         && context.retries().tryAcquire(spec.pool());
@@ -422,6 +438,9 @@
       if (!responseStarted) {
         bindToVersion();
       }
+      if (!attemptHasEvents) {
+        context.crashes().answered(caller.sharedParts());
+      }
       attemptHasEvents = true;
       context.dispatcher().eventsReceived(spec.key(), count, lastByteNanos);
       startResponse(received);
@@ -459,6 +478,9 @@
     @Override
     public void streamEnded(ResponseAssembler received, boolean insideEvent) {
       attempt = null;
+      if (!attemptHasEvents) {
+        recordBroken();
+      }
       if (insideEvent || !responseStarted) {
         // An upstream that stops within an event, or before the first one, did not finish.
         retryOrFail("incomplete stream", CallEnding.FAILED);
@@ -521,16 +543,25 @@
     }
 
     @Override
-    public void connectionBroken(Throwable cause) {
+    public void connectionBroken(Throwable cause, boolean endedByUpstream) {
       attempt = null;
-      context.crashes().crashed(fingerprint, System.nanoTime());
-      if (!attemptHasEvents) {
-        log.crashSuspected(upstream, fingerprint, caller.sharedParts());
+      if (endedByUpstream) {
+        recordBroken();
       }
       log.broken(upstream, "answer", cause);
       retryOrFail("connection broke", CallEnding.BROKEN);
     }
 
+    /** Records that this request may have crashed the upstream. */
+    private void recordBroken() {
+      RegisteredUpstream broken = upstream;
+      // Content that crashes upstreams does so before the first event.
+      ImmutableList<Long> keys = attemptHasEvents ? contentKeys.subList(0, 1) : contentKeys;
+      context
+          .crashes()
+          .connectionBroken(broken, keys, () -> log.crashSuspected(broken, contentKeys));
+    }
+
     private void retryOrFail(String cause, CallEnding ending) {
       recordEnding(ending);
       if (tryAcquireRetry()) {
@@ -543,7 +574,7 @@
     private void recordEnding(CallEnding ending) {
       context.dispatcher().ended(spec.key(), ending, System.nanoTime());
       if (ending == CallEnding.ANSWERED) {
-        context.crashes().answered(fingerprint);
+        context.crashes().answered(contentKeys);
       }
     }
   }
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/ResponseAssembler.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/ResponseAssembler.java
@@ -44,7 +44,7 @@
     void responseCompleted(ResponseAssembler response, ByteBuf body);
 
     /** The connection failed before the end of the response. */
-    void connectionBroken(Throwable cause);
+    void connectionBroken(Throwable cause, boolean endedByUpstream);
   }
 
   private final Receiver receiver;
@@ -166,9 +166,9 @@
   }
 
   @Override
-  public void connectionBroken(Throwable cause) {
+  public void connectionBroken(Throwable cause, boolean endedByUpstream) {
     if (!receiver.isDone()) {
-      receiver.connectionBroken(cause);
+      receiver.connectionBroken(cause, endedByUpstream);
     }
   }
 }
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/ResponseListener.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/ResponseListener.java
@@ -19,5 +19,5 @@
   void responseCompleted();
 
   /** The connection failed or delivered an invalid response; the request may have been sent. */
-  void connectionBroken(Throwable cause);
+  void connectionBroken(Throwable cause, boolean endedByUpstream);
 }
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/UpstreamClient.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/UpstreamClient.java
@@ -1,5 +1,7 @@
 package org.cranberrystand.daemon.gateway;
 
+import com.google.common.collect.HashMultiset;
+import com.google.common.collect.Multiset;
 import com.google.common.net.HostAndPort;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
@@ -44,6 +46,7 @@
   private final ToIntFunction<String> maxIdleConnections;
   private final EventLog log;
   private final Map<String, Deque<UpstreamConnection>> idleConnections = new HashMap<>();
+  private final Multiset<String> openConnections = HashMultiset.create();
 
   /**
    * Creates a client without connections.
@@ -139,6 +142,7 @@
 
               @Override
               public void connectionClosed(UpstreamConnection closedConnection) {
+                openConnections.remove(id);
                 removeIdle(id, closedConnection);
               }
 
@@ -149,9 +153,15 @@
             },
             channel);
     channel.pipeline().addLast(connection);
+    openConnections.add(id);
     return connection;
   }
 
+  /** Returns whether a connection to an upstream is open. */
+  boolean isConnected(String id) {
+    return openConnections.contains(id);
+  }
+
   private void addIdle(RegisteredUpstream upstream, UpstreamConnection connection) {
     Deque<UpstreamConnection> connections =
         idleConnections.computeIfAbsent(upstream.id(), i -> new ArrayDeque<>());
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/UpstreamConnection.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/UpstreamConnection.java
@@ -148,7 +148,8 @@
   private void readHead(HttpResponse response) {
     PendingRequest current = active;
     if (response.decoderResult().isFailure()) {
-      fail(current, new IOException("malformed HTTP response", response.decoderResult().cause()));
+      violated(
+          current, new IOException("malformed HTTP response", response.decoderResult().cause()));
       return;
     }
     if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
@@ -160,7 +161,7 @@
       // It may be a second response to an earlier request, so this one may have run. Its other
       // headers still describe the upstream.
       current.listener.headReceived(headers, response);
-      fail(current, new IOException("refusal without identifier on a reused connection"));
+      violated(current, new IOException("refusal without identifier on a reused connection"));
       return;
     }
     if (isMismatched(current, headers)) {
@@ -189,7 +190,7 @@
     owner.protocolViolation(
         "response to another request expected=" + current.requestId + " got=" + headers);
     if (current.mismatchedResponses > MAX_MISMATCHED_RESPONSES) {
-      fail(current, new IOException("too many responses to other requests"));
+      violated(current, new IOException("too many responses to other requests"));
     }
   }
 
@@ -197,11 +198,12 @@
     PendingRequest current = active;
     boolean last = content instanceof LastHttpContent;
     if (content.decoderResult().isFailure()) {
-      fail(current, new IOException("malformed response body", content.decoderResult().cause()));
+      violated(
+          current, new IOException("malformed response body", content.decoderResult().cause()));
     } else if (current.skippingResponse) {
       current.skippingResponse = !last;
     } else if (!current.headReceived) {
-      fail(current, new IOException("response body without a head"));
+      violated(current, new IOException("response body without a head"));
     } else {
       if (content.content().isReadable()) {
         current.listener.contentReceived(content.content());
@@ -258,12 +260,22 @@
     }
   }
 
+  /** Fails a request whose connection the upstream ended. */
   private void fail(PendingRequest failed, Throwable cause) {
+    fail(failed, cause, true);
+  }
+
+  /** Fails a request whose upstream violated the protocol. */
+  private void violated(PendingRequest failed, Throwable cause) {
+    fail(failed, cause, false);
+  }
+
+  private void fail(PendingRequest failed, Throwable cause, boolean endedByUpstream) {
     if (active == failed) {
       active = null;
       untrusted = true;
       channel.close();
-      failed.listener.connectionBroken(cause);
+      failed.listener.connectionBroken(cause, endedByUpstream);
     }
   }
 
--- a/org.cranberrystand.wire/src/main/java/org/cranberrystand/wire/peer/PeerReportCodec.java
+++ b/org.cranberrystand.wire/src/main/java/org/cranberrystand/wire/peer/PeerReportCodec.java
@@ -10,6 +10,7 @@
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.Streams;
 import java.io.IOException;
+import org.cranberrystand.dispatch.CrashRegister;
 import org.cranberrystand.dispatch.StreamOrigins;
 import org.cranberrystand.dispatch.UpstreamLimits;
 import org.cranberrystand.dispatch.UpstreamUsage;
@@ -57,8 +58,7 @@
     ObjectNode balances = root.putObject("b");
     load.quotaBalanceUnits().forEach(balances::put);
     ObjectNode crashes = root.putObject("c");
-    load.crashCounts()
-        .forEach((fingerprint, count) -> crashes.put(Long.toHexString(fingerprint), count));
+    report.observations().crashes().forEach(one -> writeCrashes(crashes, one));
     ObjectNode leaving = root.putObject("d");
     report
         .observations()
@@ -87,6 +87,15 @@
     return Json.toBytes(root);
   }
 
+  /** Writes the age of the last answer, and a hash of the upstream and the age of each crash. */
+  private static void writeCrashes(ObjectNode crashes, CrashRegister.Report report) {
+    ArrayNode values = crashes.putArray(Long.toHexString(report.key()));
+    values.add(report.answerAgeNanos() < 0 ? -1 : NANOSECONDS.toMillis(report.answerAgeNanos()));
+    report
+        .crashes()
+        .forEach(crash -> values.add(crash.upstream()).add(NANOSECONDS.toMillis(crash.ageNanos())));
+  }
+
   private static void writeNode(ArrayNode array, NodeInfo node) {
     array
         .add(node.node())
@@ -134,10 +143,6 @@
                     e.getKey(),
                     new UpstreamUsage(
                         e.getValue().path(0).asInt(), e.getValue().path(1).asLong())));
-    ImmutableMap.Builder<Long, Integer> crashes = ImmutableMap.builder();
-    root.path("c")
-        .properties()
-        .forEach(e -> crashes.put(Long.parseUnsignedLong(e.getKey(), 16), e.getValue().asInt()));
     ImmutableList.Builder<DrainTracker.Report> leaving = ImmutableList.builder();
     root.path("d")
         .properties()
@@ -158,14 +163,11 @@
         root.path("w").asBoolean(),
         new PublishedVersion(root.path("e").asLong(), root.path("r").asLong()),
         root.path("f").asBoolean(),
-        new ReportedLoad(
-            usage.build(),
-            readDoubles(root.path("q")),
-            readDoubles(root.path("b")),
-            crashes.build()),
+        new ReportedLoad(usage.build(), readDoubles(root.path("q")), readDoubles(root.path("b"))),
         new SharedObservations(
             leaving.build(),
             readLimits(root.path("t")),
+            readCrashes(root.path("c")),
             readOrigins(root.path("o")),
             Streams.stream(root.path("a"))
                 .map(JsonNode::asText)
@@ -182,6 +184,24 @@
         .collect(ImmutableList.toImmutableList());
   }
 
+  private static ImmutableList<CrashRegister.Report> readCrashes(JsonNode node) {
+    return node.properties().stream()
+        .map(e -> readCrashes(Long.parseUnsignedLong(e.getKey(), 16), e.getValue()))
+        .collect(ImmutableList.toImmutableList());
+  }
+
+  private static CrashRegister.Report readCrashes(long key, JsonNode values) {
+    ImmutableList.Builder<CrashRegister.Crash> crashes = ImmutableList.builder();
+    for (int i = 1; i + 1 < values.size(); i += 2) {
+      crashes.add(
+          new CrashRegister.Crash(
+              values.path(i).asInt(), MILLISECONDS.toNanos(values.path(i + 1).asLong())));
+    }
+    long answerAgeMillis = values.path(0).asLong(-1);
+    return new CrashRegister.Report(
+        key, answerAgeMillis < 0 ? -1 : MILLISECONDS.toNanos(answerAgeMillis), crashes.build());
+  }
+
   private static ImmutableList<UpstreamLimits.Report> readLimits(JsonNode node) {
     ImmutableList.Builder<UpstreamLimits.Report> limits = ImmutableList.builder();
     node.properties()
--- a/org.cranberrystand.wire/src/test/java/org/cranberrystand/wire/peer/PeerReportCodecTest.java
+++ b/org.cranberrystand.wire/src/test/java/org/cranberrystand/wire/peer/PeerReportCodecTest.java
@@ -7,6 +7,7 @@
 import com.google.common.collect.ImmutableMap;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import org.cranberrystand.dispatch.CrashRegister;
 import org.cranberrystand.dispatch.StreamOrigins;
 import org.cranberrystand.dispatch.UpstreamLimits;
 import org.cranberrystand.dispatch.UpstreamUsage;
@@ -36,13 +37,16 @@
             new ReportedLoad(
                 ImmutableMap.of("e", new UpstreamUsage(2, 6_000)),
                 ImmutableMap.of("estrela", 12.5),
-                ImmutableMap.of("estrela", -3.0),
-                ImmutableMap.of(-1L, 2)),
+                ImmutableMap.of("estrela", -3.0)),
             new SharedObservations(
                 ImmutableList.of(new DrainTracker.Report("e@1", 2_000_000_000L)),
                 ImmutableList.of(
                     new UpstreamLimits.Report("e@1", 1.6, 3_000_000_000L),
                     new UpstreamLimits.Report("f@1", Double.POSITIVE_INFINITY, 0)),
+                ImmutableList.of(
+                    new CrashRegister.Report(
+                        -1L, -1, ImmutableList.of(new CrashRegister.Crash(-5, 1_000_000_000L))),
+                    new CrashRegister.Report(7, 2_000_000L, ImmutableList.of())),
                 ImmutableList.of(new StreamOrigins.Origin("a1", "llm", "v1.1")),
                 ImmutableList.of("a2", "a3")),
             ImmutableList.of(new NodeInfo("n2", "10.0.0.2", "10.0.0.2:80", false, 1.5)));
--- a/org.cranberrystand/src/main/java/org/cranberrystand/membership/PeerTable.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/membership/PeerTable.java
@@ -257,10 +257,8 @@
   public ReportedLoad ownCellLoad(ReportedLoad own, long nowNanos) {
     ReportedLoad.Sum sum = new ReportedLoad.Sum();
     sum.addUsage(own);
-    sum.addCrashes(own);
     addOwnCell(sum, nowNanos);
-    return new ReportedLoad(
-        sum.usage(), own.usedQuotaUnits(), own.quotaBalanceUnits(), sum.crashCounts());
+    return new ReportedLoad(sum.usage(), own.usedQuotaUnits(), own.quotaBalanceUnits());
   }
 
   /**
@@ -273,18 +271,12 @@
   public ReportedLoad otherCellsLoad(ReportedLoad own, long nowNanos) {
     ReportedLoad.Sum sum = new ReportedLoad.Sum();
     addOtherCells(sum, nowNanos);
-    return new ReportedLoad(
-        sum.usage(), own.usedQuotaUnits(), own.quotaBalanceUnits(), sum.crashCounts());
+    return new ReportedLoad(sum.usage(), own.usedQuotaUnits(), own.quotaBalanceUnits());
   }
 
   private void addOwnCell(ReportedLoad.Sum sum, long nowNanos) {
     for (ReceivedReport received : nodeReports.values()) {
-      if (!isInOwnCell(received.report().sender().host())) {
-        continue;
-      }
-      // Crash counts of silent nodes still identify requests that crash upstreams.
-      sum.addCrashes(received.report().load());
-      if (received.isFresh(nowNanos)) {
+      if (isInOwnCell(received.report().sender().host()) && received.isFresh(nowNanos)) {
         sum.addUsage(received.report().load());
       }
     }
@@ -292,7 +284,6 @@
 
   private void addOtherCells(ReportedLoad.Sum sum, long nowNanos) {
     for (ReceivedReport received : cellReports.values()) {
-      sum.addCrashes(received.report().load());
       if (received.isFresh(nowNanos)) {
         sum.addUsage(received.report().load());
       }
@@ -303,20 +294,17 @@
    * Returns the total load of all other nodes.
    *
    * @param nowNanos the current monotonic time, in nanoseconds
-   * @return usage of nodes with a fresh report, and crash counts of all; without quotas
+   * @return usage of nodes with a fresh report; without quotas
    */
   public ReportedLoad peerLoad(long nowNanos) {
     ReportedLoad.Sum sum = new ReportedLoad.Sum();
     addOwnCell(sum, nowNanos);
     if (isHead(nowNanos)) {
       addOtherCells(sum, nowNanos);
-    } else if (otherCellsReport != null) {
-      sum.addCrashes(otherCellsReport.report().load());
-      if (otherCellsReport.isFresh(nowNanos)) {
-        sum.addUsage(otherCellsReport.report().load());
-      }
+    } else if (otherCellsReport != null && otherCellsReport.isFresh(nowNanos)) {
+      sum.addUsage(otherCellsReport.report().load());
     }
-    return new ReportedLoad(sum.usage(), ImmutableMap.of(), ImmutableMap.of(), sum.crashCounts());
+    return new ReportedLoad(sum.usage(), ImmutableMap.of(), ImmutableMap.of());
   }
 
   /**
--- a/org.cranberrystand/src/main/java/org/cranberrystand/membership/ReportedLoad.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/membership/ReportedLoad.java
@@ -6,43 +6,31 @@
 import org.cranberrystand.dispatch.UpstreamUsage;
 
 /**
- * Upstream usage, quota usage and upstream crashes of one or more nodes. Immutable.
+ * Upstream usage and quota usage of one or more nodes. Immutable.
  *
  * @param usage the current usage of each upstream, by identifier of the upstream
  * @param usedQuotaUnits quota units consumed since the start of the sender, by team
  * @param quotaBalanceUnits remaining quota units as known to the sender, by team
- * @param crashCounts the number of upstream crashes during a request, by request fingerprint
  */
 public record ReportedLoad(
     ImmutableMap<String, UpstreamUsage> usage,
     ImmutableMap<String, Double> usedQuotaUnits,
-    ImmutableMap<String, Double> quotaBalanceUnits,
-    ImmutableMap<Long, Integer> crashCounts) {
+    ImmutableMap<String, Double> quotaBalanceUnits) {
 
   /** A report without load. */
   public static final ReportedLoad NONE =
-      new ReportedLoad(ImmutableMap.of(), ImmutableMap.of(), ImmutableMap.of(), ImmutableMap.of());
+      new ReportedLoad(ImmutableMap.of(), ImmutableMap.of(), ImmutableMap.of());
 
-  /** Sums the usage and crash counts of several loads. Not thread-safe. */
+  /** Sums the usage of several loads. Not thread-safe. */
   static final class Sum {
     private final Map<String, UpstreamUsage> usage = new HashMap<>();
-    private final Map<Long, Integer> crashCounts = new HashMap<>();
 
     void addUsage(ReportedLoad load) {
       load.usage().forEach((upstream, used) -> usage.merge(upstream, used, UpstreamUsage::plus));
     }
 
-    void addCrashes(ReportedLoad load) {
-      load.crashCounts()
-          .forEach((fingerprint, count) -> crashCounts.merge(fingerprint, count, Integer::sum));
-    }
-
     ImmutableMap<String, UpstreamUsage> usage() {
       return ImmutableMap.copyOf(usage);
     }
-
-    ImmutableMap<Long, Integer> crashCounts() {
-      return ImmutableMap.copyOf(crashCounts);
-    }
   }
 }
--- a/org.cranberrystand/src/main/java/org/cranberrystand/membership/SharedObservations.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/membership/SharedObservations.java
@@ -1,17 +1,19 @@
 package org.cranberrystand.membership;
 
 import com.google.common.collect.ImmutableList;
+import org.cranberrystand.dispatch.CrashRegister;
 import org.cranberrystand.dispatch.StreamOrigins;
 import org.cranberrystand.dispatch.UpstreamLimits;
 import org.cranberrystand.upstream.DrainTracker;
 import org.cranberrystand.upstream.RegisteredUpstream;
 
 /**
- * What a node observed of upstreams and streams and passes on to other nodes. Immutable.
+ * What a node observed of upstreams, streams and requests and passes on to other nodes. Immutable.
  *
  * @param leavingUpstreams upstreams that announced recently that they are leaving, by {@linkplain
  *     RegisteredUpstream#incarnationKey incarnation}
  * @param upstreamLimits the rate limits that upstreams stated
+ * @param crashes what is known of content that may crash upstreams
  * @param streamOrigins where streams began that are recent or that the receiver asked for
  * @param soughtStreams streams whose origin the sender asks for, by the identifier of the request
  *     that received the first event
@@ -19,13 +21,18 @@
 public record SharedObservations(
     ImmutableList<DrainTracker.Report> leavingUpstreams,
     ImmutableList<UpstreamLimits.Report> upstreamLimits,
+    ImmutableList<CrashRegister.Report> crashes,
     ImmutableList<StreamOrigins.Origin> streamOrigins,
     ImmutableList<String> soughtStreams) {
 
   /** No observations. */
   public static final SharedObservations NONE =
       new SharedObservations(
-          ImmutableList.of(), ImmutableList.of(), ImmutableList.of(), ImmutableList.of());
+          ImmutableList.of(),
+          ImmutableList.of(),
+          ImmutableList.of(),
+          ImmutableList.of(),
+          ImmutableList.of());
 
   /**
    * Returns these observations with a question.
@@ -34,7 +41,8 @@
    * @return a copy
    */
   public SharedObservations asking(ImmutableList<String> streams) {
-    return new SharedObservations(leavingUpstreams, upstreamLimits, streamOrigins, streams);
+    return new SharedObservations(
+        leavingUpstreams, upstreamLimits, crashes, streamOrigins, streams);
   }
 
   /**
@@ -44,6 +52,7 @@
    * @return a copy
    */
   public SharedObservations answering(ImmutableList<StreamOrigins.Origin> origins) {
-    return new SharedObservations(leavingUpstreams, upstreamLimits, origins, ImmutableList.of());
+    return new SharedObservations(
+        leavingUpstreams, upstreamLimits, crashes, origins, ImmutableList.of());
   }
 }
--- a/org.cranberrystand/src/test/java/org/cranberrystand/membership/FleetOfCellsTest.java
+++ b/org.cranberrystand/src/test/java/org/cranberrystand/membership/FleetOfCellsTest.java
@@ -54,8 +54,7 @@
       return new ReportedLoad(
           ImmutableMap.of(ENGINE, new UpstreamUsage(1, 100)),
           quotaLedger.usedUnits(coverage),
-          quotaLedger.balances(now),
-          ImmutableMap.of());
+          quotaLedger.balances(now));
     }
 
     /** Handles a report as the gateway does. */
--- a/org.cranberrystand/src/test/java/org/cranberrystand/membership/PeerTableTest.java
+++ b/org.cranberrystand/src/test/java/org/cranberrystand/membership/PeerTableTest.java
@@ -39,7 +39,6 @@
         new ReportedLoad(
             ImmutableMap.of("e", new UpstreamUsage(running, 10)),
             ImmutableMap.of(),
-            ImmutableMap.of(),
             ImmutableMap.of()),
         SharedObservations.NONE,
         ImmutableList.of(node("further")));
