Log when a node reaches none of the upstreams of a pool

Event 5030 and the gauge pools.unreachable say so: new connections to three upstreams of a pool, or to all of a smaller one, failed within 2 s and none was opened since. No decision uses it yet.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Gateway.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Gateway.java
@@ -84,6 +84,7 @@
   private long upToDateNanos;
   private int ticks;
   private int nodeCount = 1;
+  private ImmutableSet<String> unreachablePools = ImmutableSet.of();
 
   private Gateway(GatewaySettings settings, GatewayPorts ports, EventLog log) {
     this.settings = settings;
@@ -94,7 +95,13 @@
     this.retries =
         new RetryAllowance(settings.limits().retryRatio(), settings.limits().retrySlack());
     UpstreamClient client =
-        new UpstreamClient(loop, ports.headers(), this::maxIdleConnections, log);
+        new UpstreamClient(
+            loop,
+            ports.headers(),
+            this::maxIdleConnections,
+            (upstream, connected) ->
+                dispatcher.connectEnded(upstream, connected, System.nanoTime()),
+            log);
     this.crashes = new CrashDetector(loop, client, log);
     crashes.setRefusalListener(admission::refuseQuarantined);
     this.fleet = new FleetState(ports.decoder(), dispatcher, client, log);
@@ -295,11 +302,26 @@
         dispatcher.waitingCount(), dispatcher.runningCount(), callers.connectionCount(), nodeCount);
     metrics.setLimitedUpstreams(limiter.limitedCount());
     metrics.setQuarantined(crashes.refusedCount());
+    updateReach();
     offer.set(buildOffer(now));
     follower.setPassive(peers.isStoreReadByOthers(now));
     fetchStateIfBehind(now);
   }
 
+  private void updateReach() {
+    ImmutableSet<String> pools = dispatcher.unreachablePools();
+    if (!pools.equals(unreachablePools)) {
+      log.write(
+          LogEvent.POOL_REACH_CHANGED,
+          "unreachable="
+              + String.join(",", pools)
+              + " before="
+              + String.join(",", unreachablePools));
+      unreachablePools = pools;
+      metrics.setUnreachablePools(pools.size());
+    }
+  }
+
   private AddressOffer buildOffer(long now) {
     ImmutableList.Builder<NodeInfo> nodes = ImmutableList.builder();
     if (isReady()) {
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/GatewayMetrics.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/GatewayMetrics.java
@@ -34,6 +34,7 @@
   private final AtomicInteger nodes = gauge("nodes");
   private final AtomicInteger limitedUpstreams = gauge("upstreams.limited");
   private final AtomicInteger quarantined = gauge("content.quarantined");
+  private final AtomicInteger unreachablePools = gauge("pools.unreachable");
   private final Map<String, Counter> outcomes = new HashMap<>();
   private final Map<String, Timer> firstResponseTimers = new HashMap<>();
 
@@ -58,6 +59,10 @@
     quarantined.set(count);
   }
 
+  void setUnreachablePools(int count) {
+    unreachablePools.set(count);
+  }
+
   /** Records a finished request; must be called on the event loop. */
   void recordEnded(
       Route route, String outcome, long arrivalNanos, long firstResponseNanos, long endNanos) {
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/UpstreamClient.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/UpstreamClient.java
@@ -41,9 +41,15 @@
   private static final int MAX_HEADER_BYTES = 32_768;
   private static final int MAX_CHUNK_BYTES = 16_384;
 
+  /** Receives whether connections could be opened. */
+  interface ConnectListener {
+    void connectEnded(RegisteredUpstream upstream, boolean connected);
+  }
+
   private final Bootstrap bootstrap;
   private final HeaderCodec headerCodec;
   private final ToIntFunction<String> maxIdleConnections;
+  private final ConnectListener connectListener;
   private final EventLog log;
   private final Map<String, Deque<UpstreamConnection>> idleConnections = new HashMap<>();
   private final Multiset<String> openConnections = HashMultiset.create();
@@ -54,15 +60,18 @@
    * @param loop the event loop on which the client is used
    * @param headerCodec reads the headers of responses
    * @param maxIdleConnections returns how many idle connections to keep to one upstream of a pool
+   * @param connectListener called after each attempt to open a connection
    * @param log the event log
    */
   UpstreamClient(
       EventLoop loop,
       HeaderCodec headerCodec,
       ToIntFunction<String> maxIdleConnections,
+      ConnectListener connectListener,
       EventLog log) {
     this.headerCodec = headerCodec;
     this.maxIdleConnections = maxIdleConnections;
+    this.connectListener = connectListener;
     this.log = log;
     this.bootstrap =
         new Bootstrap()
@@ -114,6 +123,7 @@
         bootstrap.connect(new InetSocketAddress(address.getHost(), address.getPort()));
     connect.addListener(
         future -> {
+          connectListener.connectEnded(upstream, future.isSuccess());
           if (exchange.cancelled) {
             body.release();
             connect.channel().close();
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CallDispatcher.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CallDispatcher.java
@@ -1,6 +1,7 @@
 package org.cranberrystand.dispatch;
 
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
@@ -163,6 +164,29 @@
     pool(upstream.pool()).pauseRequested(upstream, pause, now);
   }
 
+  /**
+   * Records whether a connection to an upstream could be opened.
+   *
+   * @param upstream the upstream
+   * @param connected false if it could not
+   * @param now the current time
+   */
+  public void connectEnded(RegisteredUpstream upstream, boolean connected, long now) {
+    pool(upstream.pool()).connectEnded(upstream.id(), connected, now);
+  }
+
+  /**
+   * Returns the pools none of whose upstreams this node can reach.
+   *
+   * @return the names of the pools
+   */
+  public ImmutableSet<String> unreachablePools() {
+    return pools.entrySet().stream()
+        .filter(pool -> pool.getValue().isUnreachable())
+        .map(Map.Entry::getKey)
+        .collect(ImmutableSet.toImmutableSet());
+  }
+
   /**
    * Records that bytes of a response were received.
    *
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/PoolScheduler.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/PoolScheduler.java
@@ -88,6 +88,7 @@
   private final Map<Long, WaitingCall> waitingByKey = new HashMap<>();
   private final Map<String, Long> pausedUntilNanos = new HashMap<>();
   private final SendRate sendRate = new SendRate();
+  private final PoolReach reach = new PoolReach();
   private int preferredCount;
 
   /**
@@ -161,6 +162,19 @@
     }
   }
 
+  /** Records whether a connection to an upstream could be opened. */
+  void connectEnded(String upstream, boolean connected, long nowNanos) {
+    if (connected) {
+      reach.connected();
+    } else if (upstreams.containsKey(upstream)) {
+      reach.connectFailed(upstream, upstreams.size(), nowNanos);
+    }
+  }
+
+  boolean isUnreachable() {
+    return reach.isUnreachable();
+  }
+
   /** Queues a request that certainly has not run. */
   void submit(CallSpec call, String excludedUpstream, long nowNanos) {
     boolean late = nowNanos > latestStartNanos(call);
--- a/org.cranberrystand/src/main/java/org/cranberrystand/event/LogEvent.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/event/LogEvent.java
@@ -95,7 +95,9 @@
   /** A caller resumes a stream that another request of it began. */
   STREAM_RESUMED(5028, Severity.INFO, "stream resumed by its caller"),
   /** An upstream ended its connection before it sent anything of the answer to a request. */
-  CRASH_SUSPECTED(5029, Severity.INFO, "request may have crashed its upstream");
+  CRASH_SUSPECTED(5029, Severity.INFO, "request may have crashed its upstream"),
+  /** The node lost or regained the links to all upstreams of a pool. */
+  POOL_REACH_CHANGED(5030, Severity.WARNING, "reach of a pool changed");
 
   private final int number;
   private final Severity severity;
