Send requests through another node where this one reaches no upstream

Cause: a node could place requests at upstreams only, over its own links. Cut off from them it tried up to five upstreams in turn, 250 ms each, and refused the request, while the nodes beside it reached all upstreams and had room. Neither did it tell anyone, so callers went on being sent there.

Ruled out as the only cause: late detection (after 7.3 s the cut nodes refused on their own account) and readiness (callers keep addresses for 5 to 15 s, longer than most cuts).

The change: PoolReach decides from new connections whether a node reaches a pool, and probes when it suspects a cut. Such a node reports it, is left out of the addresses that callers get, and forwards its requests, those that wait too, to a node that reaches the pool. A forwarded request is never forwarded again, is charged by the node that places it, and is not repeated once it may have run. When the node reaches the pool again, its backoffs and ejections of upstreams end, as the failures were its own.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Admission.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Admission.java
@@ -108,6 +108,11 @@
     ImmutableList.copyOf(relays.values()).forEach(RequestRelay::refuseIfQuarantined);
   }
 
+  /** Forwards the requests that wait for pools which this node does not reach. */
+  void forwardWaiting() {
+    ImmutableList.copyOf(relays.values()).forEach(RequestRelay::forwardWaiting);
+  }
+
   private static String host(HttpRequest request) {
     String value = request.headers().get(HttpHeaderNames.HOST, "");
     try {
@@ -209,7 +214,9 @@
               + spareCapacity);
       return;
     }
-    context.retries().requestReceived(pool);
+    if (!ForwardedRequest.read(exchange.request().headers()).isForwarded()) {
+      context.retries().requestReceived(pool);
+    }
     CallSpec begun = buildSpec(caller, route, team, pool, now - context.lag().lagNanos(now));
     CallSpec spec =
         origin.map(StreamOrigins.Origin::softwareVersion).map(begun::continuedAt).orElse(begun);
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/FleetState.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/FleetState.java
@@ -156,6 +156,13 @@
     return registry.recentAnnouncements();
   }
 
+  /** Returns the upstreams of a pool that may get requests. */
+  ImmutableList<RegisteredUpstream> upstreamsOf(String pool) {
+    return registry.usable().stream()
+        .filter(upstream -> upstream.pool().equals(pool))
+        .collect(ImmutableList.toImmutableList());
+  }
+
   /** Removes the upstreams that did not register again within the grace period. */
   void expireUpstreams(long nowNanos) {
     if (registry.expire(nowNanos)) {
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Gateway.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Gateway.java
@@ -3,6 +3,7 @@
 import com.google.common.base.Strings;
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.Sets;
 import com.google.common.net.HostAndPort;
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
@@ -48,6 +49,7 @@
   private static final int TICKS_PER_REFRESH = 2;
   private static final String PUBLISHED_PATH = "peer/v1/published";
   private static final String KNOWN_PARAMETER = "known";
+  private static final int MAX_IDLE_NODE_CONNECTIONS = 32;
   private static final Duration PEER_TIMEOUT = Duration.ofSeconds(1);
 
   /** How long a change may take to arrive from the store before it is fetched from another node. */
@@ -67,6 +69,8 @@
   private final QuotaLedger quotas;
   private final RetryAllowance retries;
   private final CrashDetector crashes;
+  private final UpstreamClient client;
+  private final PeerForwarding forwarding;
   private final RateLimiter limiter;
   private final StreamLookup streams;
   private final PeerTable peers;
@@ -94,7 +98,7 @@
     this.quotas = new QuotaLedger(settings.limits().quotaTolerance(), settings.startsWithFleet());
     this.retries =
         new RetryAllowance(settings.limits().retryRatio(), settings.limits().retrySlack());
-    UpstreamClient client =
+    this.client =
         new UpstreamClient(
             loop,
             ports.headers(),
@@ -108,21 +112,19 @@
     this.callers = new CallerServer(loop, this::callerLimits, admission::handleRequest);
     this.peers = new PeerTable(self(settings.listen().callers()));
     this.targets = new PeerTargets(peers, seedHosts(settings), incarnation);
+    this.forwarding =
+        new PeerForwarding(
+            peers,
+            new UpstreamClient(
+                loop,
+                new NodeResponseCodec(ports.headers()),
+                pool -> MAX_IDLE_NODE_CONNECTIONS,
+                (node, connected) -> {},
+                log),
+            incarnation);
     this.limiter = new RateLimiter(dispatcher, peers, log);
     this.reports = createReports();
-    this.streams =
-        new StreamLookup(
-            new StreamLookup.Messenger() {
-              @Override
-              public void ask(ImmutableList<String> sought) {
-                reports.askForStreams(sought);
-              }
-
-              @Override
-              public void answer(String host, ImmutableList<StreamOrigins.Origin> origins) {
-                reports.answerStreams(host, origins);
-              }
-            });
+    this.streams = new StreamLookup(new StreamQuestions());
     this.shutdown =
         new GatewayShutdown(
             loop, callers, admission, settings.limits().shutdownMillis(), reports::sendNodeReport);
@@ -136,6 +138,7 @@
             retries,
             crashes,
             new UpstreamSignals(fleet, dispatcher, limiter, log),
+            forwarding,
             streams,
             fleet::routing,
             shutdown::isRefusingRequests,
@@ -144,6 +147,18 @@
             metrics));
   }
 
+  private final class StreamQuestions implements StreamLookup.Messenger {
+    @Override
+    public void ask(ImmutableList<String> sought) {
+      reports.askForStreams(sought);
+    }
+
+    @Override
+    public void answer(String host, ImmutableList<StreamOrigins.Origin> origins) {
+      reports.answerStreams(host, origins);
+    }
+  }
+
   private NodeInfo self(HostAndPort callerAddress) {
     return new NodeInfo(settings.node(), host(), callerAddress.toString(), false, settings.cores());
   }
@@ -183,6 +198,7 @@
           fleet.leavingUpstreams(),
           limiter.reports(),
           crashes.reports(),
+          unreachablePools.asList(),
           streams.recent(),
           ImmutableList.of());
     }
@@ -192,6 +208,7 @@
     fleet.leavingReported(sender.node(), observations.leavingUpstreams());
     limiter.reported(sender.node(), observations.upstreamLimits());
     crashes.reported(sender.node(), observations.crashes());
+    forwarding.reported(sender.node(), observations.unreachablePools());
     streams.reported(sender.host(), observations.streamOrigins(), observations.soughtStreams());
   }
 
@@ -284,6 +301,8 @@
       reports.tick(now);
       dispatcher.tick(now);
       streams.tick(now);
+      dispatcher.takeProbes(now).forEach(client::probe);
+      updateReach();
       if (ticks % TICKS_PER_REFRESH == 0) {
         refresh(now);
       }
@@ -302,7 +321,6 @@
         dispatcher.waitingCount(), dispatcher.runningCount(), callers.connectionCount(), nodeCount);
     metrics.setLimitedUpstreams(limiter.limitedCount());
     metrics.setQuarantined(crashes.refusedCount());
-    updateReach();
     offer.set(buildOffer(now));
     follower.setPassive(peers.isStoreReadByOthers(now));
     fetchStateIfBehind(now);
@@ -311,6 +329,7 @@
   private void updateReach() {
     ImmutableSet<String> pools = dispatcher.unreachablePools();
     if (!pools.equals(unreachablePools)) {
+      Sets.difference(pools, unreachablePools).forEach(this::closeIdleConnections);
       log.write(
           LogEvent.POOL_REACH_CHANGED,
           "unreachable="
@@ -319,15 +338,30 @@
               + String.join(",", unreachablePools));
       unreachablePools = pools;
       metrics.setUnreachablePools(pools.size());
+      admission.forwardWaiting();
     }
   }
 
+  /** Closes the connections to a pool, which may be half open after a partition. */
+  private void closeIdleConnections(String pool) {
+    fleet.upstreamsOf(pool).forEach(upstream -> client.closeIdle(upstream.id()));
+  }
+
   private AddressOffer buildOffer(long now) {
     ImmutableList.Builder<NodeInfo> nodes = ImmutableList.builder();
     if (isReady()) {
       nodes.add(peers.self());
     }
-    return new AddressOffer(nodes.addAll(peers.nodesAcceptingCallers(now)).build());
+    ImmutableList<NodeInfo> ready = nodes.addAll(peers.nodesAcceptingCallers(now)).build();
+    ImmutableList<NodeInfo> reaching =
+        ready.stream().filter(this::reachesAllPools).collect(ImmutableList.toImmutableList());
+    return new AddressOffer(reaching.isEmpty() ? ready : reaching);
+  }
+
+  private boolean reachesAllPools(NodeInfo node) {
+    return node.node().equals(settings.node())
+        ? unreachablePools.isEmpty()
+        : forwarding.reachesAllPools(node);
   }
 
   /**
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/HeaderCodec.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/HeaderCodec.java
@@ -29,6 +29,14 @@
    */
   void writeRequest(HttpHeaders headers, CallerHeaders caller, UpstreamHeaders upstream);
 
+  /**
+   * Sets how long the sender of a request waits for the response.
+   *
+   * @param headers the headers of a request; modified
+   * @param waitMillis the time in milliseconds
+   */
+  void writeWait(HttpHeaders headers, long waitMillis);
+
   /**
    * Parses the headers of an upstream's response.
    *
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RelayContext.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RelayContext.java
@@ -19,6 +19,7 @@
  * @param retries limits retries
  * @param crashes knows which content crashes upstreams
  * @param signals applies what upstreams say of themselves in responses
+ * @param forwarding sends requests through nodes that reach a pool which this one does not
  * @param streams knows at which software version streams began
  * @param routing supplies the current declaration; null before the first one
  * @param refusingRequests supplies whether new requests are refused because of a shutdown
@@ -35,6 +36,7 @@
     RetryAllowance retries,
     CrashDetector crashes,
     UpstreamSignals signals,
+    PeerForwarding forwarding,
     StreamLookup streams,
     Supplier<RoutingTable> routing,
     Supplier<Boolean> refusingRequests,
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RelayLog.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RelayLog.java
@@ -1,12 +1,15 @@
 package org.cranberrystand.daemon.gateway;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 import org.cranberrystand.daemon.internal.EventLog;
 import org.cranberrystand.dispatch.PlacementChoice;
 import org.cranberrystand.event.LogEvent;
 import org.cranberrystand.outcome.NotRunReason;
+import org.cranberrystand.routing.Route;
+import org.cranberrystand.routing.TeamPolicy;
 import org.cranberrystand.upstream.RegisteredUpstream;
 
 /** Writes the log events of one request. Used only on the event loop. */
@@ -20,13 +23,20 @@
    *
    * @param log the event log
    * @param requestId the identifier of the caller's attempt
-   * @param route the name of the route
-   * @param team the name of the team
+   * @param route the route of the request
+   * @param team the team of the caller
    * @param arrivalNanos the monotonic time of the arrival, in nanoseconds
    */
-  RelayLog(EventLog log, String requestId, String route, String team, long arrivalNanos) {
+  RelayLog(
+      EventLog log, String requestId, Route route, Optional<TeamPolicy> team, long arrivalNanos) {
     this.log = log;
-    this.requestFields = "request=" + requestId + " route=" + route + " team=" + team;
+    this.requestFields =
+        "request="
+            + requestId
+            + " route="
+            + route.name()
+            + " team="
+            + team.map(TeamPolicy::name).orElse("none");
     this.arrivalNanos = arrivalNanos;
   }
 
@@ -64,6 +74,13 @@
             + choice.candidates());
   }
 
+  /** Logs that the request is sent through another node, after some upstreams may have run it. */
+  void forwarded(RegisteredUpstream node, int runCount) {
+    log.write(
+        LogEvent.REQUEST_FORWARDED,
+        requestFields + " to=" + node.id() + " runs=" + runCount + " waited_ms=" + ageMillis());
+  }
+
   /** Logs that the caller resumes a stream after an event. */
   void resumed(String stream, String lastEventId) {
     log.write(
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RequestRelay.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RequestRelay.java
@@ -1,24 +1,17 @@
 package org.cranberrystand.daemon.gateway;
 
 import com.google.common.collect.ImmutableList;
-import com.google.common.hash.Hasher;
-import com.google.common.hash.Hashing;
 import io.netty.buffer.ByteBuf;
-import io.netty.handler.codec.http.DefaultHttpHeaders;
-import io.netty.handler.codec.http.DefaultHttpRequest;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
-import io.netty.handler.codec.http.HttpVersion;
-import io.netty.util.concurrent.ScheduledFuture;
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.cranberrystand.dispatch.CallEnding;
 import org.cranberrystand.dispatch.CallSpec;
+import org.cranberrystand.dispatch.PauseRequest;
 import org.cranberrystand.dispatch.PlacementChoice;
 import org.cranberrystand.dispatch.SilencePolicy;
 import org.cranberrystand.outcome.NotRunReason;
@@ -34,33 +27,33 @@
  * have run it. Used only on the event loop.
  */
 final class RequestRelay implements CallerExchange.Listener {
-  /**
-   * Upstreams stop at the deadline by themselves; this is the time for their response to arrive.
-   */
-  private static final long DEADLINE_MARGIN_MILLIS = 150;
-
   /** With more attempts that upstreams refuse or that fail to connect, the node gives up. */
   private static final int MAX_ATTEMPTS_WITHOUT_RUN = 4;
 
+  /** Another node may have lost its links too and not know it yet. */
+  private static final int MAX_REFUSING_NODES = 2;
+
   /** With less time left, a retry would not finish before the deadline. */
   private static final long MIN_RETRY_MILLIS = 50;
 
-  /** Interval at which a silent request looks for another upstream with a free slot. */
-  private static final long MOVE_RETRY_MILLIS = 100;
+  /**
+   * A request that cannot be sent to these many upstreams is forwarded to another node, also before
+   * this node knows that it reaches none.
+   */
+  private static final int UNREACHABLE_TO_FORWARD = 2;
 
   private static final long RETRY_AFTER_MILLIS = 300;
 
-  private static final String UNREACHABLE_CAUSE = "upstream unreachable";
-
   private final RelayContext context;
   private final CallerExchange exchange;
   private final CallerHeaders caller;
   private final Route route;
   private final Optional<TeamPolicy> team;
-
-  /** Identifies the content in the register of crashes: the whole, and the shared parts. */
-  private final ImmutableList<Long> contentKeys;
-
+  private final ForwardedRequest forwarded;
+  private final ContentKeys contentKeys;
+  private final OutgoingRequests outgoing;
+  private final DeadlineTimer deadlineTimer;
+  private final SilenceTimer silenceTimer;
   private final RelayLog log;
 
   private final Set<String> triedUpstreams = new HashSet<>();
@@ -70,6 +63,13 @@
   private PlacementChoice placement;
   private int runCount;
   private int attemptsWithoutRun;
+  private int unreachableCount;
+  private boolean quotaCharged;
+
+  /** Whether the current attempt, or one that may have run, is at another node. */
+  private boolean atNode;
+
+  private long refusalPauseMillis;
   private boolean done;
   private boolean responseStarted;
   private boolean attemptHasEvents;
@@ -78,8 +78,6 @@
   private long lastByteNanos;
   private String lastEventId;
   private ResponseAssembler response;
-  private ScheduledFuture<?> deadlineTimer;
-  private ScheduledFuture<?> silenceTimer;
 
   RequestRelay(
       RelayContext context,
@@ -94,48 +92,77 @@
     this.route = route;
     this.team = team;
     this.spec = spec;
-    this.contentKeys =
-        ImmutableList.<Long>builder().add(fingerprint()).addAll(caller.sharedParts()).build();
-    this.log =
-        new RelayLog(
-            context.log(),
-            caller.requestId(),
-            route.name(),
-            team.map(TeamPolicy::name).orElse("none"),
-            spec.arrivalNanos());
+    this.quotaCharged = team.isPresent();
+    this.forwarded = ForwardedRequest.read(exchange.request().headers());
+    this.runCount = forwarded.runs();
+    this.contentKeys = ContentKeys.of(exchange, caller, team);
+    this.outgoing = new OutgoingRequests(context.headerCodec(), exchange, caller, team);
+    this.deadlineTimer = new DeadlineTimer(context.loop(), spec.deadlineNanos(), new Deadline());
+    this.silenceTimer = new SilenceTimer(context.loop(), new Silence());
+    this.log = new RelayLog(context.log(), caller.requestId(), route, team, spec.arrivalNanos());
     this.lastEventId = caller.lastEventId();
   }
 
-  private long fingerprint() {
-    Hasher hasher = Hashing.farmHashFingerprint64().newHasher();
-    hasher.putUnencodedChars(exchange.request().uri());
-    hasher.putUnencodedChars(team.map(TeamPolicy::name).orElse(""));
-    hasher.putBytes(exchange.body().nioBuffer());
-    return hasher.hash().asLong();
-  }
-
   /** Submits the request to the dispatcher. */
   void start() {
     exchange.setListener(this);
     if (refuseIfQuarantined()) {
       return;
     }
-    deadlineTimer =
-        context
-            .loop()
-            .schedule(
-                this::deadlinePassed,
-                Math.max(0, spec.deadlineNanos() - System.nanoTime()),
-                TimeUnit.NANOSECONDS);
+    deadlineTimer.start();
     if (caller.lastEventId() != null) {
       log.resumed(caller.resumedStream(), caller.lastEventId());
     }
-    context.dispatcher().submit(spec, null, System.nanoTime());
+    if (!forward()) {
+      context.dispatcher().submit(spec, null, System.nanoTime());
+    }
+  }
+
+  /**
+   * Sends the request through another node, if this one does not reach the upstreams of its pool.
+   */
+  private boolean forward() {
+    boolean unreachable =
+        unreachableCount >= UNREACHABLE_TO_FORWARD
+            || context.dispatcher().isUnreachable(spec.pool());
+    if (!unreachable || !isForwardable()) {
+      return false;
+    }
+    Optional<RegisteredUpstream> node = chooseNode();
+    node.ifPresent(this::sendToNode);
+    return node.isPresent();
+  }
+
+  private void sendToNode(RegisteredUpstream node) {
+    // The other node charges the request.
+    refundQuota();
+    atNode = true;
+    log.forwarded(node, runCount);
+    begin(node, context.forwarding().client(), outgoing.toNode(remainingMillis(), runCount));
+  }
+
+  private boolean isForwardable() {
+    return !forwarded.isForwarded() && !responseStarted && caller.requestId() != null;
+  }
+
+  private Optional<RegisteredUpstream> chooseNode() {
+    return context.forwarding().choose(spec.pool(), triedUpstreams);
+  }
+
+  /** Forwards the request if it waits on a node that has lost its links to the pool. */
+  void forwardWaiting() {
+    if (!done && attempt == null && runCount == forwarded.runs() && chooseNode().isPresent()) {
+      context.dispatcher().ended(spec.key(), CallEnding.CANCELLED, System.nanoTime());
+      if (!forward()) {
+        context.dispatcher().submit(spec, null, System.nanoTime());
+      }
+    }
   }
 
   /** Refuses the request if it is not at an upstream and its content crashes upstreams. */
   boolean refuseIfQuarantined() {
-    long refusalMillis = done || attempt != null ? 0 : context.crashes().refusalMillis(contentKeys);
+    long refusalMillis =
+        done || attempt != null ? 0 : context.crashes().refusalMillis(contentKeys.all());
     if (refusalMillis == 0) {
       return false;
     }
@@ -150,51 +177,30 @@
 
   /** Sends the request to the upstream that the dispatcher selected. */
   void send(RegisteredUpstream chosen, PlacementChoice choice) {
-    upstream = chosen;
     placement = choice;
+    atNode = false;
+    log.placed(chosen, choice, runCount + 1);
+    begin(chosen, context.client(), outgoing.toUpstream(chosen, remainingMillis(), lastEventId));
+    if (route.isRetryable()) {
+      silenceTimer.start();
+    }
+  }
+
+  private void begin(RegisteredUpstream chosen, UpstreamClient client, HttpRequest request) {
+    upstream = chosen;
     attemptHasEvents = false;
     sentNanos = System.nanoTime();
     lastByteNanos = sentNanos;
     runCount++;
-    log.placed(chosen, choice, runCount);
     response = new ResponseAssembler(new ResponseForwarder(), route.kind().isStreaming());
     attempt =
-        context
-            .client()
-            .send(
-                chosen,
-                buildUpstreamRequest(chosen),
-                exchange.body().retainedDuplicate(),
-                caller.requestId(),
-                !triedUpstreams.add(chosen.id()),
-                response);
-    startSilenceTimer();
-  }
-
-  private HttpRequest buildUpstreamRequest(RegisteredUpstream chosen) {
-    HttpRequest incoming = exchange.request();
-    HttpHeaders headers = incoming.headers().copy();
-    HopByHopHeaders.remove(headers);
-    headers.remove(HttpHeaderNames.CONTENT_LENGTH);
-    if (exchange.body().isReadable() || declaresBody(incoming)) {
-      headers.set(HttpHeaderNames.CONTENT_LENGTH, exchange.body().readableBytes());
-    }
-    context
-        .headerCodec()
-        .writeRequest(
-            headers,
-            caller,
-            new UpstreamHeaders(
-                chosen.id(),
-                team.map(TeamPolicy::name),
-                remainingMillis(),
-                Optional.ofNullable(lastEventId)));
-    return new DefaultHttpRequest(HttpVersion.HTTP_1_1, incoming.method(), incoming.uri(), headers);
-  }
-
-  private static boolean declaresBody(HttpRequest incoming) {
-    return incoming.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
-        || incoming.headers().contains(HttpHeaderNames.TRANSFER_ENCODING);
+        client.send(
+            chosen,
+            request,
+            exchange.body().retainedDuplicate(),
+            caller.requestId(),
+            !triedUpstreams.add(chosen.id()),
+            response);
   }
 
   private long remainingMillis() {
@@ -228,7 +234,10 @@
   }
 
   private void refundQuota() {
-    team.ifPresent(t -> context.quotas().refund(t, caller.quotaTokens()));
+    if (quotaCharged) {
+      quotaCharged = false;
+      context.quotas().refund(team.orElseThrow(), caller.quotaTokens());
+    }
   }
 
   private void fail(HttpResponseStatus status, String detail) {
@@ -245,7 +254,8 @@
 
   private void end(String outcome, int status) {
     done = true;
-    cancelTimers();
+    deadlineTimer.cancel();
+    silenceTimer.cancel();
     releaseResponse();
     log.ended(outcome, status, upstream, runCount, firstResponseNanos);
     context
@@ -253,20 +263,6 @@
         .recordEnded(route, outcome, spec.arrivalNanos(), firstResponseNanos, System.nanoTime());
   }
 
-  private void cancelTimers() {
-    if (deadlineTimer != null) {
-      deadlineTimer.cancel(false);
-    }
-    cancelSilenceTimer();
-  }
-
-  private void cancelSilenceTimer() {
-    if (silenceTimer != null) {
-      silenceTimer.cancel(false);
-      silenceTimer = null;
-    }
-  }
-
   private void releaseResponse() {
     if (response != null) {
       response.release();
@@ -288,9 +284,7 @@
 
   @Override
   public void writabilityChanged(boolean writable) {
-    if (attempt != null) {
-      attempt.setReading(writable);
-    }
+    Optional.ofNullable(attempt).ifPresent(sent -> sent.setReading(writable));
   }
 
   /** Cancels the attempt in progress, if any, and removes the request from the dispatcher. */
@@ -306,67 +300,56 @@
     context.dispatcher().ended(spec.key(), ending, System.nanoTime());
   }
 
-  private void deadlinePassed() {
-    if (done) {
-      return;
-    }
-    if (attempt == null) {
-      context.dispatcher().ended(spec.key(), CallEnding.CANCELLED, System.nanoTime());
-      refuse(NotRunReason.DEADLINE, RETRY_AFTER_MILLIS);
-      return;
-    }
-    long overdueNanos = System.nanoTime() - spec.deadlineNanos();
-    if (overdueNanos < TimeUnit.MILLISECONDS.toNanos(DEADLINE_MARGIN_MILLIS)) {
-      deadlineTimer =
-          context
-              .loop()
-              .schedule(this::deadlinePassed, DEADLINE_MARGIN_MILLIS, TimeUnit.MILLISECONDS);
-      return;
+  private final class Deadline implements DeadlineTimer.Watched {
+    @Override
+    public boolean isAtUpstream() {
+      return attempt != null;
     }
-    endAttempt(responseStarted ? CallEnding.CANCELLED : CallEnding.SILENT);
-    fail(HttpResponseStatus.GATEWAY_TIMEOUT, "no answer in time");
-  }
 
-  private void startSilenceTimer() {
-    cancelSilenceTimer();
-    if (route.isRetryable()) {
-      scheduleSilenceCheck(silenceLimitMillis());
+    @Override
+    public void deadlinePassed() {
+      boolean sent = attempt != null;
+      endAttempt(sent && !responseStarted ? CallEnding.SILENT : CallEnding.CANCELLED);
+      if (sent) {
+        fail(HttpResponseStatus.GATEWAY_TIMEOUT, "no answer in time");
+      } else {
+        refuse(NotRunReason.DEADLINE, RETRY_AFTER_MILLIS);
+      }
     }
   }
 
-  private long silenceLimitMillis() {
-    long patienceMillis =
-        Math.min(
-            millis(spec.maxFirstEventWaitNanos()),
-            millis(spec.deadlineNanos() - spec.arrivalNanos()));
-    return attemptHasEvents
-        ? SilencePolicy.eventLimitMillis(route.gapTargetMillis(), patienceMillis, placement)
-        : SilencePolicy.firstResponseLimitMillis(route.targetMillis(), patienceMillis, placement);
-  }
-
-  private void scheduleSilenceCheck(long delayMillis) {
-    silenceTimer = context.loop().schedule(this::checkSilence, delayMillis, TimeUnit.MILLISECONDS);
-  }
+  /** Sends a request to another upstream if its own is silent for too long. */
+  private final class Silence implements SilenceTimer.Watched {
+    @Override
+    public long silentMillis() {
+      return done || attempt == null || atNode ? -1 : millis(System.nanoTime() - lastByteNanos);
+    }
 
-  private void checkSilence() {
-    if (done || attempt == null) {
-      return;
+    @Override
+    public long silenceLimitMillis() {
+      long patienceMillis = millis(spec.patienceNanos());
+      return attemptHasEvents
+          ? SilencePolicy.eventLimitMillis(route.gapTargetMillis(), patienceMillis, placement)
+          : SilencePolicy.firstResponseLimitMillis(route.targetMillis(), patienceMillis, placement);
     }
-    long silentMillis = millis(System.nanoTime() - lastByteNanos);
-    long limitMillis = silenceLimitMillis();
-    if (silentMillis < limitMillis) {
-      scheduleSilenceCheck(limitMillis - silentMillis);
-    } else if (canMove() && tryAcquireRetry()) {
-      endAttempt(CallEnding.SILENT);
-      retry("no data for " + silentMillis + " ms");
-    } else {
-      // Until another upstream has a slot, the silent one may still respond.
-      scheduleSilenceCheck(MOVE_RETRY_MILLIS);
+
+    @Override
+    public boolean tryMove(long silentMillis) {
+      boolean canMove =
+          context.dispatcher().canMove(spec, upstream.id(), System.nanoTime()) || canForward();
+      boolean moves = canMove && tryAcquireRetry();
+      if (moves) {
+        endAttempt(CallEnding.SILENT);
+        retry("no data for " + silentMillis + " ms");
+      }
+      return moves;
     }
   }
 
-  private boolean canMove() {
-    return context.dispatcher().canMove(spec, upstream.id(), System.nanoTime());
+  private boolean canForward() {
+    return context.dispatcher().isUnreachable(spec.pool())
+        && isForwardable()
+        && chooseNode().isPresent();
   }
 
   /**
@@ -378,7 +361,9 @@
     boolean resumable = !responseStarted || lastEventId != null;
     return route.isRetryable()
         && resumable
-        && context.crashes().refusalMillis(contentKeys) == 0
+        // Another node may have sent the request to as many upstreams as allowed.
+        && !atNode
+        && context.crashes().refusalMillis(contentKeys.all()) == 0
         && runCount < route.maxAttempts()
         && millis(spec.deadlineNanos() - System.nanoTime()) > MIN_RETRY_MILLIS
         && context.retries().tryAcquire(spec.pool());
@@ -387,6 +372,9 @@
   private void retry(String cause) {
     log.repeated(upstream, runCount, cause);
     releaseResponse();
+    if (forward()) {
+      return;
+    }
     if (runCount > 0) {
       context.dispatcher().resubmit(spec, upstream.id(), System.nanoTime());
     } else {
@@ -404,7 +392,11 @@
 
     @Override
     public void headReceived(ResponseHeaders headers) {
-      context.signals().received(upstream, headers, sentNanos);
+      if (atNode) {
+        refusalPauseMillis = headers.pause().map(PauseRequest::millis).orElse(RETRY_AFTER_MILLIS);
+      } else {
+        context.signals().received(upstream, headers, sentNanos);
+      }
       bytesReceived();
     }
 
@@ -417,9 +409,11 @@
     @Override
     public void connectFailed(Throwable cause) {
       runCount--;
+      unreachableCount++;
+      atNode = false;
       endAttempt(CallEnding.UNREACHABLE);
       log.broken(upstream, "connect", cause);
-      retryNotRun(UNREACHABLE_CAUSE);
+      retryNotRun("upstream unreachable", false);
     }
 
     @Override
@@ -435,11 +429,11 @@
       if (firstResponseNanos == 0) {
         firstResponseNanos = lastByteNanos;
       }
-      if (!responseStarted) {
+      if (!responseStarted && !atNode) {
         bindToVersion();
       }
       if (!attemptHasEvents) {
-        context.crashes().answered(caller.sharedParts());
+        context.crashes().answered(contentKeys.parts());
       }
       attemptHasEvents = true;
       context.dispatcher().eventsReceived(spec.key(), count, lastByteNanos);
@@ -459,7 +453,7 @@
     private void startResponse(ResponseAssembler received) {
       if (!responseStarted) {
         responseStarted = true;
-        exchange.startResponse(received.status(), callerHeaders(received));
+        exchange.startResponse(received.status(), received.callerHeaders(context.headerCodec()));
       }
     }
 
@@ -513,12 +507,29 @@
     private void handleNotRun(ResponseAssembler received, ByteBuf body) {
       runCount--;
       recordEnding(CallEnding.NOT_RUN);
+      if (atNode) {
+        body.release();
+        refusedByNode(received.status());
+        return;
+      }
       if (received.status().code() == HttpResponseStatus.BAD_REQUEST.code()) {
         forwardWhole(received, body);
         return;
       }
       body.release();
-      retryNotRun("refused with status " + received.status().code());
+      retryNotRun("refused with status " + received.status().code(), true);
+    }
+
+    private void refusedByNode(HttpResponseStatus status) {
+      atNode = false;
+      attemptsWithoutRun++;
+      if (status.equals(HttpResponseStatus.TOO_MANY_REQUESTS)) {
+        refuse(NotRunReason.TEAM_LIMIT, refusalPauseMillis);
+      } else if (attemptsWithoutRun > MAX_REFUSING_NODES) {
+        refuse(NotRunReason.OVERLOADED, refusalPauseMillis);
+      } else {
+        retry("node refused with status " + status.code());
+      }
     }
 
     private void forwardWhole(ResponseAssembler received, ByteBuf body) {
@@ -531,17 +542,10 @@
         exchange.sendPart(body);
         exchange.finishResponse();
       } else {
-        exchange.respond(received.status(), callerHeaders(received), body);
+        exchange.respond(received.status(), received.callerHeaders(context.headerCodec()), body);
       }
     }
 
-    private HttpHeaders callerHeaders(ResponseAssembler received) {
-      HttpHeaders headers = new DefaultHttpHeaders().add(received.response().headers());
-      HopByHopHeaders.remove(headers);
-      context.headerCodec().removeInternalHeaders(headers);
-      return headers;
-    }
-
     @Override
     public void connectionBroken(Throwable cause, boolean endedByUpstream) {
       attempt = null;
@@ -554,12 +558,14 @@
 
     /** Records that this request may have crashed the upstream. */
     private void recordBroken() {
+      if (atNode) {
+        return;
+      }
       RegisteredUpstream broken = upstream;
       // Content that crashes upstreams does so before the first event.
-      ImmutableList<Long> keys = attemptHasEvents ? contentKeys.subList(0, 1) : contentKeys;
-      context
-          .crashes()
-          .connectionBroken(broken, keys, () -> log.crashSuspected(broken, contentKeys));
+      ImmutableList<Long> keys =
+          attemptHasEvents ? ImmutableList.of(contentKeys.whole()) : contentKeys.all();
+      context.crashes().connectionBroken(broken, keys, () -> log.crashSuspected(broken, keys));
     }
 
     private void retryOrFail(String cause, CallEnding ending) {
@@ -574,17 +580,16 @@
     private void recordEnding(CallEnding ending) {
       context.dispatcher().ended(spec.key(), ending, System.nanoTime());
       if (ending == CallEnding.ANSWERED) {
-        context.crashes().answered(contentKeys);
+        context.crashes().answered(contentKeys.all());
       }
     }
   }
 
   /** Submits a request again that was refused or could not be sent. */
-  private void retryNotRun(String cause) {
+  private void retryNotRun(String cause, boolean sent) {
     attemptsWithoutRun++;
-    boolean refused = !cause.equals(UNREACHABLE_CAUSE);
     if (attemptsWithoutRun > MAX_ATTEMPTS_WITHOUT_RUN
-        || (refused && !context.retries().tryAcquire(spec.pool()))) {
+        || (sent && !context.retries().tryAcquire(spec.pool()))) {
       refuse(NotRunReason.REFUSED, RETRY_AFTER_MILLIS);
       return;
     }
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/ResponseAssembler.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/ResponseAssembler.java
@@ -2,6 +2,8 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
@@ -67,6 +69,14 @@
     return response.status();
   }
 
+  /** Returns the headers of the response for the caller. */
+  HttpHeaders callerHeaders(HeaderCodec codec) {
+    HttpHeaders copy = new DefaultHttpHeaders().add(response.headers());
+    HopByHopHeaders.remove(copy);
+    codec.removeInternalHeaders(copy);
+    return copy;
+  }
+
   /** Returns whether the stream begins after an event, as it must if it was resumed there. */
   boolean beginsAfter(String eventId) {
     return eventSplitter.beginsAfter(eventId);
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/UpstreamClient.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/UpstreamClient.java
@@ -118,9 +118,7 @@
       exchange.start(reused, reused.send(request, body, requestId, listener));
       return exchange;
     }
-    HostAndPort address = HostAndPort.fromString(upstream.address());
-    ChannelFuture connect =
-        bootstrap.connect(new InetSocketAddress(address.getHost(), address.getPort()));
+    ChannelFuture connect = bootstrap.connect(socketAddress(upstream));
     connect.addListener(
         future -> {
           connectListener.connectEnded(upstream, future.isSuccess());
@@ -139,6 +137,23 @@
     return exchange;
   }
 
+  /** Opens a connection to an upstream and keeps it for later requests. */
+  void probe(RegisteredUpstream upstream) {
+    ChannelFuture connect = bootstrap.connect(socketAddress(upstream));
+    connect.addListener(
+        future -> {
+          if (future.isSuccess()) {
+            addIdle(upstream, open(upstream, connect.channel()));
+          }
+          connectListener.connectEnded(upstream, future.isSuccess());
+        });
+  }
+
+  private static InetSocketAddress socketAddress(RegisteredUpstream upstream) {
+    HostAndPort address = HostAndPort.fromString(upstream.address());
+    return new InetSocketAddress(address.getHost(), address.getPort());
+  }
+
   private UpstreamConnection open(RegisteredUpstream upstream, Channel channel) {
     String id = upstream.id();
     UpstreamConnection connection =
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/UpstreamConnection.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/UpstreamConnection.java
@@ -52,7 +52,7 @@
   private boolean untrusted;
   private boolean connectionReset;
   private long idleTimeoutMillis = DEFAULT_IDLE_TIMEOUT_MILLIS;
-  private long idleSinceNanos;
+  private long idleSinceNanos = System.nanoTime();
 
   UpstreamConnection(HeaderCodec headerCodec, Owner owner, Channel channel) {
     this.headerCodec = headerCodec;
--- a/org.cranberrystand.wire/src/main/java/org/cranberrystand/wire/peer/PeerReportCodec.java
+++ b/org.cranberrystand.wire/src/main/java/org/cranberrystand/wire/peer/PeerReportCodec.java
@@ -74,6 +74,8 @@
                     .putArray(one.incarnation())
                     .add(NANOSECONDS.toMillis(one.ageNanos()))
                     .add(Double.isFinite(one.perSecond()) ? one.perSecond() : NO_LIMIT));
+    ArrayNode unreachable = root.putArray("v");
+    report.observations().unreachablePools().forEach(unreachable::add);
     ArrayNode origins = root.putArray("o");
     report
         .observations()
@@ -168,13 +170,16 @@
             leaving.build(),
             readLimits(root.path("t")),
             readCrashes(root.path("c")),
+            readTexts(root.path("v")),
             readOrigins(root.path("o")),
-            Streams.stream(root.path("a"))
-                .map(JsonNode::asText)
-                .collect(ImmutableList.toImmutableList())),
+            readTexts(root.path("a"))),
         others.build());
   }
 
+  private static ImmutableList<String> readTexts(JsonNode array) {
+    return Streams.stream(array).map(JsonNode::asText).collect(ImmutableList.toImmutableList());
+  }
+
   private static ImmutableList<StreamOrigins.Origin> readOrigins(JsonNode array) {
     return Streams.stream(array)
         .map(
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CallDispatcher.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CallDispatcher.java
@@ -1,5 +1,6 @@
 package org.cranberrystand.dispatch;
 
+import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
 import java.util.ArrayList;
@@ -175,6 +176,35 @@
     pool(upstream.pool()).connectEnded(upstream.id(), connected, now);
   }
 
+  /**
+   * Returns the upstreams to which to open a connection, to find out whether this node reaches
+   * their pool.
+   *
+   * @param now the current time
+   * @return the upstreams; mostly none
+   */
+  public ImmutableList<RegisteredUpstream> takeProbes(long now) {
+    ImmutableList.Builder<RegisteredUpstream> probes = ImmutableList.builder();
+    pools.forEach((name, pool) -> probes.addAll(pool.takeProbes(runningIn(pool), now)));
+    return probes.build();
+  }
+
+  private List<RunningCall> runningIn(PoolScheduler pool) {
+    return running.values().stream()
+        .filter(call -> pool.find(call.state().upstream().id()) == call.state())
+        .toList();
+  }
+
+  /**
+   * Returns whether this node reaches none of the upstreams of a pool.
+   *
+   * @param pool the name of the pool
+   * @return true if connections to them could not be opened recently
+   */
+  public boolean isUnreachable(String pool) {
+    return pool(pool).isUnreachable();
+  }
+
   /**
    * Returns the pools none of whose upstreams this node can reach.
    *
@@ -241,11 +271,7 @@
    */
   public void tick(long now) {
     for (PoolScheduler pool : pools.values()) {
-      List<RunningCall> calls =
-          running.values().stream()
-              .filter(call -> pool.find(call.state().upstream().id()) == call.state())
-              .toList();
-      pool.tick(calls, now);
+      pool.tick(runningIn(pool), now);
     }
   }
 
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CallSpec.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CallSpec.java
@@ -126,6 +126,11 @@
     return maxFirstEventWaitNanos;
   }
 
+  /** Returns how long the caller waits for a sign of life. */
+  public long patienceNanos() {
+    return Math.min(maxFirstEventWaitNanos, deadlineNanos - arrivalNanos);
+  }
+
   public long arrivalNanos() {
     return arrivalNanos;
   }
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/PoolScheduler.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/PoolScheduler.java
@@ -2,11 +2,13 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.SplittableRandom;
 import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
@@ -165,7 +167,11 @@
   /** Records whether a connection to an upstream could be opened. */
   void connectEnded(String upstream, boolean connected, long nowNanos) {
     if (connected) {
-      reach.connected();
+      if (reach.connected()) {
+        // The failures were those of the links of this node.
+        upstreams.values().forEach(UpstreamState::reachable);
+        upstreams.keySet().forEach(ejections::forget);
+      }
     } else if (upstreams.containsKey(upstream)) {
       reach.connectFailed(upstream, upstreams.size(), nowNanos);
     }
@@ -175,6 +181,31 @@
     return reach.isUnreachable();
   }
 
+  /** Returns the upstreams to which to open a connection, to find out whether it can be opened. */
+  List<RegisteredUpstream> takeProbes(Collection<RunningCall> running, long nowNanos) {
+    int count = reach.takeProbes(silentNanos(running, nowNanos), nowNanos);
+    if (count == 0) {
+      return List.of();
+    }
+    List<RegisteredUpstream> candidates =
+        new ArrayList<>(upstreams.values().stream().map(UpstreamState::upstream).toList());
+    Collections.shuffle(candidates, new Random(random.nextLong()));
+    candidates.sort(Comparator.comparing(candidate -> reach.hasFailed(candidate.id())));
+    return candidates.subList(0, Math.min(count, candidates.size()));
+  }
+
+  private long silentNanos(Collection<RunningCall> running, long nowNanos) {
+    if (running.isEmpty()) {
+      return 0;
+    }
+    long silentNanos =
+        running.stream().mapToLong(call -> nowNanos - call.sentNanos()).max().orElseThrow();
+    for (UpstreamState state : upstreams.values()) {
+      silentNanos = Math.min(silentNanos, state.silentNanos(nowNanos));
+    }
+    return silentNanos;
+  }
+
   /** Queues a request that certainly has not run. */
   void submit(CallSpec call, String excludedUpstream, long nowNanos) {
     boolean late = nowNanos > latestStartNanos(call);
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/UpstreamState.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/UpstreamState.java
@@ -241,6 +241,17 @@
     backoffFactor = Math.min(MAX_BACKOFF_FACTOR, 2 * backoffFactor);
   }
 
+  /** Ends the backoff after failures to reach the upstream. */
+  void reachable() {
+    blockedUntilNanos = Long.MIN_VALUE;
+    backoffFactor = 1;
+  }
+
+  /** Returns how long nothing has come from the upstream. */
+  long silentNanos(long nowNanos) {
+    return lastReceivedNanos == Long.MIN_VALUE ? Long.MAX_VALUE : nowNanos - lastReceivedNanos;
+  }
+
   void bytesReceived(long nowNanos) {
     lastReceivedNanos = nowNanos;
     backoffFactor = 1;
--- a/org.cranberrystand/src/main/java/org/cranberrystand/event/LogEvent.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/event/LogEvent.java
@@ -97,7 +97,9 @@
   /** An upstream ended its connection before it sent anything of the answer to a request. */
   CRASH_SUSPECTED(5029, Severity.INFO, "request may have crashed its upstream"),
   /** The node lost or regained the links to all upstreams of a pool. */
-  POOL_REACH_CHANGED(5030, Severity.WARNING, "reach of a pool changed");
+  POOL_REACH_CHANGED(5030, Severity.WARNING, "reach of a pool changed"),
+  /** A request was sent through another node, which reaches the upstreams of its pool. */
+  REQUEST_FORWARDED(5031, Severity.INFO, "request forwarded to another node");
 
   private final int number;
   private final Severity severity;
--- a/org.cranberrystand/src/main/java/org/cranberrystand/membership/SharedObservations.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/membership/SharedObservations.java
@@ -14,6 +14,7 @@
  *     RegisteredUpstream#incarnationKey incarnation}
  * @param upstreamLimits the rate limits that upstreams stated
  * @param crashes what is known of content that may crash upstreams
+ * @param unreachablePools the pools none of whose upstreams the sender reaches
  * @param streamOrigins where streams began that are recent or that the receiver asked for
  * @param soughtStreams streams whose origin the sender asks for, by the identifier of the request
  *     that received the first event
@@ -22,6 +23,7 @@
     ImmutableList<DrainTracker.Report> leavingUpstreams,
     ImmutableList<UpstreamLimits.Report> upstreamLimits,
     ImmutableList<CrashRegister.Report> crashes,
+    ImmutableList<String> unreachablePools,
     ImmutableList<StreamOrigins.Origin> streamOrigins,
     ImmutableList<String> soughtStreams) {
 
@@ -32,6 +34,7 @@
           ImmutableList.of(),
           ImmutableList.of(),
           ImmutableList.of(),
+          ImmutableList.of(),
           ImmutableList.of());
 
   /**
@@ -42,7 +45,7 @@
    */
   public SharedObservations asking(ImmutableList<String> streams) {
     return new SharedObservations(
-        leavingUpstreams, upstreamLimits, crashes, streamOrigins, streams);
+        leavingUpstreams, upstreamLimits, crashes, unreachablePools, streamOrigins, streams);
   }
 
   /**
@@ -53,6 +56,6 @@
    */
   public SharedObservations answering(ImmutableList<StreamOrigins.Origin> origins) {
     return new SharedObservations(
-        leavingUpstreams, upstreamLimits, crashes, origins, ImmutableList.of());
+        leavingUpstreams, upstreamLimits, crashes, unreachablePools, origins, ImmutableList.of());
   }
 }
