Log which upstreams say that they fall over when they refuse too much

Nothing read that. Event 5032 names upstream, rate and source. What upstreams state of a limit, and what nodes tell each other of it, is now one class for both kinds of limits.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Gateway.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Gateway.java
@@ -72,6 +72,7 @@
   private final UpstreamClient client;
   private final PeerForwarding forwarding;
   private final RateLimiter limiter;
+  private final UpstreamStatements refusalLimits;
   private final StreamLookup streams;
   private final PeerTable peers;
   private final FleetState fleet;
@@ -123,6 +124,8 @@
                 log),
             incarnation);
     this.limiter = new RateLimiter(dispatcher, peers, log);
+    this.refusalLimits =
+        new UpstreamStatements("brittle", LogEvent.UPSTREAM_BRITTLE, log, () -> {});
     this.reports = createReports();
     this.streams = new StreamLookup(new StreamQuestions());
     this.shutdown =
@@ -137,7 +140,7 @@
             quotas,
             retries,
             crashes,
-            new UpstreamSignals(fleet, dispatcher, limiter, log),
+            new UpstreamSignals(fleet, dispatcher, limiter.statements(), refusalLimits, log),
             forwarding,
             streams,
             fleet::routing,
@@ -196,7 +199,7 @@
     public SharedObservations observations() {
       return new SharedObservations(
           fleet.leavingUpstreams(),
-          limiter.reports(),
+          limiter.statements().reports(),
           crashes.reports(),
           unreachablePools.asList(),
           streams.recent(),
@@ -206,7 +209,7 @@
 
   private void observationsReported(NodeInfo sender, SharedObservations observations) {
     fleet.leavingReported(sender.node(), observations.leavingUpstreams());
-    limiter.reported(sender.node(), observations.upstreamLimits());
+    limiter.statements().reported(sender.node(), observations.upstreamLimits());
     crashes.reported(sender.node(), observations.crashes());
     forwarding.reported(sender.node(), observations.unreachablePools());
     streams.reported(sender.host(), observations.streamOrigins(), observations.soughtStreams());
@@ -319,7 +322,7 @@
     retries.setNodeCount(nodeCount);
     metrics.setLoad(
         dispatcher.waitingCount(), dispatcher.runningCount(), callers.connectionCount(), nodeCount);
-    metrics.setLimitedUpstreams(limiter.limitedCount());
+    metrics.setLimitedUpstreams(limiter.statements().limitedCount());
     metrics.setQuarantined(crashes.refusedCount());
     offer.set(buildOffer(now));
     follower.setPassive(peers.isStoreReadByOthers(now));
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/NodeResponseCodec.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/NodeResponseCodec.java
@@ -32,6 +32,7 @@
         promisesNotRun(response.status().code()),
         false,
         Optional.ofNullable(retryAfter).map(PauseRequest::ofSeconds),
+        RateLimit.NONE,
         RateLimit.NONE);
   }
 
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/ResponseHeaders.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/ResponseHeaders.java
@@ -14,6 +14,7 @@
  * @param pause how long the upstream wants no further requests from this node; empty if it does not
  *     say
  * @param limit the rate to which the upstream limits all nodes together
+ * @param refusalLimit the rate of refusals, to all nodes together, beyond which the upstream fails
  */
 public record ResponseHeaders(
     String requestId,
@@ -21,7 +22,8 @@
     boolean notRun,
     boolean leaving,
     Optional<PauseRequest> pause,
-    RateLimit limit) {
+    RateLimit limit,
+    RateLimit refusalLimit) {
 
   /** Returns the text that the log writes after got=; the log keeps the old name of the record. */
   @Override
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/UpstreamSignals.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/UpstreamSignals.java
@@ -8,19 +8,26 @@
 
 /**
  * Applies what upstreams say of themselves in their responses: that they are leaving, that they
- * want no requests from this node for some time, or how many they accept from all nodes. Used only
+ * want no requests from this node for some time, or how many they accept or can refuse. Used only
  * on the event loop.
  */
 final class UpstreamSignals {
   private final FleetState fleet;
   private final CallDispatcher dispatcher;
-  private final RateLimiter limiter;
+  private final UpstreamStatements limits;
+  private final UpstreamStatements refusalLimits;
   private final EventLog log;
 
-  UpstreamSignals(FleetState fleet, CallDispatcher dispatcher, RateLimiter limiter, EventLog log) {
+  UpstreamSignals(
+      FleetState fleet,
+      CallDispatcher dispatcher,
+      UpstreamStatements limits,
+      UpstreamStatements refusalLimits,
+      EventLog log) {
     this.fleet = fleet;
     this.dispatcher = dispatcher;
-    this.limiter = limiter;
+    this.limits = limits;
+    this.refusalLimits = refusalLimits;
     this.log = log;
   }
 
@@ -32,7 +39,8 @@
    * @param sentNanos when the request was sent
    */
   void received(RegisteredUpstream upstream, ResponseHeaders headers, long sentNanos) {
-    limiter.stated(upstream, headers.limit(), sentNanos);
+    limits.stated(upstream, headers.limit(), sentNanos);
+    refusalLimits.stated(upstream, headers.refusalLimit(), sentNanos);
     if (headers.leaving()) {
       fleet.upstreamLeaving(upstream);
     }
--- a/org.cranberrystand/src/main/java/org/cranberrystand/event/LogEvent.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/event/LogEvent.java
@@ -99,7 +99,9 @@
   /** The node lost or regained the links to all upstreams of a pool. */
   POOL_REACH_CHANGED(5030, Severity.WARNING, "reach of a pool changed"),
   /** A request was sent through another node, which reaches the upstreams of its pool. */
-  REQUEST_FORWARDED(5031, Severity.INFO, "request forwarded to another node");
+  REQUEST_FORWARDED(5031, Severity.INFO, "request forwarded to another node"),
+  /** An upstream stated, changed or withdrew the rate of refusals beyond which it fails. */
+  UPSTREAM_BRITTLE(5032, Severity.INFO, "refusal limit of an upstream changed");
 
   private final int number;
   private final Severity severity;
