Use slots of its own only at upstreams that fall over when they refuse

Cause: nodes place requests by each other's use, which they hear of up to 0.3 s late. In a burst each node takes the same free slots, and upstreams that let none wait refuse the rest. Nothing bounded how much an upstream was made to refuse by all nodes together.

Ruled out: an upstream that asks one node for a pause would bear this too, but the pause follows the refusals that are to be avoided; with the pause alone each node may still cause one refusal at the same moment.

The change: while an upstream of a pool says that it is brittle, its slots are divided among the nodes, by the same hashing that divides stated rates. A node without a slot of the pool sends requests through another node. After a refusal a node pauses for as long as all nodes together need to stay within the stated rate.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/FleetState.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/FleetState.java
@@ -156,11 +156,9 @@
     return registry.recentAnnouncements();
   }
 
-  /** Returns the upstreams of a pool that may get requests. */
-  ImmutableList<RegisteredUpstream> upstreamsOf(String pool) {
-    return registry.usable().stream()
-        .filter(upstream -> upstream.pool().equals(pool))
-        .collect(ImmutableList.toImmutableList());
+  /** Returns the upstreams that may get requests. */
+  ImmutableList<RegisteredUpstream> upstreams() {
+    return ImmutableList.copyOf(registry.usable());
   }
 
   /** Removes the upstreams that did not register again within the grace period. */
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Gateway.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Gateway.java
@@ -72,7 +72,7 @@
   private final UpstreamClient client;
   private final PeerForwarding forwarding;
   private final RateLimiter limiter;
-  private final UpstreamStatements refusalLimits;
+  private final BrittleUpstreams brittle;
   private final StreamLookup streams;
   private final PeerTable peers;
   private final FleetState fleet;
@@ -124,8 +124,7 @@
                 log),
             incarnation);
     this.limiter = new RateLimiter(dispatcher, peers, log);
-    this.refusalLimits =
-        new UpstreamStatements("brittle", LogEvent.UPSTREAM_BRITTLE, log, () -> {});
+    this.brittle = new BrittleUpstreams(dispatcher, peers, fleet, log);
     this.reports = createReports();
     this.streams = new StreamLookup(new StreamQuestions());
     this.shutdown =
@@ -140,7 +139,7 @@
             quotas,
             retries,
             crashes,
-            new UpstreamSignals(fleet, dispatcher, limiter.statements(), refusalLimits, log),
+            new UpstreamSignals(fleet, dispatcher, limiter.statements(), brittle, log),
             forwarding,
             streams,
             fleet::routing,
@@ -200,6 +199,7 @@
       return new SharedObservations(
           fleet.leavingUpstreams(),
           limiter.statements().reports(),
+          brittle.statements().reports(),
           crashes.reports(),
           unreachablePools.asList(),
           streams.recent(),
@@ -210,6 +210,7 @@
   private void observationsReported(NodeInfo sender, SharedObservations observations) {
     fleet.leavingReported(sender.node(), observations.leavingUpstreams());
     limiter.statements().reported(sender.node(), observations.upstreamLimits());
+    brittle.statements().reported(sender.node(), observations.refusalLimits());
     crashes.reported(sender.node(), observations.crashes());
     forwarding.reported(sender.node(), observations.unreachablePools());
     streams.reported(sender.host(), observations.streamOrigins(), observations.soughtStreams());
@@ -318,6 +319,7 @@
     fleet.expireUpstreams(now);
     reports.refresh(now);
     limiter.refresh(now);
+    brittle.refresh(now);
     nodeCount = peers.nodeCount(now);
     retries.setNodeCount(nodeCount);
     metrics.setLoad(
@@ -347,7 +349,9 @@
 
   /** Closes the connections to a pool, which may be half open after a partition. */
   private void closeIdleConnections(String pool) {
-    fleet.upstreamsOf(pool).forEach(upstream -> client.closeIdle(upstream.id()));
+    fleet.upstreams().stream()
+        .filter(upstream -> upstream.pool().equals(pool))
+        .forEach(upstream -> client.closeIdle(upstream.id()));
   }
 
   private AddressOffer buildOffer(long now) {
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RequestRelay.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RequestRelay.java
@@ -118,13 +118,11 @@
     }
   }
 
-  /**
-   * Sends the request through another node, if this one does not reach the upstreams of its pool.
-   */
+  /** Sends the request through another node, if only others can send requests to its pool. */
   private boolean forward() {
     boolean unreachable =
         unreachableCount >= UNREACHABLE_TO_FORWARD
-            || context.dispatcher().isUnreachable(spec.pool());
+            || context.dispatcher().isServedByOthersOnly(spec.pool());
     if (!unreachable || !isForwardable()) {
       return false;
     }
@@ -347,7 +345,7 @@
   }
 
   private boolean canForward() {
-    return context.dispatcher().isUnreachable(spec.pool())
+    return context.dispatcher().isServedByOthersOnly(spec.pool())
         && isForwardable()
         && chooseNode().isPresent();
   }
@@ -506,6 +504,9 @@
 
     private void handleNotRun(ResponseAssembler received, ByteBuf body) {
       runCount--;
+      if (!atNode) {
+        context.signals().refused(upstream);
+      }
       recordEnding(CallEnding.NOT_RUN);
       if (atNode) {
         body.release();
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/UpstreamSignals.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/UpstreamSignals.java
@@ -15,19 +15,19 @@
   private final FleetState fleet;
   private final CallDispatcher dispatcher;
   private final UpstreamStatements limits;
-  private final UpstreamStatements refusalLimits;
+  private final BrittleUpstreams brittle;
   private final EventLog log;
 
   UpstreamSignals(
       FleetState fleet,
       CallDispatcher dispatcher,
       UpstreamStatements limits,
-      UpstreamStatements refusalLimits,
+      BrittleUpstreams brittle,
       EventLog log) {
     this.fleet = fleet;
     this.dispatcher = dispatcher;
     this.limits = limits;
-    this.refusalLimits = refusalLimits;
+    this.brittle = brittle;
     this.log = log;
   }
 
@@ -40,13 +40,21 @@
    */
   void received(RegisteredUpstream upstream, ResponseHeaders headers, long sentNanos) {
     limits.stated(upstream, headers.limit(), sentNanos);
-    refusalLimits.stated(upstream, headers.refusalLimit(), sentNanos);
+    brittle.statements().stated(upstream, headers.refusalLimit(), sentNanos);
     if (headers.leaving()) {
       fleet.upstreamLeaving(upstream);
     }
     headers.pause().ifPresent(pause -> paused(upstream, pause));
   }
 
+  /** Records that an upstream refused a request. */
+  void refused(RegisteredUpstream upstream) {
+    long millis = brittle.pauseMillis(upstream);
+    if (millis > 0) {
+      dispatcher.pauseRequested(upstream, PauseRequest.ofMillis(millis), System.nanoTime());
+    }
+  }
+
   private void paused(RegisteredUpstream upstream, PauseRequest pause) {
     log.write(
         LogEvent.UPSTREAM_PAUSED,
--- a/org.cranberrystand.wire/src/main/java/org/cranberrystand/wire/peer/PeerReportCodec.java
+++ b/org.cranberrystand.wire/src/main/java/org/cranberrystand/wire/peer/PeerReportCodec.java
@@ -64,16 +64,8 @@
         .observations()
         .leavingUpstreams()
         .forEach(one -> leaving.put(one.upstream(), NANOSECONDS.toMillis(one.ageNanos())));
-    ObjectNode limits = root.putObject("t");
-    report
-        .observations()
-        .upstreamLimits()
-        .forEach(
-            one ->
-                limits
-                    .putArray(one.incarnation())
-                    .add(NANOSECONDS.toMillis(one.ageNanos()))
-                    .add(Double.isFinite(one.perSecond()) ? one.perSecond() : NO_LIMIT));
+    writeLimits(root.putObject("t"), report.observations().upstreamLimits());
+    writeLimits(root.putObject("y"), report.observations().refusalLimits());
     ArrayNode unreachable = root.putArray("v");
     report.observations().unreachablePools().forEach(unreachable::add);
     ArrayNode origins = root.putArray("o");
@@ -89,6 +81,15 @@
     return Json.toBytes(root);
   }
 
+  private static void writeLimits(ObjectNode limits, ImmutableList<UpstreamLimits.Report> reports) {
+    reports.forEach(
+        one ->
+            limits
+                .putArray(one.incarnation())
+                .add(NANOSECONDS.toMillis(one.ageNanos()))
+                .add(Double.isFinite(one.perSecond()) ? one.perSecond() : NO_LIMIT));
+  }
+
   /** Writes the age of the last answer, and a hash of the upstream and the age of each crash. */
   private static void writeCrashes(ObjectNode crashes, CrashRegister.Report report) {
     ArrayNode values = crashes.putArray(Long.toHexString(report.key()));
@@ -169,6 +170,7 @@
         new SharedObservations(
             leaving.build(),
             readLimits(root.path("t")),
+            readLimits(root.path("y")),
             readCrashes(root.path("c")),
             readTexts(root.path("v")),
             readOrigins(root.path("o")),
--- a/org.cranberrystand.wire/src/test/java/org/cranberrystand/wire/peer/PeerReportCodecTest.java
+++ b/org.cranberrystand.wire/src/test/java/org/cranberrystand/wire/peer/PeerReportCodecTest.java
@@ -43,6 +43,7 @@
                 ImmutableList.of(
                     new UpstreamLimits.Report("e@1", 1.6, 3_000_000_000L),
                     new UpstreamLimits.Report("f@1", Double.POSITIVE_INFINITY, 0)),
+                ImmutableList.of(new UpstreamLimits.Report("e@1", 3, 4_000_000_000L)),
                 ImmutableList.of(
                     new CrashRegister.Report(
                         -1L, -1, ImmutableList.of(new CrashRegister.Crash(-5, 1_000_000_000L))),
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CallDispatcher.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CallDispatcher.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.Predicate;
+import java.util.function.ToIntFunction;
 import java.util.function.ToLongFunction;
 import org.cranberrystand.upstream.RegisteredUpstream;
 
@@ -32,6 +33,7 @@
   private ImmutableMap<String, UpstreamUsage> peerUsage = ImmutableMap.of();
   private Predicate<String> isPreferred = id -> true;
   private ToLongFunction<RegisteredUpstream> minSendIntervals = upstream -> 0;
+  private ToIntFunction<RegisteredUpstream> slotShares = upstream -> Integer.MAX_VALUE;
   private long usageChanges;
 
   /**
@@ -61,6 +63,7 @@
       pool(name).updateUpstreams(byPool.getOrDefault(name, List.of()), now);
       pool(name).setPreferredUpstreams(isPreferred);
       pool(name).setMinSendIntervals(minSendIntervals);
+      pool(name).setSlotShares(slotShares);
     }
     applyPeerUsage();
     pools.values().forEach(pool -> pool.dispatchWaiting(now));
@@ -99,6 +102,16 @@
     pools.values().forEach(pool -> pool.setMinSendIntervals(value));
   }
 
+  /**
+   * Replaces the numbers of slots that this node may use at a time.
+   *
+   * @param value returns the number of slots; {@link Integer#MAX_VALUE} for all
+   */
+  public void slotSharesChanged(ToIntFunction<RegisteredUpstream> value) {
+    slotShares = value;
+    pools.values().forEach(pool -> pool.setSlotShares(value));
+  }
+
   private void applyPeerUsage() {
     for (PoolScheduler pool : pools.values()) {
       for (UpstreamState state : pool.upstreams()) {
@@ -196,13 +209,14 @@
   }
 
   /**
-   * Returns whether this node reaches none of the upstreams of a pool.
+   * Returns whether only other nodes can send requests to a pool.
    *
    * @param pool the name of the pool
-   * @return true if connections to them could not be opened recently
+   * @return true if this node reaches none of its upstreams, or if they limit requests so much that
+   *     this node has no share
    */
-  public boolean isUnreachable(String pool) {
-    return pool(pool).isUnreachable();
+  public boolean isServedByOthersOnly(String pool) {
+    return pool(pool).isUnreachable() || pool(pool).isLeftToOthers();
   }
 
   /**
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/PauseRequest.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/PauseRequest.java
@@ -17,6 +17,16 @@
 
   private static final double MILLIS_PER_SECOND = 1e3;
 
+  /**
+   * Creates a request that the upstream did not state itself.
+   *
+   * @param millis the duration in milliseconds
+   * @return the request
+   */
+  public static PauseRequest ofMillis(long millis) {
+    return new PauseRequest(millis, "", true);
+  }
+
   /**
    * Interprets the value that an upstream stated.
    *
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/PoolScheduler.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/PoolScheduler.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
+import java.util.function.ToIntFunction;
 import java.util.function.ToLongFunction;
 import java.util.stream.Stream;
 import org.cranberrystand.outcome.NotRunReason;
@@ -370,6 +371,16 @@
         .forEach(state -> state.setMinSendInterval(intervalNanos.applyAsLong(state.upstream())));
   }
 
+  /** Sets how many slots of each upstream this node may use at a time. */
+  void setSlotShares(ToIntFunction<RegisteredUpstream> shares) {
+    upstreams.values().forEach(state -> state.setSlotShare(shares.applyAsInt(state.upstream())));
+  }
+
+  /** Returns whether all upstreams of the pool are left to other nodes. */
+  boolean isLeftToOthers() {
+    return !upstreams.isEmpty() && upstreams.values().stream().noneMatch(UpstreamState::isUsable);
+  }
+
   /** Sets the upstreams that the cell of this node prefers. */
   void setPreferredUpstreams(Predicate<String> isPreferred) {
     preferredCount = 0;
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/UpstreamState.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/UpstreamState.java
@@ -52,6 +52,7 @@
   private long pausedUntilNanos = Long.MIN_VALUE;
   private long minSendIntervalNanos;
   private long limitedUntilNanos = Long.MIN_VALUE;
+  private int slotShare = Integer.MAX_VALUE;
   private boolean sentBefore;
   private long lastSentNanos;
   private long lastReceivedNanos = Long.MIN_VALUE;
@@ -148,6 +149,16 @@
     updateLimitedUntil();
   }
 
+  /** Sets how many slots this node may use at a time. */
+  void setSlotShare(int value) {
+    slotShare = value;
+  }
+
+  /** Returns whether this node may send requests at all, now or later. */
+  boolean isUsable() {
+    return slotShare > 0 && minSendIntervalNanos != UpstreamLimits.NEVER;
+  }
+
   private void updateLimitedUntil() {
     if (minSendIntervalNanos == UpstreamLimits.NEVER) {
       limitedUntilNanos = Long.MAX_VALUE;
@@ -173,7 +184,7 @@
       return 0;
     }
     int slots = Math.max(1, (int) Math.round(upstream.slots() * admittedFraction));
-    return Math.max(0, slots - totalRunning());
+    return Math.max(0, Math.min(slots - totalRunning(), slotShare - running));
   }
 
   boolean isCold(long nowNanos) {
--- a/org.cranberrystand/src/main/java/org/cranberrystand/membership/PeerTable.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/membership/PeerTable.java
@@ -406,13 +406,34 @@
     if (!isPreferredUpstream(upstream, cellWeights)) {
       return UpstreamLimits.NEVER;
     }
+    return RateShare.minIntervalNanos(upstream, perSecond, self.host(), sharingHosts(nowNanos));
+  }
+
+  /**
+   * Returns how many slots of an upstream this node may use, if nodes must not use the same ones.
+   *
+   * @param upstream the identifier of the upstream
+   * @param slots the number of slots of the upstream
+   * @param cellWeights the weights of the cells
+   * @param nowNanos the current monotonic time, in nanoseconds
+   * @return the number of slots; 0 if other nodes use the upstream
+   */
+  public int slotShare(
+      String upstream, int slots, ImmutableList<Double> cellWeights, long nowNanos) {
+    return isPreferredUpstream(upstream, cellWeights)
+        ? SlotShare.slots(upstream, slots, self.host(), sharingHosts(nowNanos))
+        : 0;
+  }
+
+  /** Returns the addresses of the nodes among which the use of an upstream is divided. */
+  private List<String> sharingHosts(long nowNanos) {
     List<String> hosts = new ArrayList<>();
     hosts.add(self.host());
     directory.presumedAlive(nowNanos).stream()
         .map(NodeInfo::host)
         .filter(this::isInOwnCell)
         .forEach(hosts::add);
-    return RateShare.minIntervalNanos(upstream, perSecond, self.host(), hosts);
+    return hosts;
   }
 
   /**
--- a/org.cranberrystand/src/main/java/org/cranberrystand/membership/SharedObservations.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/membership/SharedObservations.java
@@ -13,6 +13,7 @@
  * @param leavingUpstreams upstreams that announced recently that they are leaving, by {@linkplain
  *     RegisteredUpstream#incarnationKey incarnation}
  * @param upstreamLimits the rate limits that upstreams stated
+ * @param refusalLimits the rates of refusals beyond which upstreams say that they fail
  * @param crashes what is known of content that may crash upstreams
  * @param unreachablePools the pools none of whose upstreams the sender reaches
  * @param streamOrigins where streams began that are recent or that the receiver asked for
@@ -22,6 +23,7 @@
 public record SharedObservations(
     ImmutableList<DrainTracker.Report> leavingUpstreams,
     ImmutableList<UpstreamLimits.Report> upstreamLimits,
+    ImmutableList<UpstreamLimits.Report> refusalLimits,
     ImmutableList<CrashRegister.Report> crashes,
     ImmutableList<String> unreachablePools,
     ImmutableList<StreamOrigins.Origin> streamOrigins,
@@ -35,6 +37,7 @@
           ImmutableList.of(),
           ImmutableList.of(),
           ImmutableList.of(),
+          ImmutableList.of(),
           ImmutableList.of());
 
   /**
@@ -45,7 +48,13 @@
    */
   public SharedObservations asking(ImmutableList<String> streams) {
     return new SharedObservations(
-        leavingUpstreams, upstreamLimits, crashes, unreachablePools, streamOrigins, streams);
+        leavingUpstreams,
+        upstreamLimits,
+        refusalLimits,
+        crashes,
+        unreachablePools,
+        streamOrigins,
+        streams);
   }
 
   /**
@@ -56,6 +65,12 @@
    */
   public SharedObservations answering(ImmutableList<StreamOrigins.Origin> origins) {
     return new SharedObservations(
-        leavingUpstreams, upstreamLimits, crashes, unreachablePools, origins, ImmutableList.of());
+        leavingUpstreams,
+        upstreamLimits,
+        refusalLimits,
+        crashes,
+        unreachablePools,
+        origins,
+        ImmutableList.of());
   }
 }
