End streams with an event that has no end

Callers saw nothing yet; EndlessResponseTest shows that a stream whose event never ends is buffered until the deadline, 88 MB in 3 s, which is more than a node has.

Cause: the splitter keeps the bytes of an incomplete event without a bound. Now an event of more than 256 KiB breaks the attempt off, as a stream that ends within an event does.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/EventSplitter.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/EventSplitter.java
@@ -12,6 +12,9 @@
  * upstream then continues after the last complete one. Not thread-safe.
  */
 final class EventSplitter {
+  /** Events of engines are some hundred bytes long. */
+  private static final int MAX_EVENT_BYTES = 256 << 10;
+
   private static final String ID_FIELD = "id:";
 
   private final ByteBuf pending = Unpooled.buffer();
@@ -95,6 +98,11 @@
     return lastEventId;
   }
 
+  /** Returns whether an event is so long that it is none; no more bytes may be added then. */
+  boolean isEventTooLong() {
+    return pending.readableBytes() > MAX_EVENT_BYTES;
+  }
+
   /** Returns whether bytes of an incomplete event are buffered. */
   boolean hasPartialEvent() {
     return pending.isReadable();
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RequestRelay.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RequestRelay.java
@@ -30,18 +30,9 @@
   /** With more attempts that upstreams refuse or that fail to connect, the node gives up. */
   private static final int MAX_ATTEMPTS_WITHOUT_RUN = 4;
 
-  /** Another node may have lost its links too and not know it yet. */
-  private static final int MAX_REFUSING_NODES = 2;
-
   /** With less time left, a retry would not finish before the deadline. */
   private static final long MIN_RETRY_MILLIS = 50;
 
-  /**
-   * A request that cannot be sent to these many upstreams is forwarded to another node, also before
-   * this node knows that it reaches none.
-   */
-  private static final int UNREACHABLE_TO_FORWARD = 2;
-
   private static final long RETRY_AFTER_MILLIS = 300;
 
   private final RelayContext context;
@@ -49,7 +40,7 @@
   private final CallerHeaders caller;
   private final Route route;
   private final Optional<TeamPolicy> team;
-  private final ForwardedRequest forwarded;
+  private final RequestForwarding forwarding;
   private final ContentKeys contentKeys;
   private final OutgoingRequests outgoing;
   private final DeadlineTimer deadlineTimer;
@@ -63,7 +54,6 @@
   private PlacementChoice placement;
   private int runCount;
   private int attemptsWithoutRun;
-  private int unreachableCount;
   private boolean quotaCharged;
 
   /** Whether the current attempt, or one that may have run, is at another node. */
@@ -93,8 +83,8 @@
     this.team = team;
     this.spec = spec;
     this.quotaCharged = team.isPresent();
-    this.forwarded = ForwardedRequest.read(exchange.request().headers());
-    this.runCount = forwarded.runs();
+    this.forwarding = new RequestForwarding(context, exchange, caller);
+    this.runCount = forwarding.runsBefore();
     this.contentKeys = ContentKeys.of(exchange, caller, team);
     this.outgoing = new OutgoingRequests(context.headerCodec(), exchange, caller, team);
     this.deadlineTimer = new DeadlineTimer(context.loop(), spec.deadlineNanos(), new Deadline());
@@ -120,12 +110,6 @@
 
   /** Sends the request through another node, if only others can send requests to its pool. */
   private boolean forward() {
-    boolean unreachable =
-        unreachableCount >= UNREACHABLE_TO_FORWARD
-            || context.dispatcher().isServedByOthersOnly(spec.pool());
-    if (!unreachable || !isForwardable()) {
-      return false;
-    }
     Optional<RegisteredUpstream> node = chooseNode();
     node.ifPresent(this::sendToNode);
     return node.isPresent();
@@ -136,20 +120,19 @@
     refundQuota();
     atNode = true;
     log.forwarded(node, runCount);
-    begin(node, context.forwarding().client(), outgoing.toNode(remainingMillis(), runCount));
-  }
-
-  private boolean isForwardable() {
-    return !forwarded.isForwarded() && !responseStarted && caller.requestId() != null;
+    begin(node, forwarding.client(), outgoing.toNode(remainingMillis(), runCount));
   }
 
   private Optional<RegisteredUpstream> chooseNode() {
-    return context.forwarding().choose(spec.pool(), triedUpstreams);
+    return responseStarted ? Optional.empty() : forwarding.chooseNode(spec.pool(), triedUpstreams);
   }
 
   /** Forwards the request if it waits on a node that has lost its links to the pool. */
   void forwardWaiting() {
-    if (!done && attempt == null && runCount == forwarded.runs() && chooseNode().isPresent()) {
+    if (!done
+        && attempt == null
+        && runCount == forwarding.runsBefore()
+        && chooseNode().isPresent()) {
       context.dispatcher().ended(spec.key(), CallEnding.CANCELLED, System.nanoTime());
       if (!forward()) {
         context.dispatcher().submit(spec, null, System.nanoTime());
@@ -334,7 +317,8 @@
     @Override
     public boolean tryMove(long silentMillis) {
       boolean canMove =
-          context.dispatcher().canMove(spec, upstream.id(), System.nanoTime()) || canForward();
+          context.dispatcher().canMove(spec, upstream.id(), System.nanoTime())
+              || chooseNode().isPresent();
       boolean moves = canMove && tryAcquireRetry();
       if (moves) {
         endAttempt(CallEnding.SILENT);
@@ -344,12 +328,6 @@
     }
   }
 
-  private boolean canForward() {
-    return context.dispatcher().isServedByOthersOnly(spec.pool())
-        && isForwardable()
-        && chooseNode().isPresent();
-  }
-
   /**
    * Takes a retry from the allowance if a request that may have run may be sent to another
    * upstream.
@@ -407,7 +385,7 @@
     @Override
     public void connectFailed(Throwable cause) {
       runCount--;
-      unreachableCount++;
+      forwarding.unreachable();
       atNode = false;
       endAttempt(CallEnding.UNREACHABLE);
       log.broken(upstream, "connect", cause);
@@ -419,9 +397,7 @@
         ResponseAssembler received, ByteBuf events, int count, String eventId) {
       if (!attemptHasEvents && lastEventId != null && !received.beginsAfter(lastEventId)) {
         events.release();
-        attempt.cancel();
-        attempt = null;
-        retryOrFail("stream not resumed after event " + lastEventId, CallEnding.FAILED);
+        breakOff("stream not resumed after event " + lastEventId);
         return;
       }
       if (firstResponseNanos == 0) {
@@ -440,6 +416,17 @@
       exchange.sendPart(events);
     }
 
+    @Override
+    public void eventTooLong() {
+      breakOff("event without end");
+    }
+
+    private void breakOff(String cause) {
+      attempt.cancel();
+      attempt = null;
+      retryOrFail(cause, CallEnding.FAILED);
+    }
+
     /** Binds the stream to the software version of the upstream that sent its first event. */
     private void bindToVersion() {
       spec = spec.continuedAt(upstream.softwareVersion());
@@ -523,13 +510,12 @@
 
     private void refusedByNode(HttpResponseStatus status) {
       atNode = false;
-      attemptsWithoutRun++;
       if (status.equals(HttpResponseStatus.TOO_MANY_REQUESTS)) {
         refuse(NotRunReason.TEAM_LIMIT, refusalPauseMillis);
-      } else if (attemptsWithoutRun > MAX_REFUSING_NODES) {
-        refuse(NotRunReason.OVERLOADED, refusalPauseMillis);
-      } else {
+      } else if (forwarding.refusedByNode()) {
         retry("node refused with status " + status.code());
+      } else {
+        refuse(NotRunReason.OVERLOADED, refusalPauseMillis);
       }
     }
 
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/ResponseAssembler.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/ResponseAssembler.java
@@ -36,6 +36,9 @@
     /** Complete events of a stream arrived. */
     void eventsReceived(ResponseAssembler response, ByteBuf events, int count, String lastEventId);
 
+    /** A stream contains an event without end. */
+    void eventTooLong();
+
     /** A part of a response arrived that is too large to be buffered. */
     void bodyPartReceived(ResponseAssembler response, ByteBuf part);
 
@@ -143,6 +146,9 @@
         receiver.eventsReceived(
             this, events, eventSplitter.takeEventCount(), eventSplitter.lastEventId());
       }
+      if (eventSplitter.isEventTooLong() && !receiver.isDone()) {
+        receiver.eventTooLong();
+      }
     } else if (bufferedBody.readableBytes() + content.readableBytes() <= MAX_BUFFERED_BYTES) {
       bufferedBody.writeBytes(content);
     } else {
