Give up on skipped responses that have no end

A node skips interim responses and late answers to other requests, and did so without a bound until the deadline: EndlessResponseTest, 70 MB and 78 MB in 3 s. After 16 interim responses or 1 MiB of a skipped body the request now fails like one whose upstream violates the protocol.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/UpstreamConnection.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/UpstreamConnection.java
@@ -28,6 +28,11 @@
   /** More responses to other requests than this fail the pending request. */
   private static final int MAX_MISMATCHED_RESPONSES = 2;
 
+  private static final int MAX_INTERIM_RESPONSES = 16;
+
+  /** Late responses to other requests, which are skipped, may be as long as any. */
+  private static final int MAX_SKIPPED_BYTES = 1 << 20;
+
   /** Idle connections are not used in this time before the upstream is expected to close them. */
   private static final long IDLE_MARGIN_MILLIS = 1_000;
 
@@ -70,6 +75,8 @@
     private boolean keepAlive;
     private boolean skippingResponse;
     private int mismatchedResponses;
+    private int interimResponses;
+    private int skippedBytes;
 
     private PendingRequest(String requestId, ResponseListener listener) {
       this.requestId = requestId;
@@ -154,6 +161,10 @@
     }
     if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
       current.skippingResponse = true;
+      current.interimResponses++;
+      if (current.interimResponses > MAX_INTERIM_RESPONSES) {
+        violated(current, new IOException("too many interim responses"));
+      }
       return;
     }
     ResponseHeaders headers = headerCodec.readResponse(response);
@@ -202,6 +213,10 @@
           current, new IOException("malformed response body", content.decoderResult().cause()));
     } else if (current.skippingResponse) {
       current.skippingResponse = !last;
+      current.skippedBytes += content.content().readableBytes();
+      if (current.skippedBytes > MAX_SKIPPED_BYTES) {
+        violated(current, new IOException("response to another request is too long"));
+      }
     } else if (!current.headReceived) {
       violated(current, new IOException("response body without a head"));
     } else {
