Keep the shares of nodes that are not heard

A stated limit was divided among the nodes that a node presumes alive, for 12 s after their last report.

Now a node counts until its entry is removed after 120 s, unless it said that it stops, and a node that has heard nobody although it has seeds divides by 16. What a lost node leaves unused in that time is the price. The same holds for the slots of brittle upstreams.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Gateway.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Gateway.java
@@ -112,6 +112,9 @@
     this.fleet = new FleetState(ports.decoder(), dispatcher, client, log);
     this.callers = new CallerServer(loop, this::callerLimits, admission::handleRequest);
     this.peers = new PeerTable(self(settings.listen().callers()));
+    if (!Sets.difference(seedHosts(settings), ImmutableSet.of(host())).isEmpty()) {
+      peers.expectPeers();
+    }
     this.targets = new PeerTargets(peers, seedHosts(settings), incarnation);
     this.forwarding =
         new PeerForwarding(
--- a/org.cranberrystand/src/main/java/org/cranberrystand/membership/NodeDirectory.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/membership/NodeDirectory.java
@@ -102,6 +102,15 @@
     return select(entry -> isPresumedAlive(entry, nowNanos));
   }
 
+  /**
+   * Returns the other nodes that may be using upstreams. Those that did not say that they stop
+   * count as long as they are remembered, also behind a partition that lasts.
+   */
+  ImmutableList<NodeInfo> possiblyUsingUpstreams(long nowNanos) {
+    return select(
+        entry -> entry.confirmed && (isFresh(entry, nowNanos) || entry.node.acceptsCallers()));
+  }
+
   private ImmutableList<NodeInfo> select(Predicate<Entry> filter) {
     return entries.values().stream()
         .filter(filter)
--- a/org.cranberrystand/src/main/java/org/cranberrystand/membership/PeerTable.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/membership/PeerTable.java
@@ -53,6 +53,7 @@
   private ReceivedReport otherCellsReport;
   private int cellCount = 1;
   private boolean acceptsCallers;
+  private boolean peersExpected;
 
   /**
    * Creates a table without peers.
@@ -73,6 +74,11 @@
     self = value;
   }
 
+  /** Sets that the fleet has other nodes, even before this node hears of any. */
+  public void expectPeers() {
+    peersExpected = true;
+  }
+
   /**
    * Sets whether callers may be sent to this node.
    *
@@ -425,14 +431,22 @@
         : 0;
   }
 
-  /** Returns the addresses of the nodes among which the use of an upstream is divided. */
+  /**
+   * Returns the addresses of the nodes among which the use of an upstream is divided.
+   *
+   * <p>A node that does not hear of another one must not take over its share, since that one may
+   * still use it.
+   */
   private List<String> sharingHosts(long nowNanos) {
     List<String> hosts = new ArrayList<>();
     hosts.add(self.host());
-    directory.presumedAlive(nowNanos).stream()
-        .map(NodeInfo::host)
-        .filter(this::isInOwnCell)
-        .forEach(hosts::add);
+    ImmutableList<NodeInfo> others = directory.possiblyUsingUpstreams(nowNanos);
+    others.stream().map(NodeInfo::host).filter(this::isInOwnCell).forEach(hosts::add);
+    if (others.isEmpty() && peersExpected) {
+      for (int i = 1; i < CellLayout.MAX_SINGLE_CELL_NODES; i++) {
+        hosts.add("unknown-" + i);
+      }
+    }
     return hosts;
   }
 
