Answer callers whose request head is malformed

Since such callers got no answer: the error response looks for the mark of forwarded requests in the head, which there is none of.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/CallerExchange.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/CallerExchange.java
@@ -20,7 +20,7 @@
     void writabilityChanged(boolean writable);
   }
 
-  /** Returns the request line and headers. */
+  /** Returns the request line and headers; null if they are malformed. */
   HttpRequest request();
 
   /** Returns the complete request body; owned by the exchange. */
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/ErrorResponses.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/ErrorResponses.java
@@ -30,7 +30,9 @@
       CallerExchange exchange, HttpResponseStatus status, String detail, long retryAfterMillis) {
     HttpHeaders headers = new DefaultHttpHeaders();
     headers.set(HttpHeaderNames.CONTENT_TYPE, PROBLEM_TYPE);
-    ForwardedRequest.markResponse(headers, exchange.request().headers());
+    if (exchange.request() != null) {
+      ForwardedRequest.markResponse(headers, exchange.request().headers());
+    }
     if (retryAfterMillis > 0) {
       headers.set(
           HttpHeaderNames.RETRY_AFTER,
