Check that an upstream is alive when its response ends with the connection

Callers got a stream as complete that its upstream had not finished: it has neither length nor chunks, ends with its connection, and the upstream crashed between two events.

Cause: the end of such a response looks the same whether the upstream is done or gone; only a reset was told apart. Now the node opens a connection to the upstream first. If it is accepted, the response is complete, and the connection serves the next request in place of the one that ended. If not, the attempt counts as broken.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/UpstreamClient.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/UpstreamClient.java
@@ -20,6 +20,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.function.ToIntFunction;
 import org.cranberrystand.daemon.internal.EventLog;
 import org.cranberrystand.event.LogEvent;
@@ -139,6 +140,10 @@
 
   /** Opens a connection to an upstream and keeps it for later requests. */
   void probe(RegisteredUpstream upstream) {
+    probe(upstream, connected -> {});
+  }
+
+  private void probe(RegisteredUpstream upstream, Consumer<Boolean> result) {
     ChannelFuture connect = bootstrap.connect(socketAddress(upstream));
     connect.addListener(
         future -> {
@@ -146,6 +151,7 @@
             addIdle(upstream, open(upstream, connect.channel()));
           }
           connectListener.connectEnded(upstream, future.isSuccess());
+          result.accept(future.isSuccess());
         });
   }
 
@@ -171,6 +177,11 @@
                 removeIdle(id, closedConnection);
               }
 
+              @Override
+              public void checkAlive(Consumer<Boolean> result) {
+                probe(upstream, result);
+              }
+
               @Override
               public void protocolViolation(String detail) {
                 log.write(LogEvent.ANSWER_MISMATCH, "upstream=" + id + " cause=" + detail);
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/UpstreamConnection.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/UpstreamConnection.java
@@ -15,12 +15,14 @@
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
 import java.util.Objects;
+import java.util.function.Consumer;
 
 /**
  * A connection to an upstream that carries one request at a time.
  *
  * <p>The connection is reused only if every response on it belonged to the pending request, was
- * framed by a length or by chunks, and was complete. Used only on the event loop.
+ * framed by a length or by chunks, and was complete. A response that ends with the connection is
+ * complete if the upstream still accepts connections. Used only on the event loop.
  */
 // A failed write or close closes the channel, and channelInactive handles that.
 @SuppressWarnings("FutureReturnValueIgnored")
@@ -46,6 +48,9 @@
     void connectionClosed(UpstreamConnection connection);
 
     void protocolViolation(String detail);
+
+    /** Finds out whether the upstream still accepts connections. */
+    void checkAlive(Consumer<Boolean> result);
   }
 
   private final HeaderCodec headerCodec;
@@ -56,6 +61,7 @@
   private boolean releasePending;
   private boolean untrusted;
   private boolean connectionReset;
+  private boolean checkingEnd;
   private long idleTimeoutMillis = DEFAULT_IDLE_TIMEOUT_MILLIS;
   private long idleSinceNanos = System.nanoTime();
 
@@ -235,6 +241,23 @@
           current, new IOException("connection reset during a response without a declared length"));
       return;
     }
+    if (current.lengthDeclared) {
+      complete(current);
+      return;
+    }
+    // The connections of an upstream that crashes end in the same way.
+    checkingEnd = true;
+    owner.checkAlive(
+        alive -> {
+          if (active == current && alive) {
+            complete(current);
+          } else {
+            fail(current, new IOException("upstream crashed, or ended during the response"));
+          }
+        });
+  }
+
+  private void complete(PendingRequest current) {
     active = null;
     channel.config().setAutoRead(true);
     boolean reusable =
@@ -297,7 +320,7 @@
   @Override
   public void channelInactive(ChannelHandlerContext ctx) {
     owner.connectionClosed(this);
-    if (active != null) {
+    if (active != null && !checkingEnd) {
       fail(active, new IOException("connection closed by the upstream"));
     }
   }
