Use other nodes' slots of brittle upstreams instead of refusing

A busy node refused requests while the slots that belong to other nodes were free: BrittleUpstreamTest.busyNodeUsesTheSlotsOfOthers, 10 long requests at one of four nodes, failed before.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RequestForwarding.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RequestForwarding.java
@@ -49,10 +49,19 @@
 
   /** Returns the node to forward to; empty if the request is to be served here. */
   Optional<RegisteredUpstream> chooseNode(String pool, Set<String> triedTargets) {
-    boolean needed =
-        unreachableCount >= UNREACHABLE_TO_FORWARD
-            || context.dispatcher().isServedByOthersOnly(pool);
-    return needed && identified && !received.isForwarded()
+    return unreachableCount >= UNREACHABLE_TO_FORWARD
+            || context.dispatcher().isServedByOthersOnly(pool)
+        ? choose(pool, triedTargets)
+        : Optional.empty();
+  }
+
+  /** Returns the node to forward to instead of refusing the request for want of a slot. */
+  Optional<RegisteredUpstream> chooseNodeWithSlots(String pool, Set<String> triedTargets) {
+    return context.dispatcher().isDivided(pool) ? choose(pool, triedTargets) : Optional.empty();
+  }
+
+  private Optional<RegisteredUpstream> choose(String pool, Set<String> triedTargets) {
+    return identified && !received.isForwarded() && refusalCount <= MAX_REFUSING_NODES
         ? context.forwarding().choose(pool, triedTargets)
         : Optional.empty();
   }
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RequestRelay.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RequestRelay.java
@@ -207,6 +207,12 @@
       fail(HttpResponseStatus.BAD_GATEWAY, "no upstream answered");
       return;
     }
+    if (reason == NotRunReason.OVERLOADED) {
+      forwarding.chooseNodeWithSlots(spec.pool(), triedUpstreams).ifPresent(this::sendToNode);
+      if (attempt != null) {
+        return;
+      }
+    }
     refundQuota();
     log.refused(reason, context.dispatcher().waitingCount(), retryAfterMillis);
     end("refused-" + reason.label(), reason.status());
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CallDispatcher.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CallDispatcher.java
@@ -219,6 +219,17 @@
     return pool(pool).isUnreachable() || pool(pool).isLeftToOthers();
   }
 
+  /**
+   * Returns whether nodes use slots of their own only at some upstream of a pool, so that other
+   * nodes may have free slots which this one must not use.
+   *
+   * @param pool the name of the pool
+   * @return true if slots are divided among nodes
+   */
+  public boolean isDivided(String pool) {
+    return pool(pool).isDivided();
+  }
+
   /**
    * Returns the pools none of whose upstreams this node can reach.
    *
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/PoolScheduler.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/PoolScheduler.java
@@ -376,6 +376,11 @@
     upstreams.values().forEach(state -> state.setSlotShare(shares.applyAsInt(state.upstream())));
   }
 
+  /** Returns whether the slots of an upstream of the pool are divided among nodes. */
+  boolean isDivided() {
+    return upstreams.values().stream().anyMatch(UpstreamState::isDivided);
+  }
+
   /** Returns whether all upstreams of the pool are left to other nodes. */
   boolean isLeftToOthers() {
     return !upstreams.isEmpty() && upstreams.values().stream().noneMatch(UpstreamState::isUsable);
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/UpstreamState.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/UpstreamState.java
@@ -154,6 +154,11 @@
     slotShare = value;
   }
 
+  /** Returns whether this node may use some of the slots only. */
+  boolean isDivided() {
+    return slotShare < upstream.slots();
+  }
+
   /** Returns whether this node may send requests at all, now or later. */
   boolean isUsable() {
     return slotShare > 0 && minSendIntervalNanos != UpstreamLimits.NEVER;
