Refuse forwarded requests at once that cannot be served here either

A node that reaches no upstream kept a request that another such node had forwarded to it for 1.1 s before it refused, and its caller had that much less time: PartitionedNodeTest, 200 ms asked.

The node now refuses as soon as it knows. Nodes that have reported themselves are tried before those of other cells, of which it is not known whether they reach the pool; and one round of probes is enough to find out, so a node with few requests knows within a second.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/PeerForwarding.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/PeerForwarding.java
@@ -43,20 +43,17 @@
 
   /** Replaces the pools that a node reports that it does not reach. */
   void reported(String node, ImmutableList<String> unreachablePools) {
-    if (unreachablePools.isEmpty()) {
-      unreachablePoolsByNode.remove(node);
-    } else {
-      unreachablePoolsByNode.put(node, ImmutableSet.copyOf(unreachablePools));
-    }
+    unreachablePoolsByNode.put(node, ImmutableSet.copyOf(unreachablePools));
   }
 
   /** Returns whether a node reaches all pools, as far as it has reported. */
   boolean reachesAllPools(NodeInfo node) {
-    return !unreachablePoolsByNode.containsKey(node.node());
+    return unreachablePools(node).isEmpty();
   }
 
   /**
-   * Returns a node that probably reaches a pool, as the target of a request.
+   * Returns a node that probably reaches a pool, as the target of a request. Nodes that have not
+   * reported to this one, of other cells, come last.
    *
    * @param pool the pool
    * @param excluded the identifiers of targets that were tried before
@@ -67,9 +64,15 @@
             .filter(node -> !excluded.contains(ID_PREFIX + node.node()))
             .filter(node -> !unreachablePools(node).contains(pool))
             .toList();
+    List<NodeInfo> reporting =
+        nodes.stream().filter(node -> unreachablePoolsByNode.containsKey(node.node())).toList();
+    return pickRandom(reporting.isEmpty() ? nodes : reporting).map(PeerForwarding::target);
+  }
+
+  private Optional<NodeInfo> pickRandom(List<NodeInfo> nodes) {
     return nodes.isEmpty()
         ? Optional.empty()
-        : Optional.of(target(nodes.get(random.nextInt(nodes.size()))));
+        : Optional.of(nodes.get(random.nextInt(nodes.size())));
   }
 
   private ImmutableSet<String> unreachablePools(NodeInfo node) {
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RequestForwarding.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RequestForwarding.java
@@ -32,6 +32,11 @@
     return received.runs();
   }
 
+  /** Returns whether another node forwarded the request although this one cannot serve it. */
+  boolean isMisdirected(String pool) {
+    return received.isForwarded() && context.dispatcher().isServedByOthersOnly(pool);
+  }
+
   UpstreamClient client() {
     return context.forwarding().client();
   }
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RequestRelay.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RequestRelay.java
@@ -99,6 +99,10 @@
     if (refuseIfQuarantined()) {
       return;
     }
+    if (forwarding.isMisdirected(spec.pool())) {
+      refuse(NotRunReason.NO_UPSTREAM, RETRY_AFTER_MILLIS);
+      return;
+    }
     deadlineTimer.start();
     if (caller.lastEventId() != null) {
       log.resumed(caller.resumedStream(), caller.lastEventId());
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/PoolReach.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/PoolReach.java
@@ -22,7 +22,7 @@
   private static final long SUSPICIOUS_SILENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(600);
 
   private static final long FAILURE_LIFETIME_NANOS = TimeUnit.SECONDS.toNanos(2);
-  private static final int SUSPICION_PROBES = 3;
+  private static final int SUSPICION_PROBES = MIN_FAILED_UPSTREAMS;
   private static final long SUSPICION_PROBE_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(1);
 
   /** Requests take a hop more until the node finds that it reaches the pool again. */
