--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Gateway.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Gateway.java
@@ -199,14 +199,14 @@
 
     @Override
     public SharedObservations observations() {
-      return new SharedObservations(
-          fleet.leavingUpstreams(),
-          limiter.statements().reports(),
-          brittle.statements().reports(),
-          crashes.reports(),
-          unreachablePools.asList(),
-          streams.recent(),
-          ImmutableList.of());
+      return SharedObservations.builder()
+          .leavingUpstreams(fleet.leavingUpstreams())
+          .upstreamLimits(limiter.statements().reports())
+          .refusalLimits(brittle.statements().reports())
+          .crashes(crashes.reports())
+          .unreachablePools(unreachablePools.asList())
+          .streamOrigins(streams.recent())
+          .build();
     }
   }
 
--- a/org.cranberrystand.wire/src/main/java/org/cranberrystand/wire/peer/PeerReportCodec.java
+++ b/org.cranberrystand.wire/src/main/java/org/cranberrystand/wire/peer/PeerReportCodec.java
@@ -167,14 +167,15 @@
         new PublishedVersion(root.path("e").asLong(), root.path("r").asLong()),
         root.path("f").asBoolean(),
         new ReportedLoad(usage.build(), readDoubles(root.path("q")), readDoubles(root.path("b"))),
-        new SharedObservations(
-            leaving.build(),
-            readLimits(root.path("t")),
-            readLimits(root.path("y")),
-            readCrashes(root.path("c")),
-            readTexts(root.path("v")),
-            readOrigins(root.path("o")),
-            readTexts(root.path("a"))),
+        SharedObservations.builder()
+            .leavingUpstreams(leaving.build())
+            .upstreamLimits(readLimits(root.path("t")))
+            .refusalLimits(readLimits(root.path("y")))
+            .crashes(readCrashes(root.path("c")))
+            .unreachablePools(readTexts(root.path("v")))
+            .streamOrigins(readOrigins(root.path("o")))
+            .soughtStreams(readTexts(root.path("a")))
+            .build(),
         others.build());
   }
 
--- a/org.cranberrystand/src/main/java/org/cranberrystand/membership/SharedObservations.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/membership/SharedObservations.java
@@ -30,15 +30,16 @@
     ImmutableList<String> soughtStreams) {
 
   /** No observations. */
-  public static final SharedObservations NONE =
-      new SharedObservations(
-          ImmutableList.of(),
-          ImmutableList.of(),
-          ImmutableList.of(),
-          ImmutableList.of(),
-          ImmutableList.of(),
-          ImmutableList.of(),
-          ImmutableList.of());
+  public static final SharedObservations NONE = builder().build();
+
+  /**
+   * Creates a builder.
+   *
+   * @return a builder without observations
+   */
+  public static Builder builder() {
+    return new Builder();
+  }
 
   /**
    * Returns these observations with a question.
@@ -47,14 +48,7 @@
    * @return a copy
    */
   public SharedObservations asking(ImmutableList<String> streams) {
-    return new SharedObservations(
-        leavingUpstreams,
-        upstreamLimits,
-        refusalLimits,
-        crashes,
-        unreachablePools,
-        streamOrigins,
-        streams);
+    return toBuilder().soughtStreams(streams).build();
   }
 
   /**
@@ -64,13 +58,123 @@
    * @return a copy
    */
   public SharedObservations answering(ImmutableList<StreamOrigins.Origin> origins) {
-    return new SharedObservations(
-        leavingUpstreams,
-        upstreamLimits,
-        refusalLimits,
-        crashes,
-        unreachablePools,
-        origins,
-        ImmutableList.of());
+    return toBuilder().streamOrigins(origins).soughtStreams(ImmutableList.of()).build();
+  }
+
+  private Builder toBuilder() {
+    return builder()
+        .leavingUpstreams(leavingUpstreams)
+        .upstreamLimits(upstreamLimits)
+        .refusalLimits(refusalLimits)
+        .crashes(crashes)
+        .unreachablePools(unreachablePools)
+        .streamOrigins(streamOrigins)
+        .soughtStreams(soughtStreams);
+  }
+
+  /** Builder of {@link SharedObservations}. */
+  public static final class Builder {
+    private ImmutableList<DrainTracker.Report> leavingUpstreams = ImmutableList.of();
+    private ImmutableList<UpstreamLimits.Report> upstreamLimits = ImmutableList.of();
+    private ImmutableList<UpstreamLimits.Report> refusalLimits = ImmutableList.of();
+    private ImmutableList<CrashRegister.Report> crashes = ImmutableList.of();
+    private ImmutableList<String> unreachablePools = ImmutableList.of();
+    private ImmutableList<StreamOrigins.Origin> streamOrigins = ImmutableList.of();
+    private ImmutableList<String> soughtStreams = ImmutableList.of();
+
+    private Builder() {}
+
+    /**
+     * Sets the upstreams that announced that they are leaving.
+     *
+     * @param value the announcements
+     * @return this builder
+     */
+    public Builder leavingUpstreams(ImmutableList<DrainTracker.Report> value) {
+      leavingUpstreams = value;
+      return this;
+    }
+
+    /**
+     * Sets the rate limits that upstreams stated.
+     *
+     * @param value the statements
+     * @return this builder
+     */
+    public Builder upstreamLimits(ImmutableList<UpstreamLimits.Report> value) {
+      upstreamLimits = value;
+      return this;
+    }
+
+    /**
+     * Sets the rates of refusals beyond which upstreams say that they fail.
+     *
+     * @param value the statements
+     * @return this builder
+     */
+    public Builder refusalLimits(ImmutableList<UpstreamLimits.Report> value) {
+      refusalLimits = value;
+      return this;
+    }
+
+    /**
+     * Sets what is known of content that may crash upstreams.
+     *
+     * @param value the reports
+     * @return this builder
+     */
+    public Builder crashes(ImmutableList<CrashRegister.Report> value) {
+      crashes = value;
+      return this;
+    }
+
+    /**
+     * Sets the pools that the sender does not reach.
+     *
+     * @param value the names of the pools
+     * @return this builder
+     */
+    public Builder unreachablePools(ImmutableList<String> value) {
+      unreachablePools = value;
+      return this;
+    }
+
+    /**
+     * Sets where streams began.
+     *
+     * @param value the origins
+     * @return this builder
+     */
+    public Builder streamOrigins(ImmutableList<StreamOrigins.Origin> value) {
+      streamOrigins = value;
+      return this;
+    }
+
+    /**
+     * Sets the streams whose origin the sender asks for.
+     *
+     * @param value the identifiers of the requests that received the first event
+     * @return this builder
+     */
+    public Builder soughtStreams(ImmutableList<String> value) {
+      soughtStreams = value;
+      return this;
+    }
+
+    /**
+     * Creates the observations.
+     *
+     * @return the observations
+     */
+    public SharedObservations build() {
+      return new SharedObservations(
+          leavingUpstreams,
+          upstreamLimits,
+          refusalLimits,
+          crashes,
+          unreachablePools,
+          streamOrigins,
+          soughtStreams);
+    }
   }
 }
