Count a crash only if the upstream accepts no connection

A node that has one connection to an upstream could not tell a crash from an answer that is cut, so content could be refused because several sound upstreams cut single answers: CrashingPartTest .contentWhoseAnswersAreCutIsNotRefused, which failed before.

If no other connection is open, the node now opens one.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/CrashDetector.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/CrashDetector.java
@@ -42,21 +42,25 @@
    */
   void connectionBroken(RegisteredUpstream upstream, ImmutableList<Long> keys, Runnable confirmed) {
     long brokenNanos = System.nanoTime();
+    Runnable crashed =
+        () -> {
+          confirmed.run();
+          String incarnation = upstream.incarnationKey();
+          refuse(register.crashed(keys, incarnation, brokenNanos, System.nanoTime()), "this node");
+        };
     loop.schedule(
-            () -> {
-              if (!client.isConnected(upstream.id())) {
-                confirmed.run();
-                refuse(
-                    register.crashed(
-                        keys, upstream.incarnationKey(), brokenNanos, System.nanoTime()),
-                    "this node");
-              }
-            },
+            () -> client.checkAlive(upstream, alive -> runUnless(alive, crashed)),
             CONFIRMATION_MILLIS,
             TimeUnit.MILLISECONDS)
         .isDone();
   }
 
+  private static void runUnless(boolean condition, Runnable action) {
+    if (!condition) {
+      action.run();
+    }
+  }
+
   /** Records that an upstream began to answer a request. */
   void answered(ImmutableList<Long> keys) {
     register.answered(keys, System.nanoTime());
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/UpstreamClient.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/UpstreamClient.java
@@ -193,9 +193,13 @@
     return connection;
   }
 
-  /** Returns whether a connection to an upstream is open. */
-  boolean isConnected(String id) {
-    return openConnections.contains(id);
+  /** Finds out whether a connection to an upstream is open or can be opened. */
+  void checkAlive(RegisteredUpstream upstream, Consumer<Boolean> result) {
+    if (openConnections.contains(upstream.id())) {
+      result.accept(true);
+    } else {
+      probe(upstream, result);
+    }
   }
 
   private void addIdle(RegisteredUpstream upstream, UpstreamConnection connection) {
