--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Gateway.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Gateway.java
@@ -69,8 +69,8 @@
   private final QuotaLedger quotas;
   private final RetryAllowance retries;
   private final CrashDetector crashes;
-  private final UpstreamClient client;
   private final PeerForwarding forwarding;
+  private final ReachMonitor reach;
   private final RateLimiter limiter;
   private final BrittleUpstreams brittle;
   private final StreamLookup streams;
@@ -89,7 +89,6 @@
   private long upToDateNanos;
   private int ticks;
   private int nodeCount = 1;
-  private ImmutableSet<String> unreachablePools = ImmutableSet.of();
 
   private Gateway(GatewaySettings settings, GatewayPorts ports, EventLog log) {
     this.settings = settings;
@@ -99,7 +98,7 @@
     this.quotas = new QuotaLedger(settings.limits().quotaTolerance(), settings.startsWithFleet());
     this.retries =
         new RetryAllowance(settings.limits().retryRatio(), settings.limits().retrySlack());
-    this.client =
+    UpstreamClient client =
         new UpstreamClient(
             loop,
             ports.headers(),
@@ -110,22 +109,15 @@
     this.crashes = new CrashDetector(loop, client, log);
     crashes.setRefusalListener(admission::refuseQuarantined);
     this.fleet = new FleetState(ports.decoder(), dispatcher, client, log);
+    this.reach =
+        new ReachMonitor(dispatcher, client, fleet, metrics, log, admission::forwardWaiting);
     this.callers = new CallerServer(loop, this::callerLimits, admission::handleRequest);
     this.peers = new PeerTable(self(settings.listen().callers()));
     if (!Sets.difference(seedHosts(settings), ImmutableSet.of(host())).isEmpty()) {
       peers.expectPeers();
     }
     this.targets = new PeerTargets(peers, seedHosts(settings), incarnation);
-    this.forwarding =
-        new PeerForwarding(
-            peers,
-            new UpstreamClient(
-                loop,
-                new NodeResponseCodec(ports.headers()),
-                pool -> MAX_IDLE_NODE_CONNECTIONS,
-                (node, connected) -> {},
-                log),
-            incarnation);
+    this.forwarding = createForwarding(ports.headers());
     this.limiter = new RateLimiter(dispatcher, peers, log);
     this.brittle = new BrittleUpstreams(dispatcher, peers, fleet, log);
     this.reports = createReports();
@@ -168,6 +160,17 @@
     return new NodeInfo(settings.node(), host(), callerAddress.toString(), false, settings.cores());
   }
 
+  private PeerForwarding createForwarding(HeaderCodec headers) {
+    UpstreamClient nodeClient =
+        new UpstreamClient(
+            loop,
+            new NodeResponseCodec(headers),
+            pool -> MAX_IDLE_NODE_CONNECTIONS,
+            (node, connected) -> {},
+            log);
+    return new PeerForwarding(peers, nodeClient, incarnation);
+  }
+
   private FleetReports createReports() {
     return new FleetReports(
         peers,
@@ -204,7 +207,7 @@
           .upstreamLimits(limiter.statements().reports())
           .refusalLimits(brittle.statements().reports())
           .crashes(crashes.reports())
-          .unreachablePools(unreachablePools.asList())
+          .unreachablePools(reach.unreachablePools().asList())
           .streamOrigins(streams.recent())
           .build();
     }
@@ -308,8 +311,7 @@
       reports.tick(now);
       dispatcher.tick(now);
       streams.tick(now);
-      dispatcher.takeProbes(now).forEach(client::probe);
-      updateReach();
+      reach.tick(now);
       if (ticks % TICKS_PER_REFRESH == 0) {
         refresh(now);
       }
@@ -334,29 +336,6 @@
     fetchStateIfBehind(now);
   }
 
-  private void updateReach() {
-    ImmutableSet<String> pools = dispatcher.unreachablePools();
-    if (!pools.equals(unreachablePools)) {
-      Sets.difference(pools, unreachablePools).forEach(this::closeIdleConnections);
-      log.write(
-          LogEvent.POOL_REACH_CHANGED,
-          "unreachable="
-              + String.join(",", pools)
-              + " before="
-              + String.join(",", unreachablePools));
-      unreachablePools = pools;
-      metrics.setUnreachablePools(pools.size());
-      admission.forwardWaiting();
-    }
-  }
-
-  /** Closes the connections to a pool, which may be half open after a partition. */
-  private void closeIdleConnections(String pool) {
-    fleet.upstreams().stream()
-        .filter(upstream -> upstream.pool().equals(pool))
-        .forEach(upstream -> client.closeIdle(upstream.id()));
-  }
-
   private AddressOffer buildOffer(long now) {
     ImmutableList.Builder<NodeInfo> nodes = ImmutableList.builder();
     if (isReady()) {
@@ -370,7 +349,7 @@
 
   private boolean reachesAllPools(NodeInfo node) {
     return node.node().equals(settings.node())
-        ? unreachablePools.isEmpty()
+        ? reach.unreachablePools().isEmpty()
         : forwarding.reachesAllPools(node);
   }
 
