Divide the slack of retries among nodes that are not heard too

The slack that all nodes may use for retries within a window was divided among the nodes that a node presumes alive, for 12 s after their last report. The halves of a fleet that is split for longer used it twice: SplitFleetShareTest, 72 retries of 56 allowed.

It is divided now as stated limits and slots are, and so is the pause after a refusal of a brittle upstream.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/BrittleUpstreams.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/BrittleUpstreams.java
@@ -74,7 +74,8 @@
       return 0;
     }
     // If each node causes one refusal in this time, the upstream keeps within its limit.
-    double millis = TimeUnit.SECONDS.toMillis(1) * peers.nodeCount(System.nanoTime()) / perSecond;
+    double millis =
+        TimeUnit.SECONDS.toMillis(1) * peers.sharingNodeCount(System.nanoTime()) / perSecond;
     return (long) Math.min(MAX_PAUSE_MILLIS, millis);
   }
 }
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Gateway.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Gateway.java
@@ -326,7 +326,7 @@
     limiter.refresh(now);
     brittle.refresh(now);
     nodeCount = peers.nodeCount(now);
-    retries.setNodeCount(nodeCount);
+    retries.setNodeCount(peers.sharingNodeCount(now));
     metrics.setLoad(
         dispatcher.waitingCount(), dispatcher.runningCount(), callers.connectionCount(), nodeCount);
     metrics.setLimitedUpstreams(limiter.statements().limitedCount());
--- a/org.cranberrystand/src/main/java/org/cranberrystand/membership/PeerTable.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/membership/PeerTable.java
@@ -431,6 +431,17 @@
         : 0;
   }
 
+  /**
+   * Returns the number of nodes among which what all nodes may do together is divided.
+   *
+   * @param nowNanos the current monotonic time, in nanoseconds
+   * @return at least 1, this node included
+   */
+  public int sharingNodeCount(long nowNanos) {
+    int others = directory.possiblyUsingUpstreams(nowNanos).size();
+    return others == 0 && peersExpected ? CellLayout.MAX_SINGLE_CELL_NODES : 1 + others;
+  }
+
   /**
    * Returns the addresses of the nodes among which the use of an upstream is divided.
    *
--- a/org.cranberrystand/src/test/java/org/cranberrystand/membership/SplitFleetShareTest.java
+++ b/org.cranberrystand/src/test/java/org/cranberrystand/membership/SplitFleetShareTest.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import org.cranberrystand.dispatch.RetryAllowance;
 import org.cranberrystand.dispatch.UpstreamLimits;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -18,6 +19,7 @@
   private static final int SLOTS = 10;
   private static final double PER_SECOND = 12;
   private static final double WINDOW_SECONDS = 4;
+  private static final int RETRY_SLACK = 56;
 
   private final List<PeerTable> tables = new ArrayList<>();
 
@@ -60,6 +62,15 @@
         ImmutableList.of());
   }
 
+  /** Lets the halves of the fleet hear themselves only, for 60 s. */
+  private void split() {
+    for (long now = SECOND; now <= 60 * SECOND; now += SECOND / 2) {
+      hear(0, NODES / 2, now);
+      hear(NODES / 2, NODES, now);
+      tables.forEach(table -> table.refresh(60 * SECOND));
+    }
+  }
+
   private double mostRequests(long nowNanos) {
     double requests = 0;
     for (PeerTable table : tables) {
@@ -81,17 +92,29 @@
   /** Guards against the halves of a split fleet that each take the whole limit. */
   @Test
   public void halvesOfASplitFleetTogetherKeepTheLimits() {
-    for (long now = SECOND; now <= 60 * SECOND; now += SECOND / 2) {
-      hear(0, NODES / 2, now);
-      hear(NODES / 2, NODES, now);
-      tables.forEach(table -> table.refresh(60 * SECOND));
-    }
+    split();
 
     double requests = mostRequests(60 * SECOND);
     assertTrue(requests <= 1.5 * WINDOW_SECONDS * PER_SECOND + 5, requests + " requests");
     assertEquals(slots(60 * SECOND), SLOTS);
   }
 
+  /** Guards against the halves of a split fleet that each use the whole slack for retries. */
+  @Test
+  public void halvesOfASplitFleetTogetherKeepTheSlackOfRetries() {
+    split();
+
+    int retries = 0;
+    for (PeerTable table : tables) {
+      RetryAllowance allowance = new RetryAllowance(0.2, RETRY_SLACK);
+      allowance.setNodeCount(table.sharingNodeCount(60 * SECOND));
+      while (allowance.tryAcquire("app")) {
+        retries++;
+      }
+    }
+    assertTrue(retries <= RETRY_SLACK, retries + " retries");
+  }
+
   /** Guards against a node that takes a whole limit because it has just started. */
   @Test
   public void nodeThatHasHeardNobodyTakesASmallShare() {
