--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Gateway.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Gateway.java
@@ -67,7 +67,7 @@
   private final CallDispatcher dispatcher;
   private final Admission admission;
   private final QuotaLedger quotas;
-  private final RetryAllowance retries;
+  private final RetryAllowance<String> retries;
   private final CrashDetector crashes;
   private final PeerForwarding forwarding;
   private final ReachMonitor reach;
@@ -97,7 +97,7 @@
     this.dispatcher = new CallDispatcher(admission, incarnation);
     this.quotas = new QuotaLedger(settings.limits().quotaTolerance(), settings.startsWithFleet());
     this.retries =
-        new RetryAllowance(settings.limits().retryRatio(), settings.limits().retrySlack());
+        RetryAllowance.ofFleet(settings.limits().retryRatio(), settings.limits().retrySlack());
     UpstreamClient client =
         new UpstreamClient(
             loop,
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RelayContext.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RelayContext.java
@@ -33,7 +33,7 @@
     UpstreamClient client,
     CallDispatcher dispatcher,
     QuotaLedger quotas,
-    RetryAllowance retries,
+    RetryAllowance<String> retries,
     CrashDetector crashes,
     UpstreamSignals signals,
     PeerForwarding forwarding,
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/RetryAllowance.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/RetryAllowance.java
@@ -4,30 +4,46 @@
 import java.util.Map;
 
 /**
- * Retry budget per pool: limits how often requests are retried at another upstream.
+ * Limits how often requests are retried, to a fraction of the requests and some slack.
  *
- * <p>Without a limit, retries after upstream failures would multiply the load on the remaining
- * upstreams. The limit holds for all nodes together: each node has an equal share of the fixed
- * slack, and every request that it receives adds to its budget. Not thread-safe.
+ * <p>Without a limit, retries after failures and refusals would multiply the load on upstreams that
+ * are short of capacity. Groups of requests, such as those of a pool or a tier, have separate
+ * allowances. If the limit holds for several nodes together, each has an equal share of the slack.
+ * Not thread-safe.
+ *
+ * @param <K> identifies a group of requests
  */
-public final class RetryAllowance {
+public final class RetryAllowance<K> {
   /** Keeps the fleet within the limit when nodes count too few other nodes. */
-  private static final double SAFETY_FACTOR = 0.7;
+  private static final double FLEET_SAFETY_FACTOR = 0.7;
 
-  private final double retryRatio;
+  private final double retriesPerRequest;
   private final double slackRetries;
-  private final Map<String, Double> balances = new HashMap<>();
+  private final Map<K, Double> balances = new HashMap<>();
   private int nodeCount = 1;
 
   /**
-   * Creates a full budget.
+   * Creates full allowances of one node.
+   *
+   * @param retriesPerRequest allowed retries per request
+   * @param slackRetries retries allowed in addition
+   */
+  public RetryAllowance(double retriesPerRequest, double slackRetries) {
+    this.retriesPerRequest = retriesPerRequest;
+    this.slackRetries = slackRetries;
+  }
+
+  /**
+   * Creates full allowances that hold for all nodes of a fleet together.
    *
-   * @param retryRatio allowed retries per received request, over all nodes
+   * @param <K> identifies a group of requests
+   * @param retriesPerRequest allowed retries per received request, over all nodes
    * @param slackRetries retries allowed in addition within one window, over all nodes
+   * @return the allowances of one of the nodes
    */
-  public RetryAllowance(double retryRatio, double slackRetries) {
-    this.retryRatio = retryRatio * SAFETY_FACTOR;
-    this.slackRetries = slackRetries * SAFETY_FACTOR;
+  public static <K> RetryAllowance<K> ofFleet(double retriesPerRequest, double slackRetries) {
+    return new RetryAllowance<>(
+        retriesPerRequest * FLEET_SAFETY_FACTOR, slackRetries * FLEET_SAFETY_FACTOR);
   }
 
   /**
@@ -40,31 +56,31 @@
   }
 
   /**
-   * Records a request from a caller, which adds to the budget.
+   * Records a request, which adds to the allowance.
    *
-   * @param pool the pool of the request
+   * @param group the group of the request
    */
-  public void requestReceived(String pool) {
-    balances.put(pool, Math.min(maxBalance(), balance(pool) + retryRatio));
+  public void requestReceived(K group) {
+    balances.put(group, Math.min(maxBalance(), balance(group) + retriesPerRequest));
   }
 
   /**
-   * Takes one retry from the budget of a pool if there is one left.
+   * Takes one retry from the allowance of a group if there is one left.
    *
-   * @param pool the name of the pool
+   * @param group the group
    * @return true if the retry may be sent
    */
-  public boolean tryAcquire(String pool) {
-    double balance = balance(pool);
+  public boolean tryAcquire(K group) {
+    double balance = balance(group);
     if (balance < 1) {
       return false;
     }
-    balances.put(pool, balance - 1);
+    balances.put(group, balance - 1);
     return true;
   }
 
-  private double balance(String pool) {
-    return Math.min(maxBalance(), balances.getOrDefault(pool, maxBalance()));
+  private double balance(K group) {
+    return Math.min(maxBalance(), balances.getOrDefault(group, maxBalance()));
   }
 
   private double maxBalance() {
--- a/org.cranberrystand/src/main/java/org/cranberrystand/schedule/RequestTable.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/schedule/RequestTable.java
@@ -5,6 +5,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.cranberrystand.bundle.Tier;
+import org.cranberrystand.dispatch.RetryAllowance;
 import org.cranberrystand.outcome.NotRunReason;
 
 /**
@@ -13,10 +15,14 @@
  * <p>Not thread-safe.
  */
 final class RequestTable implements DecisionHandler {
+  private static final double RETRIES_PER_DISPATCH = 0.1;
+  private static final double RETRY_SLACK = 20;
+
   private final Map<Long, RunningRequest> running = new HashMap<>();
   private final Map<Long, QueuedItem> queued = new HashMap<>();
   private final TeamUsage teamUsage = new TeamUsage();
-  private final RetryBudget retryBudget = new RetryBudget();
+  private final RetryAllowance<Tier> retries =
+      new RetryAllowance<>(RETRIES_PER_DISPATCH, RETRY_SLACK);
   private final PeerLoads peerLoads = new PeerLoads();
   private final DecisionLog decisions = new DecisionLog();
   private List<SchedulerAction> actions = new ArrayList<>();
@@ -56,8 +62,9 @@
     return teamUsage;
   }
 
-  RetryBudget retryBudget() {
-    return retryBudget;
+  /** Returns how often refused requests of a tier may be sent again. */
+  RetryAllowance<Tier> retries() {
+    return retries;
   }
 
   PeerLoads peerLoads() {
@@ -77,7 +84,7 @@
     WorkItem item = request.item();
     queued.remove(item.key());
     running.put(item.key(), request);
-    retryBudget.recordDispatch(item.tier());
+    retries.requestReceived(item.tier());
     teamUsage.recordService(item.team(), request.queued().costTokens(), nowNanos);
     decisions.recordDispatch(request.queued(), placement, detail, nowNanos);
     actions.add(new SchedulerAction.Dispatch(item, request.engine().upstream()));
--- a/org.cranberrystand/src/main/java/org/cranberrystand/schedule/Scheduler.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/schedule/Scheduler.java
@@ -395,7 +395,7 @@
     boolean inTime = nowNanos < entry.item().deadlineNanos();
     boolean budgetLeft =
         !options.has(SchedulerFeature.RETRY_BUDGET)
-            || requestTable.retryBudget().tryAcquire(entry.tier());
+            || requestTable.retries().tryAcquire(entry.tier());
     if (draining || !inTime || !budgetLeft || request.pool().enginePool().usableCount() == 0) {
       long retryAfterMillis = request.pool().retryAfterMillis(entry.tier(), nowNanos);
       requestTable.reject(
--- a/org.cranberrystand/src/test/java/org/cranberrystand/dispatch/RetryAllowanceTest.java
+++ b/org.cranberrystand/src/test/java/org/cranberrystand/dispatch/RetryAllowanceTest.java
@@ -6,7 +6,7 @@
 import org.testng.annotations.Test;
 
 public final class RetryAllowanceTest {
-  private static int acquire(RetryAllowance allowance, int attempts) {
+  private static int acquire(RetryAllowance<String> allowance, int attempts) {
     int count = 0;
     for (int i = 0; i < attempts; i++) {
       count += allowance.tryAcquire("app") ? 1 : 0;
@@ -21,7 +21,7 @@
     int requestsPerNode = 100;
     int all = 0;
     for (int node = 0; node < nodes; node++) {
-      RetryAllowance allowance = new RetryAllowance(0.2, 56);
+      RetryAllowance<String> allowance = RetryAllowance.ofFleet(0.2, 56);
       allowance.setNodeCount(nodes);
       for (int i = 0; i < requestsPerNode; i++) {
         allowance.requestReceived("app");
@@ -35,7 +35,7 @@
 
   @Test
   public void poolsHaveSeparateAllowances() {
-    RetryAllowance allowance = new RetryAllowance(0.2, 10);
+    RetryAllowance<String> allowance = RetryAllowance.ofFleet(0.2, 10);
     acquire(allowance, 100);
 
     assertEquals(allowance.tryAcquire("app"), false);
--- a/org.cranberrystand/src/test/java/org/cranberrystand/membership/SplitFleetShareTest.java
+++ b/org.cranberrystand/src/test/java/org/cranberrystand/membership/SplitFleetShareTest.java
@@ -106,7 +106,7 @@
 
     int retries = 0;
     for (PeerTable table : tables) {
-      RetryAllowance allowance = new RetryAllowance(0.2, RETRY_SLACK);
+      RetryAllowance<String> allowance = RetryAllowance.ofFleet(0.2, RETRY_SLACK);
       allowance.setNodeCount(table.sharingNodeCount(60 * SECOND));
       while (allowance.tryAcquire("app")) {
         retries++;
