Close a connection that is being probed together with the idle ones

Cause: since a probe's connection is kept only after it stayed open for 20 ms. A request that times out closes the idle connections to its upstream, and a connection of a probe that was in those 20 ms joined them afterwards. What the caller may lose is the certainty that a failed connection attempt means that nothing was sent.

Ruled out: the machine alone. Each probe leaves the gap, whatever the load; UpstreamClientTest closes the idle connections within it and failed before (the connection stayed open for 2 s).

The client now knows the connections that it probes; closing the idle ones closes these too once their probe has ended, and the probe keeps its result.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/UpstreamClient.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/UpstreamClient.java
@@ -1,7 +1,9 @@
 package org.cranberrystand.daemon.gateway;
 
+import com.google.common.collect.HashMultimap;
 import com.google.common.collect.HashMultiset;
 import com.google.common.collect.Multiset;
+import com.google.common.collect.SetMultimap;
 import com.google.common.net.HostAndPort;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
@@ -61,6 +63,10 @@
   private final ConnectListener connectListener;
   private final EventLog log;
   private final Map<String, Deque<UpstreamConnection>> idleConnections = new HashMap<>();
+
+  /** Connections that become idle ones if they stay open for a moment. */
+  private final SetMultimap<String, UpstreamConnection> probedConnections = HashMultimap.create();
+
   private final Multiset<String> openConnections = HashMultiset.create();
 
   /**
@@ -168,11 +174,14 @@
 
   private void confirm(
       RegisteredUpstream upstream, UpstreamConnection connection, Consumer<Boolean> result) {
+    probedConnections.put(upstream.id(), connection);
     loop.schedule(
         () -> {
           boolean usable = connection.isUsable(System.nanoTime());
-          if (usable) {
+          if (probedConnections.remove(upstream.id(), connection) && usable) {
             addIdle(upstream, connection);
+          } else {
+            connection.close();
           }
           result.accept(usable);
         },
@@ -262,6 +271,7 @@
    * connection, and if that fails, certainly nothing was sent.
    */
   void closeIdle(String id) {
+    probedConnections.removeAll(id);
     Deque<UpstreamConnection> connections = idleConnections.remove(id);
     if (connections != null) {
       connections.forEach(UpstreamConnection::close);
@@ -277,6 +287,7 @@
           }
         });
     idleConnections.keySet().retainAll(ids);
+    probedConnections.keySet().retainAll(ids);
   }
 
   private static final class Exchange implements UpstreamExchange {
--- /dev/null
+++ b/org.cranberrystand.daemon/src/test/java/org/cranberrystand/daemon/gateway/UpstreamClientTest.java
@@ -0,0 +1,62 @@
+package org.cranberrystand.daemon.gateway;
+
+import static org.testng.Assert.assertEquals;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.concurrent.TimeUnit;
+import org.cranberrystand.daemon.internal.EventLog;
+import org.cranberrystand.upstream.RegisteredUpstream;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Connections to upstreams that the client opens on its own. */
+public final class UpstreamClientTest {
+  private static final String ID = "u";
+  private static final int READ_TIMEOUT_MILLIS = 2_000;
+
+  private NioEventLoopGroup group;
+  private EventLoop loop;
+  private ServerSocket server;
+  private UpstreamClient client;
+
+  @BeforeMethod
+  public void startServer() throws IOException {
+    group = new NioEventLoopGroup(1);
+    loop = group.next();
+    server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+  }
+
+  @AfterMethod(alwaysRun = true)
+  public void stopServer() throws Exception {
+    server.close();
+    group.shutdownGracefully(0, 1, TimeUnit.SECONDS).get();
+  }
+
+  /** Guards against an order on a connection that was opened before its upstream fell silent. */
+  @Test
+  public void connectionThatIsBeingProbedIsClosedWithTheIdleOnes() throws IOException {
+    client =
+        new UpstreamClient(
+            loop,
+            null, // No response is read.
+            pool -> 1,
+            (upstream, connected) -> loop.execute(() -> client.closeIdle(ID)),
+            new EventLog("n1"));
+    String address = "127.0.0.1:" + server.getLocalPort();
+    RegisteredUpstream upstream =
+        new RegisteredUpstream(ID, "llm", address, "d", "v1", 4, 1, 0, false);
+
+    loop.execute(() -> client.probe(upstream));
+
+    try (Socket socket = server.accept()) {
+      socket.setSoTimeout(READ_TIMEOUT_MILLIS);
+      assertEquals(socket.getInputStream().read(), -1);
+    }
+  }
+}
