Measure the silence of a stream by whole events

Callers of a stream saw no event until their deadline while the upstream sent a byte now and then: each byte restarted the timer after which a resumable stream goes on elsewhere. Parts of an event no longer count as progress; heads, whole events and the bytes of other responses do. The timer sits in the assembler of the response, which knows whole events. TricklingStreamTest: before, the connection was closed at the timeout of the route (3 s); now event 2 arrives from the other upstream. A slow stream with 600 ms between events stays where it is.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RequestRelay.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RequestRelay.java
@@ -313,7 +313,7 @@
   private final class Silence implements SilenceTimer.Watched {
     @Override
     public long silentMillis() {
-      return done || attempt == null || atNode ? -1 : millis(System.nanoTime() - lastByteNanos);
+      return done || attempt == null || atNode ? -1 : millis(response.silentNanos());
     }
 
     @Override
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/ResponseAssembler.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/ResponseAssembler.java
@@ -59,11 +59,19 @@
   private EventSplitter eventSplitter;
   private ByteBuf bufferedBody;
 
+  /** When the upstream last made progress; parts of an event of a stream are none. */
+  private long progressNanos = System.nanoTime();
+
   ResponseAssembler(Receiver receiver, boolean streaming) {
     this.receiver = receiver;
     this.streaming = streaming;
   }
 
+  /** Returns how long the upstream has made no progress. */
+  long silentNanos() {
+    return System.nanoTime() - progressNanos;
+  }
+
   HttpResponse response() {
     return response;
   }
@@ -123,6 +131,7 @@
 
   @Override
   public void headReceived(ResponseHeaders responseHeaders, HttpResponse httpResponse) {
+    progressNanos = System.nanoTime();
     receiver.headReceived(responseHeaders);
     response = httpResponse;
     headers = responseHeaders;
@@ -143,13 +152,21 @@
     if (eventSplitter != null) {
       ByteBuf events = eventSplitter.add(content);
       if (events.isReadable()) {
+        progressNanos = System.nanoTime();
         receiver.eventsReceived(
             this, events, eventSplitter.takeEventCount(), eventSplitter.lastEventId());
       }
       if (eventSplitter.isEventTooLong() && !receiver.isDone()) {
         receiver.eventTooLong();
       }
-    } else if (bufferedBody.readableBytes() + content.readableBytes() <= MAX_BUFFERED_BYTES) {
+    } else {
+      progressNanos = System.nanoTime();
+      addToBody(content);
+    }
+  }
+
+  private void addToBody(ByteBuf content) {
+    if (bufferedBody.readableBytes() + content.readableBytes() <= MAX_BUFFERED_BYTES) {
       bufferedBody.writeBytes(content);
     } else {
       forwardLargeBody(content);
