Keep connections whose caller has not read the response yet

During a planned stop the connections without a request in progress are closed after 1.5 s. A connection whose response was written but is still buffered because its caller reads slowly counted as such, so the response was cut off; the process also ended with such responses buffered. Both now wait for the last write, up to the time limit of the stop.

The server for callers is closed on the event loop.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/CallerConnection.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/CallerConnection.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -79,6 +80,7 @@
   private Listener listener;
   private long lastActivityNanos = System.nanoTime();
   private long headStartNanos;
+  private ChannelFuture lastWrite;
 
   CallerConnection(Owner owner) {
     this.owner = owner;
@@ -231,8 +233,7 @@
       headers.set(HttpHeaderNames.CONTENT_LENGTH, bytes);
     }
     prepare(response);
-    channel.writeAndFlush(response);
-    responseWritten();
+    responseWritten(channel.writeAndFlush(response));
   }
 
   private boolean isHead() {
@@ -267,8 +268,7 @@
 
   @Override
   public void finishResponse() {
-    channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
-    responseWritten();
+    responseWritten(channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT));
   }
 
   @Override
@@ -276,7 +276,8 @@
     channel.close();
   }
 
-  private void responseWritten() {
+  private void responseWritten(ChannelFuture write) {
+    lastWrite = write;
     releaseBody();
     listener = null;
     responding = false;
@@ -335,7 +336,12 @@
 
   /** Returns whether no request is being received or answered. */
   boolean isIdle() {
-    return !responding && request == null && headStartNanos == 0;
+    return !responding && request == null && headStartNanos == 0 && !hasUnsentResponse();
+  }
+
+  /** Returns whether a response is buffered because the caller reads slowly. */
+  boolean hasUnsentResponse() {
+    return lastWrite != null && !lastWrite.isDone();
   }
 
   /**
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/CallerServer.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/CallerServer.java
@@ -121,10 +121,19 @@
     List.copyOf(connections).forEach(CallerConnection::closeIfIdle);
   }
 
-  /** Closes the server socket and all connections. */
-  void close() {
-    listener.close();
-    List.copyOf(connections).forEach(CallerConnection::close);
+  /** Returns whether a caller has yet to read a part of a response. */
+  boolean hasUnsentResponses() {
+    return connections.stream().anyMatch(CallerConnection::hasUnsentResponse);
+  }
+
+  /** Closes the server socket and all connections; must not be called on the event loop. */
+  void close() throws InterruptedException {
+    loop.submit(
+            () -> {
+              listener.close();
+              List.copyOf(connections).forEach(CallerConnection::close);
+            })
+        .await();
   }
 
   int connectionCount() {
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/GatewayShutdown.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/GatewayShutdown.java
@@ -81,7 +81,10 @@
     if (elapsedMillis > CLOSE_IDLE_AFTER_MILLIS) {
       callers.closeIdle();
     }
-    boolean idle = elapsedMillis > MIN_DURATION_MILLIS && admission.activeRequestCount() == 0;
+    boolean idle =
+        elapsedMillis > MIN_DURATION_MILLIS
+            && admission.activeRequestCount() == 0
+            && !callers.hasUnsentResponses();
     if (idle || elapsedMillis > maxDurationMillis - EXIT_RESERVE_MILLIS) {
       finished.run();
     } else {
