Pass on that an upstream leaves while its registration says ready

An upstream may announce in a response that it is leaving before the store lists it so, or while the store is away. Nodes passed that on for 5 s only. A node that restarted later took the listed state from the store or another node, and sent requests to an upstream that had left. Announcements are now passed on as long as the registration contradicts them. UpstreamRegistryTest, announcementIsPassedOnWhileTheRegistrationSaysReady, failed before: the restarted node used both upstreams.

--- a/org.cranberrystand/src/main/java/org/cranberrystand/upstream/DrainTracker.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/upstream/DrainTracker.java
@@ -8,6 +8,7 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.cranberrystand.util.MonotonicClock;
 
 /**
@@ -218,22 +219,22 @@
    * @return the most recent signal of each leaving upstream
    */
   public ImmutableList<Report> reports(int limit) {
-    return reports(limit, Long.MAX_VALUE);
+    return reports(limit, report -> true);
   }
 
   /**
-   * Returns the recent signals to pass on to other nodes, as {@link #reports(int)} does.
+   * Returns some of the signals to pass on to other nodes, as {@link #reports(int)} does.
    *
    * @param limit the largest number of signals to return
-   * @param maxAgeNanos the largest age of a signal, in nanoseconds
-   * @return the most recent signal of each upstream that has one of this age
+   * @param isIncluded selects the signals
+   * @return the most recent signal of each upstream, if it is selected
    */
-  public ImmutableList<Report> reports(int limit, long maxAgeNanos) {
+  public ImmutableList<Report> reports(int limit, Predicate<Report> isIncluded) {
     long now = clock.nowNanos();
     return observedAtNanos.entrySet().stream()
         .filter(e -> hasActiveSignal(e.getValue()))
         .map(e -> new Report(e.getKey(), ageOf(e.getValue(), now)))
-        .filter(report -> report.ageNanos() <= maxAgeNanos)
+        .filter(isIncluded)
         .limit(limit)
         .collect(ImmutableList.toImmutableList());
   }
--- a/org.cranberrystand/src/main/java/org/cranberrystand/upstream/UpstreamRegistry.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/upstream/UpstreamRegistry.java
@@ -96,12 +96,21 @@
   }
 
   /**
-   * Returns the recent announcements of leaving, to be passed on to other nodes.
+   * Returns the announcements of leaving to be passed on to other nodes: the recent ones, and those
+   * of upstreams whose registration does not say so, because a node that starts knows nothing else.
    *
    * @return the announcements by incarnation of the upstream
    */
   public ImmutableList<DrainTracker.Report> recentAnnouncements() {
-    return leaving.reports(MAX_REPORTED_ANNOUNCEMENTS, ANNOUNCEMENT_REPORT_NANOS);
+    return leaving.reports(
+        MAX_REPORTED_ANNOUNCEMENTS,
+        report ->
+            report.ageNanos() <= ANNOUNCEMENT_REPORT_NANOS || isListedAsReady(report.upstream()));
+  }
+
+  private boolean isListedAsReady(String incarnation) {
+    return entries.values().stream()
+        .anyMatch(upstream -> !upstream.leaving() && upstream.incarnationKey().equals(incarnation));
   }
 
   /**
--- a/org.cranberrystand/src/test/java/org/cranberrystand/upstream/UpstreamRegistryTest.java
+++ b/org.cranberrystand/src/test/java/org/cranberrystand/upstream/UpstreamRegistryTest.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.Set;
 import org.cranberrystand.util.ManualClock;
@@ -12,11 +13,13 @@
 
 public final class UpstreamRegistryTest {
   private static final long SECOND = 1_000_000_000L;
+  private ManualClock clock;
   private UpstreamRegistry registry;
 
   @BeforeMethod
   public void registerTwo() {
-    registry = new UpstreamRegistry(new ManualClock(1));
+    clock = new ManualClock(1);
+    registry = new UpstreamRegistry(clock);
     registry.replaceAll(List.of(upstream("a", false), upstream("b", false)), 0);
   }
 
@@ -175,4 +178,30 @@
     assertFalse(other.announcementsReported(registry.recentAnnouncements()));
     assertEquals(other.usable(), List.of(startedAt("b", 2)));
   }
+
+  /**
+   * Guards against a restarted node that uses an upstream which left while the store, which was
+   * away, still lists it as ready.
+   */
+  @Test
+  public void announcementIsPassedOnWhileTheRegistrationSaysReady() {
+    registry.announcedLeaving(upstream("a", false));
+    clock.advance(Duration.ofSeconds(30));
+    UpstreamRegistry restarted = new UpstreamRegistry(new ManualClock(1));
+    restarted.replaceAll(List.of(upstream("a", false), upstream("b", false)), 0);
+
+    restarted.announcementsReported(registry.recentAnnouncements());
+
+    assertEquals(restarted.usable(), List.of(upstream("b", false)));
+  }
+
+  /** Guards against reports that grow by each upstream that ever left. */
+  @Test
+  public void announcementIsNotPassedOnForeverOnceTheRegistrationIsGone() {
+    registry.announcedLeaving(upstream("a", false));
+    registry.removed("a", 0);
+    clock.advance(Duration.ofSeconds(30));
+
+    assertEquals(registry.recentAnnouncements(), List.of());
+  }
 }
