Encode reports between nodes in a binary format

A report was 1.8 to 3.1 KB of JSON and was encoded once per call of the socket through a tree of nodes. Reports now have numbered fields (protobuf-java's CodedOutputStream), a version byte and packed rows; unknown fields are skipped and missing ones are zero or empty. JSON is still read. NodeInfo contains the failure domain.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Gateway.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Gateway.java
@@ -157,7 +157,13 @@
   }
 
   private NodeInfo self(HostAndPort callerAddress) {
-    return new NodeInfo(settings.node(), host(), callerAddress.toString(), false, settings.cores());
+    return new NodeInfo(
+        settings.node(),
+        host(),
+        callerAddress.toString(),
+        false,
+        settings.cores(),
+        settings.failureDomain());
   }
 
   private PeerForwarding createForwarding(HeaderCodec headers) {
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/ReportSocket.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/ReportSocket.java
@@ -14,11 +14,16 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.Collection;
+import java.util.EnumMap;
+import java.util.Map;
 import java.util.function.Consumer;
 import org.cranberrystand.daemon.internal.EventLog;
 import org.cranberrystand.event.LogEvent;
 import org.cranberrystand.membership.PeerReport;
+import org.cranberrystand.wire.peer.PeerFormats;
 import org.cranberrystand.wire.peer.PeerReportCodec;
+import org.cranberrystand.wire.peer.ReceivedMessage;
+import org.cranberrystand.wire.peer.ReportFormat;
 
 /** UDP socket for the reports between nodes. Used only on the event loop, except where stated. */
 // A failed write loses a report, and the next report replaces it.
@@ -31,6 +36,7 @@
   private final int port;
   private final Consumer<PeerReport> receiver;
   private final EventLog log;
+  private final PeerFormats formats = new PeerFormats();
   private Channel channel;
 
   ReportSocket(EventLoop loop, int port, Consumer<PeerReport> receiver, EventLog log) {
@@ -58,8 +64,10 @@
     if (hosts.isEmpty()) {
       return;
     }
-    byte[] bytes = PeerReportCodec.encode(report);
+    Map<ReportFormat, byte[]> encoded = new EnumMap<>(ReportFormat.class);
     for (String host : hosts) {
+      byte[] bytes =
+          encoded.computeIfAbsent(formats.formatFor(host), format -> format.encode(report));
       channel.write(
           new DatagramPacket(Unpooled.wrappedBuffer(bytes), new InetSocketAddress(host, port)));
     }
@@ -74,7 +82,9 @@
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
       try {
-        receiver.accept(PeerReportCodec.decode(ByteBufUtil.getBytes(packet.content())));
+        ReceivedMessage message = PeerReportCodec.decode(ByteBufUtil.getBytes(packet.content()));
+        formats.received(message.report().sender().host(), message.senderReads());
+        receiver.accept(message.report());
       } catch (IOException e) {
         log.write(LogEvent.REPORT_MALFORMED, "sender=" + packet.sender(), e);
       }
