--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Gateway.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Gateway.java
@@ -116,6 +116,7 @@
     if (!Sets.difference(seedHosts(settings), ImmutableSet.of(host())).isEmpty()) {
       peers.expectPeers();
     }
+    peers.setUpstreamDomains(fleet::failureDomain);
     this.targets = new PeerTargets(peers, seedHosts(settings), incarnation);
     this.forwarding = createForwarding(ports.headers());
     this.limiter = new RateLimiter(dispatcher, peers, log);
@@ -157,7 +158,13 @@
   }
 
   private NodeInfo self(HostAndPort callerAddress) {
-    return new NodeInfo(settings.node(), host(), callerAddress.toString(), false, settings.cores());
+    return new NodeInfo(
+        settings.node(),
+        host(),
+        callerAddress.toString(),
+        false,
+        settings.cores(),
+        settings.failureDomain());
   }
 
   private PeerForwarding createForwarding(HeaderCodec headers) {
