Divide rate limits over the whole fleet, independent of cells

Cause: the users of a limited upstream were the nodes of one cell, so nodes that disagreed about the number or the weights of cells used the upstream in several cells at once, and a node that did not know some others took their share in addition to its own.

Change: the requests of a window are divided into permits, fewer than the window may contain, which are assigned by rendezvous hashing over all nodes that were ever known and did not say that they stop. Hosts count for 600 s, also across a freeze of the node. A node that has just started, or knows fewer than 0.6 of the nodes that others know, has no share. RateBound describes the windows: 4 s for stated limits, 1 s for cold upstreams.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RateLimiter.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RateLimiter.java
@@ -1,10 +1,11 @@
 package org.cranberrystand.daemon.gateway;
 
-import com.google.common.collect.ImmutableList;
 import org.cranberrystand.daemon.internal.EventLog;
 import org.cranberrystand.dispatch.CallDispatcher;
+import org.cranberrystand.dispatch.RateBound;
 import org.cranberrystand.event.LogEvent;
 import org.cranberrystand.membership.PeerTable;
+import org.cranberrystand.membership.RateShare;
 import org.cranberrystand.upstream.RegisteredUpstream;
 
 /**
@@ -39,15 +40,14 @@
 
   private void updateIntervals(long nowNanos) {
     limited = statements.limitedCount() > 0;
-    ImmutableList<Double> weights = peers.cellWeights(nowNanos);
-    dispatcher.minSendIntervalsChanged(upstream -> minIntervalNanos(upstream, weights, nowNanos));
+    RateShare share = peers.rateShare(nowNanos);
+    dispatcher.minSendIntervalsChanged(upstream -> minIntervalNanos(upstream, share));
   }
 
-  private long minIntervalNanos(
-      RegisteredUpstream upstream, ImmutableList<Double> cellWeights, long nowNanos) {
+  private long minIntervalNanos(RegisteredUpstream upstream, RateShare share) {
     double perSecond = statements.perSecond(upstream);
     return Double.isFinite(perSecond)
-        ? peers.minSendIntervalNanos(upstream.id(), perSecond, cellWeights, nowNanos)
+        ? share.minIntervalNanos(upstream.id(), RateBound.ofStatedLimit(perSecond))
         : 0;
   }
 }
--- a/org.cranberrystand/src/main/java/org/cranberrystand/membership/NodeDirectory.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/membership/NodeDirectory.java
@@ -34,6 +34,7 @@
 
   private final String ownHost;
   private final Map<String, Entry> entries = new HashMap<>();
+  private final KnownHosts knownHosts = new KnownHosts();
 
   NodeDirectory(String ownHost) {
     this.ownHost = ownHost;
@@ -58,6 +59,7 @@
     entry.freshUntilNanos = Math.max(entry.freshUntilNanos, nowNanos + ttlNanos);
     entry.confirmed = true;
     entry.lastSeenNanos = nowNanos;
+    knownHosts.confirmed(node, nowNanos);
   }
 
   /** Adds a node that may be contacted; it counts as a member only after a report about it. */
@@ -67,9 +69,15 @@
       entry.node = node;
       entry.lastSeenNanos = nowNanos;
       entries.put(node.host(), entry);
+      knownHosts.listed(node, nowNanos);
     }
   }
 
+  /** Returns the addresses of the other nodes that are not known to have ended. */
+  ImmutableList<String> knownHosts() {
+    return knownHosts.all();
+  }
+
   /** Returns the nodes with a fresh report, direct or relayed. */
   ImmutableList<NodeInfo> fresh(long nowNanos) {
     return select(entry -> isFresh(entry, nowNanos));
@@ -132,6 +140,7 @@
 
   /** Removes the nodes that were silent for the retention time. */
   void removeExpired(long nowNanos) {
+    knownHosts.refresh(nowNanos);
     entries.values().removeIf(entry -> nowNanos - entry.lastSeenNanos > RETENTION_NANOS);
   }
 }
--- a/org.cranberrystand/src/main/java/org/cranberrystand/membership/PeerTable.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/membership/PeerTable.java
@@ -8,7 +8,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import org.cranberrystand.dispatch.UpstreamLimits;
 
 /**
  * The latest reports of the other nodes, and the fleet state derived from them. Not thread-safe.
@@ -27,6 +26,16 @@
   /** Several readers, so that a cell loses access to the store only if all of them do. */
   private static final int STORE_READERS_PER_CELL = 3;
 
+  /**
+   * A node that has just started knows too few others to tell its share; reports of all nodes
+   * arrive within this time. It is also the window in which requests at cold upstreams are counted,
+   * so that a node that restarts does not use its share twice.
+   */
+  private static final long LEARNING_NANOS = 1_000_000_000L;
+
+  /** A node that knows fewer of the nodes that others know has no share. */
+  private static final double MIN_KNOWN_FRACTION = 0.6;
+
   /** How a received report was handled. */
   public enum ReceiveResult {
     /** The report was ignored: it is outdated, or its load does not count for this node. */
@@ -54,6 +63,10 @@
   private int cellCount = 1;
   private boolean acceptsCallers;
   private boolean peersExpected;
+  private boolean reportReceived;
+  private long firstReportNanos;
+  private boolean sharesAsked;
+  private long firstShareNanos;
 
   /**
    * Creates a table without peers.
@@ -108,6 +121,10 @@
     if (report.sender().host().equals(self.host())) {
       return ReceiveResult.IGNORED;
     }
+    if (!reportReceived) {
+      reportReceived = true;
+      firstReportNanos = nowNanos;
+    }
     return switch (report.scope()) {
       case NODE -> receiveNodeReport(report, nowNanos);
       case CELL -> receiveCellReport(report, nowNanos);
@@ -398,21 +415,39 @@
   }
 
   /**
-   * Returns the shortest interval at which this node may send requests to a limited upstream.
+   * Returns the share of this node in the requests that limited upstreams accept from all nodes.
    *
-   * @param upstream the identifier of the upstream
-   * @param perSecond the limit in requests per second, for all nodes together
-   * @param cellWeights the weights of the cells
    * @param nowNanos the current monotonic time, in nanoseconds
-   * @return the interval in nanoseconds; {@link UpstreamLimits#NEVER} if other nodes use the
-   *     upstream
+   * @return the share according to the nodes that are known now
    */
-  public long minSendIntervalNanos(
-      String upstream, double perSecond, ImmutableList<Double> cellWeights, long nowNanos) {
-    if (!isPreferredUpstream(upstream, cellWeights)) {
-      return UpstreamLimits.NEVER;
+  public RateShare rateShare(long nowNanos) {
+    ImmutableList<String> others = directory.knownHosts();
+    int fleetSize = 1 + others.size();
+    for (ReceivedReport received : nodeReports.values()) {
+      fleetSize =
+          Math.max(fleetSize, received.isFresh(nowNanos) ? received.report().nodeCount() : 0);
+    }
+    if (peersExpected) {
+      if (others.isEmpty()) {
+        // A node that never heard another one may be the only one that is left.
+        return nowNanos - firstShareNanos(nowNanos) < NodeDirectory.GONE_TIMEOUT_NANOS
+            ? RateShare.NONE
+            : RateShare.of(self.host(), others, CellLayout.MAX_SINGLE_CELL_NODES);
+      }
+      boolean isLearning = nowNanos - firstReportNanos < LEARNING_NANOS;
+      if (isLearning || 1 + others.size() < MIN_KNOWN_FRACTION * fleetSize) {
+        return RateShare.NONE;
+      }
+    }
+    return RateShare.of(self.host(), others, fleetSize);
+  }
+
+  private long firstShareNanos(long nowNanos) {
+    if (!sharesAsked) {
+      sharesAsked = true;
+      firstShareNanos = nowNanos;
     }
-    return RateShare.minIntervalNanos(upstream, perSecond, self.host(), sharingHosts(nowNanos));
+    return firstShareNanos;
   }
 
   /**
