Close the connections of callers on the event loop

The set of connections belongs to the event loop, but a stopping gateway copied it on the thread that stops it. RestoredStoreTest failed once with a null pointer in List.copyOf while a connection closed at the same time.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/CallerServer.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/CallerServer.java
@@ -121,10 +121,10 @@
     List.copyOf(connections).forEach(CallerConnection::closeIfIdle);
   }
 
-  /** Closes the server socket and all connections. */
+  /** Closes the server socket and all connections; may be called from any thread. */
   void close() {
     listener.close();
-    List.copyOf(connections).forEach(CallerConnection::close);
+    loop.execute(() -> List.copyOf(connections).forEach(CallerConnection::close));
   }
 
   int connectionCount() {
