Batch changes of the store and read it on fewer nodes

A watch that returned changes was followed by the next at once, so each of many heartbeats cost every reader a call. Now the next watch starts after a pause of 250 ms on the leading reader of a cell and 500 ms on the other one; a cell has two readers instead of three. Watches of the other reader wait 10 s, since the leading reader detects a dead connection in time. A node that expects other nodes starts its first watch 500 ms after its list, by when a node of a large fleet has mostly become passive.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Gateway.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Gateway.java
@@ -52,8 +52,11 @@
   private static final int MAX_IDLE_NODE_CONNECTIONS = 32;
   private static final Duration PEER_TIMEOUT = Duration.ofSeconds(1);
 
-  /** How long a change may take to arrive from the store before it is fetched from another node. */
-  private static final long STORE_LAG_NANOS = 300_000_000L;
+  /**
+   * How long a change may take to arrive from the store before it is fetched from another node. Not
+   * below the pause of a supplementary reader between two watches.
+   */
+  private static final long STORE_LAG_NANOS = 500_000_000L;
 
   private final GatewaySettings settings;
   private final EventLog log;
@@ -113,7 +116,7 @@
         new ReachMonitor(dispatcher, client, fleet, metrics, log, admission::forwardWaiting);
     this.callers = new CallerServer(loop, this::callerLimits, admission::handleRequest);
     this.peers = new PeerTable(self(settings.listen().callers()));
-    if (!Sets.difference(seedHosts(settings), ImmutableSet.of(host())).isEmpty()) {
+    if (hasOtherSeeds()) {
       peers.expectPeers();
     }
     this.targets = new PeerTargets(peers, seedHosts(settings), incarnation);
@@ -232,6 +235,10 @@
         .collect(ImmutableSet.toImmutableSet());
   }
 
+  private boolean hasOtherSeeds() {
+    return !Sets.difference(seedHosts(settings), ImmutableSet.of(host())).isEmpty();
+  }
+
   /**
    * Starts a gateway.
    *
@@ -278,7 +285,8 @@
     store = ports.store().open(fetch, settings.store(), log);
     follower = new PublishedFollower(loop, store, fleet, log, incarnation);
     reports.open(host());
-    loop.execute(follower::start);
+    StoreRole expectedRole = hasOtherSeeds() ? StoreRole.SUPPLEMENTARY : StoreRole.LEADING;
+    loop.execute(() -> follower.start(expectedRole));
     loop.scheduleWithFixedDelay(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS)
         .isDone();
   }
@@ -332,7 +340,7 @@
     metrics.setLimitedUpstreams(limiter.statements().limitedCount());
     metrics.setQuarantined(crashes.refusedCount());
     offer.set(buildOffer(now));
-    follower.setPassive(peers.isStoreReadByOthers(now));
+    follower.setRole(StoreRole.of(peers, now));
     fetchStateIfBehind(now);
   }
 
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/PublishedFollower.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/PublishedFollower.java
@@ -16,12 +16,6 @@
  * the event loop.
  */
 final class PublishedFollower {
-  /**
-   * How long a watch waits for a change. Short, because a dead connection is detected only when
-   * this time is over, and changes must take effect within about 2 s.
-   */
-  private static final int WATCH_MILLIS = 2_500;
-
   /**
    * How long the first watch after a failure waits. With a longer wait, the recovery of the store
    * would be noticed late, and until some time after that, removals are treated as expired
@@ -58,7 +52,8 @@
   private PublishedState state = PublishedState.EMPTY;
   private boolean hasList;
   private boolean storeUnavailable;
-  private boolean passive;
+  private StoreRole role = StoreRole.LEADING;
+  private StoreRole firstRole = StoreRole.LEADING;
   private boolean watchSuspended;
   private long retryDelayMillis = MIN_RETRY_DELAY_MILLIS;
   private volatile boolean closed;
@@ -72,7 +67,15 @@
     this.random = new SplittableRandom(seed);
   }
 
-  void start() {
+  /**
+   * Starts to read the store.
+   *
+   * @param expectedRole the role that the node will probably have; until the pause of this role
+   *     after the list is over, a node of a large fleet has mostly heard of the nodes that read the
+   *     store for it, and needs no watch of its own
+   */
+  void start(StoreRole expectedRole) {
+    firstRole = expectedRole;
     readNext();
   }
 
@@ -86,26 +89,28 @@
 
   /** Returns whether this node reads the store itself and the store responds. */
   boolean readsStore() {
-    return !passive && hasList && !storeUnavailable;
+    return role != StoreRole.PASSIVE && hasList && !storeUnavailable;
   }
 
   /**
-   * Sets whether other nodes read the store for this one. A passive node reads the store once and
-   * receives later changes from other nodes.
+   * Sets how this node reads the store. A passive node reads the store once and receives later
+   * changes from other nodes.
    */
-  void setPassive(boolean value) {
-    if (passive == value) {
+  void setRole(StoreRole value) {
+    if (role == value) {
       return;
     }
-    passive = value;
-    log.write(LogEvent.STORE_READING_CHANGED, "passive=" + passive + " version=" + version());
-    if (!passive && watchSuspended) {
+    role = value;
+    log.write(
+        LogEvent.STORE_READING_CHANGED,
+        "passive=" + isPassive() + " role=" + role + " version=" + version());
+    if (!isPassive() && watchSuspended) {
       readNext();
     }
   }
 
   boolean isPassive() {
-    return passive;
+    return role == StoreRole.PASSIVE;
   }
 
   private PublishedVersion version() {
@@ -136,13 +141,13 @@
   }
 
   private void readNext() {
-    watchSuspended = passive && hasList && !storeUnavailable;
+    watchSuspended = isPassive() && hasList && !storeUnavailable;
     if (closed || watchSuspended) {
       return;
     }
     if (hasList) {
       store
-          .watch(version(), storeUnavailable ? RECOVERY_WATCH_MILLIS : WATCH_MILLIS)
+          .watch(version(), storeUnavailable ? RECOVERY_WATCH_MILLIS : role.watchMillis())
           .whenComplete(onLoop(this::handleWatch));
     } else {
       store.list().whenComplete(onLoop(this::handleList));
@@ -170,7 +175,7 @@
     hasList = true;
     // Pages are not a consistent snapshot: the watch reports changes made between them again.
     replaceState(version().isNewerThan(read.version()) ? state : read, "store");
-    readNext();
+    readAfter(firstRole.pauseMillis());
   }
 
   private void replaceState(PublishedState replacement, String source) {
@@ -226,7 +231,15 @@
       // The revisions after the copy were assigned again, so these changes may have gaps.
       hasList = false;
     }
-    readNext();
+    if (hasList && !changes.values().isEmpty()) {
+      readAfter(role.pauseMillis());
+    } else {
+      readNext();
+    }
+  }
+
+  private void readAfter(long delayMillis) {
+    loop.schedule(this::readNext, delayMillis, TimeUnit.MILLISECONDS).isDone();
   }
 
   private void recordSuccess() {
@@ -249,6 +262,6 @@
     }
     long delayMillis = retryDelayMillis / 2 + random.nextLong(retryDelayMillis);
     retryDelayMillis = Math.min(MAX_RETRY_DELAY_MILLIS, retryDelayMillis * 2);
-    loop.schedule(this::readNext, delayMillis, TimeUnit.MILLISECONDS).isDone();
+    readAfter(delayMillis);
   }
 }
--- a/org.cranberrystand/src/main/java/org/cranberrystand/membership/PeerTable.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/membership/PeerTable.java
@@ -24,8 +24,11 @@
           .reversed()
           .thenComparing(NodeInfo::host, Comparator.naturalOrder());
 
-  /** Several readers, so that a cell loses access to the store only if all of them do. */
-  private static final int STORE_READERS_PER_CELL = 3;
+  /**
+   * Two readers, so that a cell still gets changes while one of them loses the store. A reader that
+   * reports the loss is replaced by the next node of the cell.
+   */
+  private static final int STORE_READERS_PER_CELL = 2;
 
   /** How a received report was handled. */
   public enum ReceiveResult {
@@ -370,12 +373,29 @@
    * @return false in a fleet of one cell, and on the nodes that should read the store
    */
   public boolean isStoreReadByOthers(long nowNanos) {
-    return cellCount > 1
-        && freshOwnCellReports(nowNanos).stream()
-                .filter(received -> received.report().readsStore())
-                .filter(received -> isBetterHead(received.report().sender(), self()))
-                .count()
-            >= STORE_READERS_PER_CELL;
+    return cellCount > 1 && storeReadersAhead(nowNanos) >= STORE_READERS_PER_CELL;
+  }
+
+  /**
+   * Returns the number of other nodes of the cell that read the store and take precedence over this
+   * one.
+   *
+   * @param nowNanos the current monotonic time, in nanoseconds
+   * @return 0 on the node that reads the store with the least delay
+   */
+  public int storeReadersAhead(long nowNanos) {
+    NodeInfo own = self();
+    int count = 0;
+    for (ReceivedReport received : nodeReports.values()) {
+      PeerReport report = received.report();
+      if (report.readsStore()
+          && received.isFresh(nowNanos)
+          && isInOwnCell(report.sender().host())
+          && isBetterHead(report.sender(), own)) {
+        count++;
+      }
+    }
+    return count;
   }
 
   /**
