--- a/org.cranberrystand/src/main/java/org/cranberrystand/membership/PeerTable.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/membership/PeerTable.java
@@ -436,7 +436,7 @@
       PeerReport report = received.report();
       if (report.readsStore()
           && received.isFresh(nowNanos)
-          && isInOwnCell(report.sender().host())
+          && isInOwnCell(report.sender())
           && isBetterHead(report.sender(), own)) {
         count++;
       }
