Follow evacuations of failure domains

Cause: nodes ignored the key op/evacuate/DOMAIN, so an evacuated domain kept getting requests.

UpstreamRegistry keeps the evacuated domains; their upstreams are not usable, so that new, waiting, repeated, resumed, moved and forwarded requests avoid them. An evacuation that a restored store lacks stays for 2.2 s. Requests that wait when a domain is withdrawn are refused at once if the rest of the pool cannot serve them in time. A node that stood still for half of evacuate_ms holds its requests until the store or another node confirms its state, 2 s at most. An answer of the store that was delayed no longer puts back values that were changed since. FleetState.evacuationEnded is the place to treat the upstreams as cold.

Without evacuate_ms and without keys, decisions are as before.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/FleetState.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/FleetState.java
@@ -2,8 +2,11 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.Sets;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.stream.Collectors;
 import org.cranberrystand.daemon.internal.EventLog;
@@ -16,7 +19,8 @@
 import org.cranberrystand.util.MonotonicClock;
 
 /**
- * Applies published values: the operators' declaration and the registrations of upstreams.
+ * Applies published values: the operators' declaration, their evacuations of failure domains and
+ * the registrations of upstreams.
  *
  * <p>A declaration is never replaced by an older version. Used only on the event loop, except that
  * any thread may read the current declaration and the published state.
@@ -25,17 +29,25 @@
   private final PublishedDecoder decoder;
   private final CallDispatcher dispatcher;
   private final UpstreamClient client;
+  private final GatewayMetrics metrics;
   private final EventLog log;
   private final UpstreamRegistry registry = new UpstreamRegistry(MonotonicClock.system());
   private final AtomicReference<RoutingTable> routing = new AtomicReference<>();
   private final AtomicReference<PublishedState> published =
       new AtomicReference<>(PublishedState.EMPTY);
 
+  private ImmutableSet<String> evacuated = ImmutableSet.of();
+
   FleetState(
-      PublishedDecoder decoder, CallDispatcher dispatcher, UpstreamClient client, EventLog log) {
+      PublishedDecoder decoder,
+      CallDispatcher dispatcher,
+      UpstreamClient client,
+      GatewayMetrics metrics,
+      EventLog log) {
     this.decoder = decoder;
     this.dispatcher = dispatcher;
     this.client = client;
+    this.metrics = metrics;
     this.log = log;
   }
 
@@ -58,7 +70,9 @@
   public void stateReplaced(PublishedState state) {
     published.set(state);
     List<RegisteredUpstream> listed = new ArrayList<>();
-    state.values().values().forEach(value -> apply(value, listed));
+    Set<String> evacuations = new HashSet<>();
+    state.values().values().forEach(value -> apply(value, listed, evacuations));
+    registry.replaceEvacuations(evacuations, System.nanoTime());
     registry.replaceAll(listed, System.nanoTime());
     applyUpstreams("list");
   }
@@ -67,25 +81,33 @@
   public void valuesChanged(PublishedState state, Iterable<PublishedValue> changes) {
     published.set(state);
     List<RegisteredUpstream> registered = new ArrayList<>();
+    Set<String> evacuations = new HashSet<>();
     for (PublishedValue change : changes) {
       String id = decoder.upstreamId(change.key());
       if (!change.isDeleted()) {
-        apply(change, registered);
+        apply(change, registered, evacuations);
       } else if (!id.isEmpty()) {
         registry.removed(id, System.nanoTime());
+      } else {
+        registry.evacuationEnded(decoder.evacuatedDomain(change.key()));
       }
       registered.forEach(registry::registered);
       registered.clear();
+      evacuations.forEach(registry::evacuationStarted);
+      evacuations.clear();
     }
     applyUpstreams("watch");
   }
 
-  private void apply(PublishedValue value, List<RegisteredUpstream> registered) {
+  private void apply(
+      PublishedValue value, List<RegisteredUpstream> registered, Set<String> evacuations) {
     PublishedDecoder.Decoded decoded = decoder.decode(value);
     if (decoded instanceof PublishedDecoder.Declaration declaration) {
       applyDeclaration(declaration.table(), value.revision());
     } else if (decoded instanceof PublishedDecoder.Registration registration) {
       registered.add(registration.upstream());
+    } else if (decoded instanceof PublishedDecoder.Evacuation evacuation) {
+      evacuations.add(evacuation.domain());
     } else if (decoded instanceof PublishedDecoder.Ignored ignored && !ignored.reason().isEmpty()) {
       log.write(
           LogEvent.VALUE_IGNORED,
@@ -114,7 +136,11 @@
 
   private void applyUpstreams(String source) {
     List<RegisteredUpstream> usable = registry.usable();
-    dispatcher.upstreamsChanged(usable, System.nanoTime());
+    if (applyEvacuations(source)) {
+      dispatcher.upstreamsWithdrawn(usable, System.nanoTime());
+    } else {
+      dispatcher.upstreamsChanged(usable, System.nanoTime());
+    }
     ImmutableSet<String> ids =
         usable.stream().map(RegisteredUpstream::id).collect(ImmutableSet.toImmutableSet());
     client.retainUpstreams(ids);
@@ -123,6 +149,31 @@
         "usable=" + ids.size() + " source=" + source + " version=" + published.get().version());
   }
 
+  /** Records which evacuations started and ended; returns whether one started. */
+  private boolean applyEvacuations(String source) {
+    ImmutableSet<String> before = evacuated;
+    evacuated = registry.evacuatedDomains();
+    Set<String> started = Sets.difference(evacuated, before);
+    Sets.difference(before, evacuated).forEach(domain -> evacuationEnded(domain, source));
+    for (String domain : started) {
+      log.write(LogEvent.EVACUATION_STARTED, evacuationFields(domain, source));
+      if (!registry.hasUpstreamIn(domain)) {
+        log.write(LogEvent.EVACUATION_UNKNOWN, evacuationFields(domain, source));
+      }
+    }
+    metrics.setEvacuatedDomains(evacuated.size());
+    return !started.isEmpty();
+  }
+
+  /** Applies the end of an evacuation, after which upstreams of the domain may be cold. */
+  private void evacuationEnded(String domain, String source) {
+    log.write(LogEvent.EVACUATION_ENDED, evacuationFields(domain, source));
+  }
+
+  private String evacuationFields(String domain, String source) {
+    return "domain=" + domain + " source=" + source + " version=" + published.get().version();
+  }
+
   @Override
   public void storeLost() {
     registry.sourceLost();
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Gateway.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Gateway.java
@@ -55,6 +55,15 @@
   /** How long a change may take to arrive from the store before it is fetched from another node. */
   private static final long STORE_LAG_NANOS = 300_000_000L;
 
+  /**
+   * A node that stood still for less than this fraction of the deadline of an evacuation learns of
+   * it in time.
+   */
+  private static final int EVACUATE_STANDSTILL_DIVISOR = 2;
+
+  /** By then, the reports that arrived during a standstill are read and newer ones are there. */
+  private static final long PEER_CONFIRMATION_NANOS = 600_000_000L;
+
   private final GatewaySettings settings;
   private final EventLog log;
   private final GatewayMetrics metrics = new GatewayMetrics();
@@ -86,6 +95,7 @@
   private PublishedStore store;
   private PublishedFollower follower;
   private boolean fetchingState;
+  private boolean placementHeld;
   private long upToDateNanos;
   private int ticks;
   private int nodeCount = 1;
@@ -95,6 +105,11 @@
     this.log = log;
     this.admission = new Admission(incarnation);
     this.dispatcher = new CallDispatcher(admission, incarnation);
+    if (settings.limits().evacuateMillis() > 0) {
+      dispatcher.setMaxStandstill(
+          TimeUnit.MILLISECONDS.toNanos(
+              settings.limits().evacuateMillis() / EVACUATE_STANDSTILL_DIVISOR));
+    }
     this.quotas = new QuotaLedger(settings.limits().quotaTolerance(), settings.startsWithFleet());
     this.retries =
         RetryAllowance.ofFleet(settings.limits().retryRatio(), settings.limits().retrySlack());
@@ -108,7 +123,7 @@
             log);
     this.crashes = new CrashDetector(loop, client, log);
     crashes.setRefusalListener(admission::refuseQuarantined);
-    this.fleet = new FleetState(ports.decoder(), dispatcher, client, log);
+    this.fleet = new FleetState(ports.decoder(), dispatcher, client, metrics, log);
     this.reach =
         new ReachMonitor(dispatcher, client, fleet, metrics, log, admission::forwardWaiting);
     this.callers = new CallerServer(loop, this::callerLimits, admission::handleRequest);
@@ -310,6 +325,7 @@
       ticks++;
       reports.tick(now);
       dispatcher.tick(now);
+      followStandstill(now);
       streams.tick(now);
       reach.tick(now);
       if (ticks % TICKS_PER_REFRESH == 0) {
@@ -320,6 +336,30 @@
     }
   }
 
+  /** Has the state confirmed by the store or by other nodes after the node stood still. */
+  private void followStandstill(long now) {
+    long heldNanos = dispatcher.heldNanos(now);
+    boolean held = heldNanos > 0;
+    if (held != placementHeld) {
+      placementHeld = held;
+      log.write(
+          held ? LogEvent.PLACEMENT_HELD : LogEvent.PLACEMENT_RESUMED,
+          "version=" + follower.state().version() + " waiting=" + dispatcher.waitingCount());
+      if (held) {
+        follower.readMissed(() -> dispatcher.stateConfirmed(System.nanoTime()));
+      }
+    } else if (heldNanos >= PEER_CONFIRMATION_NANOS && isConfirmedByPeers(now)) {
+      dispatcher.stateConfirmed(now);
+    }
+  }
+
+  private boolean isConfirmedByPeers(long now) {
+    return peers
+        .reportWithNewestVersion(now)
+        .map(report -> !report.version().isNewerThan(follower.state().version()))
+        .orElse(false);
+  }
+
   private void refresh(long now) {
     fleet.expireUpstreams(now);
     reports.refresh(now);
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/GatewayMetrics.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/GatewayMetrics.java
@@ -35,6 +35,7 @@
   private final AtomicInteger limitedUpstreams = gauge("upstreams.limited");
   private final AtomicInteger quarantined = gauge("content.quarantined");
   private final AtomicInteger unreachablePools = gauge("pools.unreachable");
+  private final AtomicInteger evacuatedDomains = gauge("domains.evacuated");
   private final Map<String, Counter> outcomes = new HashMap<>();
   private final Map<String, Timer> firstResponseTimers = new HashMap<>();
 
@@ -63,6 +64,10 @@
     unreachablePools.set(count);
   }
 
+  void setEvacuatedDomains(int count) {
+    evacuatedDomains.set(count);
+  }
+
   /** Records a finished request; must be called on the event loop. */
   void recordEnded(
       Route route, String outcome, long arrivalNanos, long firstResponseNanos, long endNanos) {
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/PublishedDecoder.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/PublishedDecoder.java
@@ -27,6 +27,13 @@
    */
   record Registration(RegisteredUpstream upstream) implements Decoded {}
 
+  /**
+   * The evacuation of a failure domain, in effect as long as the value is published.
+   *
+   * @param domain the failure domain
+   */
+  record Evacuation(String domain) implements Decoded {}
+
   /**
    * A value that the gateway does not use.
    *
@@ -49,4 +56,12 @@
    * @return the identifier, or an empty string if the key is not that of a registration
    */
   String upstreamId(String key);
+
+  /**
+   * Returns the failure domain that a key evacuates.
+   *
+   * @param key the key of a published value
+   * @return the failure domain, or an empty string if the key is not that of an evacuation
+   */
+  String evacuatedDomain(String key);
 }
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/PublishedFollower.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/PublishedFollower.java
@@ -112,6 +112,32 @@
     return state.version();
   }
 
+  /**
+   * Reads the changes that this node has missed, in addition to the watch in progress, whose answer
+   * may have been sent before the node stood still.
+   *
+   * @param confirmed called when all changes up to now are applied; not if the store fails or has
+   *     to be listed again
+   */
+  void readMissed(Runnable confirmed) {
+    store
+        .watch(version(), RECOVERY_WATCH_MILLIS)
+        .whenComplete(
+            onLoop(
+                (result, failure) -> {
+                  if (failure == null
+                      && result instanceof PublishedStore.Changes changes
+                      && changes.version().isSameEra(version())) {
+                    applyChanges(changes);
+                    confirmed.run();
+                  } else {
+                    log.write(
+                        LogEvent.STATE_NOT_CONFIRMED,
+                        "version=" + version() + " result=" + result + " cause=" + failure);
+                  }
+                }));
+  }
+
   /** Applies an update from another node if its version is newer. */
   void applyPeerUpdate(PublishedUpdate update) {
     if (!update.isApplicableTo(version())) {
@@ -217,11 +243,7 @@
     }
     recordSuccess();
     if (changes.version().isSameEra(version())) {
-      PublishedVersion before = version();
-      state = state.withChanges(changes.version(), changes.values());
-      if (!changes.values().isEmpty() && version().isNewerThan(before)) {
-        listener.valuesChanged(state, changes.values());
-      }
+      applyChanges(changes);
     } else {
       // The revisions after the copy were assigned again, so these changes may have gaps.
       hasList = false;
@@ -229,6 +251,20 @@
     readNext();
   }
 
+  /**
+   * Applies changes unless the state is as new already. An answer that was delayed must not put
+   * values back that were changed since.
+   */
+  private void applyChanges(PublishedStore.Changes changes) {
+    if (!changes.version().isNewerThan(version())) {
+      return;
+    }
+    state = state.withChanges(changes.version(), changes.values());
+    if (!changes.values().isEmpty()) {
+      listener.valuesChanged(state, changes.values());
+    }
+  }
+
   private void recordSuccess() {
     retryDelayMillis = MIN_RETRY_DELAY_MILLIS;
     if (storeUnavailable) {
--- a/org.cranberrystand.daemon/src/test/java/org/cranberrystand/daemon/gateway/PublishedFollowerTest.java
+++ b/org.cranberrystand.daemon/src/test/java/org/cranberrystand/daemon/gateway/PublishedFollowerTest.java
@@ -235,4 +235,58 @@
     onLoop(() -> assertEquals(follower.state().version(), version(2, 80)));
     assertTrue(listener.calls.isEmpty());
   }
+
+  /**
+   * Guards against an answer that was delayed and puts values back that were changed since, for
+   * example an evacuation that has ended.
+   */
+  @Test
+  public void delayedAnswerDoesNotPutOldValuesBack() throws Exception {
+    readFirstState(1, 100);
+    ScriptedStore.Watch delayed = store.nextWatch();
+    PublishedValue current = new PublishedValue("k", 105, "new");
+    onLoop(
+        () ->
+            follower.applyPeerUpdate(
+                new PublishedUpdate(version(1, 105), false, ImmutableList.of(current))));
+    assertEquals(listener.next(), "changed 1.105");
+    PublishedValue old = new PublishedValue("k", 102, "old");
+    delayed.answer().complete(new PublishedStore.Changes(version(1, 102), ImmutableList.of(old)));
+
+    assertEquals(store.nextWatch().after(), version(1, 105));
+    onLoop(() -> assertEquals(follower.state().values().get("k"), current));
+  }
+
+  /** Guards against a node that stood still and takes its old state for confirmed. */
+  @Test
+  public void missedChangesAreAppliedBeforeTheStateIsConfirmed() throws Exception {
+    readFirstState(1, 100);
+    store.nextWatch();
+    BlockingQueue<PublishedVersion> confirmed = new LinkedBlockingQueue<>();
+    onLoop(() -> follower.readMissed(() -> confirmed.add(follower.state().version())));
+    store
+        .nextWatch()
+        .answer()
+        .complete(
+            new PublishedStore.Changes(
+                version(1, 103), ImmutableList.of(new PublishedValue("k", 103, "v"))));
+
+    assertEquals(listener.next(), "changed 1.103");
+    assertEquals(confirmed.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS), version(1, 103));
+  }
+
+  /** Guards against a store that fails, or lost its history, and counts as a confirmation. */
+  @Test
+  public void failedReadDoesNotConfirmTheState() throws Exception {
+    readFirstState(1, 100);
+    store.nextWatch();
+    BlockingQueue<String> confirmed = new LinkedBlockingQueue<>();
+    onLoop(() -> follower.readMissed(() -> confirmed.add("failed")));
+    store.nextWatch().answer().completeExceptionally(new IOException("away"));
+    onLoop(() -> follower.readMissed(() -> confirmed.add("lost")));
+    store.nextWatch().answer().complete(new PublishedStore.HistoryLost());
+    onLoop(() -> {});
+
+    assertTrue(confirmed.isEmpty(), confirmed.toString());
+  }
 }
--- a/org.cranberrystand.wire/src/main/java/org/cranberrystand/wire/settings/GatewaySettings.java
+++ b/org.cranberrystand.wire/src/main/java/org/cranberrystand/wire/settings/GatewaySettings.java
@@ -54,11 +54,14 @@
    * @param quotaTolerance how far the requests of a team may exceed its quota
    * @param shutdownMillis the time from SIGTERM to SIGKILL
    * @param addressLifetimeSeconds how long callers may cache a response of the directory
+   * @param evacuateMillis how long after its publication an evacuation of a failure domain must be
+   *     in effect; 0 if failure domains are not evacuated
    */
   public record Limits(
       double retryRatio,
       double retrySlack,
       QuotaTolerance quotaTolerance,
       long shutdownMillis,
-      int addressLifetimeSeconds) {}
+      int addressLifetimeSeconds,
+      long evacuateMillis) {}
 }
--- a/org.cranberrystand.wire/src/main/java/org/cranberrystand/wire/settings/GatewaySettingsParser.java
+++ b/org.cranberrystand.wire/src/main/java/org/cranberrystand/wire/settings/GatewaySettingsParser.java
@@ -14,6 +14,7 @@
   private static final double DEFAULT_RETRY_RATIO = 0.1;
   private static final double DEFAULT_QUOTA_WINDOW_SECONDS = 8;
   private static final long DEFAULT_SHUTDOWN_MILLIS = 8_000;
+  private static final long MAX_EVACUATE_MILLIS = 3_600_000;
   private static final int DEFAULT_ADDRESS_LIFETIME_SECONDS = 2;
 
   private final Findings findings;
@@ -79,7 +80,8 @@
                 table.getDouble("quota_over", 0, 0, 10),
                 table.getDouble("quota_slack", 0, 0, 1e12)),
             1000 * table.getLong("shutdown_s", DEFAULT_SHUTDOWN_MILLIS / 1000, 1, 3_600),
-            (int) table.getLong("address_lifetime_s", DEFAULT_ADDRESS_LIFETIME_SECONDS, 1, 3_600));
+            (int) table.getLong("address_lifetime_s", DEFAULT_ADDRESS_LIFETIME_SECONDS, 1, 3_600),
+            table.getLong("evacuate_ms", 0, 0, MAX_EVACUATE_MILLIS));
     table.rejectUnknownKeys();
     return limits;
   }
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CallDispatcher.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CallDispatcher.java
@@ -30,6 +30,7 @@
   private final SplittableRandom random;
   private final Map<String, PoolScheduler> pools = new HashMap<>();
   private final Map<Long, RunningCall> running = new HashMap<>();
+  private final PlacementHold hold = new PlacementHold();
   private ImmutableMap<String, UpstreamUsage> peerUsage = ImmutableMap.of();
   private Predicate<String> isPreferred = id -> true;
   private ToLongFunction<RegisteredUpstream> minSendIntervals = upstream -> 0;
@@ -69,6 +70,56 @@
     pools.values().forEach(pool -> pool.dispatchWaiting(now));
   }
 
+  /**
+   * Replaces the set of upstreams that may receive requests after some were withdrawn at once.
+   * Waiting requests go to the others, or are refused now if those cannot serve them in time.
+   *
+   * @param usable the registered upstreams of all pools
+   * @param now the current time
+   */
+  public void upstreamsWithdrawn(Collection<RegisteredUpstream> usable, long now) {
+    Map<String, Integer> slotsBefore = new HashMap<>();
+    pools.forEach((name, pool) -> slotsBefore.put(name, pool.slots()));
+    upstreamsChanged(usable, now);
+    slotsBefore.forEach(
+        (name, before) -> {
+          PoolScheduler pool = pool(name);
+          if (pool.slots() < before) {
+            pool.refuseUnservable((double) pool.slots() / before, now);
+          }
+        });
+  }
+
+  /**
+   * Sets for how long the node may stand still before its state counts as out of date.
+   *
+   * @param nanos the longest interval between two calls of {@link #tick} after which requests are
+   *     sent without a call of {@link #stateConfirmed}
+   */
+  public void setMaxStandstill(long nanos) {
+    hold.setMaxStandstill(nanos);
+  }
+
+  /**
+   * Records that the state of the fleet is up to date.
+   *
+   * @param now the current time
+   */
+  public void stateConfirmed(long now) {
+    hold.confirmed();
+    pools.values().forEach(pool -> pool.dispatchWaiting(now));
+  }
+
+  /**
+   * Returns for how long requests have been held because the node stood still.
+   *
+   * @param now the current time
+   * @return the time in nanoseconds; 0 if requests are sent
+   */
+  public long heldNanos(long now) {
+    return hold.heldNanos(now);
+  }
+
   /**
    * Replaces the usage that other nodes have reported for the upstreams.
    *
@@ -295,6 +346,7 @@
    * @param now the current time
    */
   public void tick(long now) {
+    hold.tick(now);
     for (PoolScheduler pool : pools.values()) {
       pool.tick(runningIn(pool), now);
     }
@@ -343,6 +395,6 @@
 
   private PoolScheduler pool(String name) {
     return pools.computeIfAbsent(
-        name, n -> new PoolScheduler(output, this::started, random.split()));
+        name, n -> new PoolScheduler(output, this::started, random.split(), hold));
   }
 }
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/PoolScheduler.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/PoolScheduler.java
@@ -36,15 +36,6 @@
   /** Fraction of the caller's wait for the first event that a request may spend in the queue. */
   private static final double MAX_FIRST_EVENT_WAIT_FRACTION = 0.5;
 
-  /** Cost of a second of streaming relative to a second of waiting for the first event. */
-  private static final double STREAM_TIME_WEIGHT = 0.03;
-
-  /** Gaps vary around their mean, so a mean above this fraction of the target is often late. */
-  private static final double GAP_TARGET_FRACTION = 0.7;
-
-  /** Assumed slowdown of a cold upstream; its registration gives only the duration. */
-  private static final double COLD_COST_FACTOR = 2;
-
   /** Upstreams within this factor of the lowest cost are tied; nodes must not all choose one. */
   private static final double TIE_COST_FACTOR = 1.1;
 
@@ -92,6 +83,7 @@
   private final Map<String, Long> pausedUntilNanos = new HashMap<>();
   private final SendRate sendRate = new SendRate();
   private final PoolReach reach = new PoolReach();
+  private final PlacementHold hold;
   private int preferredCount;
 
   /**
@@ -100,11 +92,17 @@
    * @param output receives the decisions
    * @param started called with every request before it is sent
    * @param random chooses among upstreams of about equal cost
+   * @param hold says whether requests may be sent now
    */
-  PoolScheduler(DispatchOutput output, Consumer<RunningCall> started, SplittableRandom random) {
+  PoolScheduler(
+      DispatchOutput output,
+      Consumer<RunningCall> started,
+      SplittableRandom random,
+      PlacementHold hold) {
     this.output = output;
     this.started = started;
     this.random = random;
+    this.hold = hold;
     this.ejections = new EjectionPolicy(random.nextLong());
   }
 
@@ -270,11 +268,12 @@
     WaitingCall entry = new WaitingCall(call, fromUpstream, true, call.deadlineNanos(), true);
     List<UpstreamState> free = freeUpstreams(nowNanos);
     UpstreamState cacheHolder = findCacheHolder(entry, free);
-    return free.stream()
-        .anyMatch(
-            state ->
-                !state.upstream().id().equals(fromUpstream)
-                    && mayUse(entry, state, cacheHolder, nowNanos));
+    return !hold.isHeld(nowNanos)
+        && free.stream()
+            .anyMatch(
+                state ->
+                    !state.upstream().id().equals(fromUpstream)
+                        && mayUse(entry, state, cacheHolder, nowNanos));
   }
 
   private List<UpstreamState> freeUpstreams(long nowNanos) {
@@ -291,8 +290,44 @@
     waitingByKey.put(entry.call().key(), entry);
   }
 
+  int slots() {
+    return upstreams.values().stream().mapToInt(state -> state.upstream().slots()).sum();
+  }
+
+  /**
+   * Refuses the waiting requests that the pool cannot serve in time after it lost upstreams. They
+   * would otherwise wait until their time is over.
+   *
+   * @param remainingFraction the slots of the pool as a fraction of those before the loss
+   * @param nowNanos the current time
+   */
+  void refuseUnservable(double remainingFraction, long nowNanos) {
+    double perSecond = sendRate.perSecond(nowNanos) * remainingFraction;
+    int ahead = 0;
+    for (WaitingCall entry : List.copyOf(waiting)) {
+      CallSpec call = entry.call();
+      if (!waiting.contains(entry)) {
+        // The output may have cancelled or sent other requests during a refusal.
+        continue;
+      }
+      boolean accepted = accepted(call).findAny().isPresent();
+      double startNanos =
+          Math.max(
+              nowNanos + (ahead + 1) / perSecond * 1e9, (double) nextOpeningNanos(call, nowNanos));
+      if (accepted && startNanos <= entry.latestWaitNanos()) {
+        ahead++;
+      } else {
+        remove(call.key());
+        refuse(call, accepted ? NotRunReason.OVERLOADED : NotRunReason.NO_UPSTREAM, nowNanos);
+      }
+    }
+  }
+
   /** Sends as many waiting requests as there are free slots, in queue order. */
   void dispatchWaiting(long nowNanos) {
+    if (hold.isHeld(nowNanos)) {
+      return;
+    }
     while (!waiting.isEmpty()) {
       PlacementOptions options = nextPlaceable(freeUpstreams(nowNanos), nowNanos);
       if (options == null) {
@@ -409,8 +444,8 @@
       UpstreamState state = candidates.get(i);
       costs[i] =
           state == cacheHolder
-              ? placementCost(state, call, call.prefixTokens(), nowNanos)
-              : placementCost(state, call, 0, nowNanos)
+              ? PlacementCost.nanos(state, call, call.prefixTokens(), nowNanos)
+              : PlacementCost.nanos(state, call, 0, nowNanos)
                   * (isNonPreferred(state) ? NON_PREFERRED_COST_FACTOR : 1);
       least = Math.min(least, costs[i]);
     }
@@ -435,38 +470,6 @@
         candidates);
   }
 
-  /**
-   * Returns the expected delay of the response in nanoseconds, increased by the load of the
-   * upstream, which slows all its tokens, by the length of the stream, and if the stream would miss
-   * its gap target or its deadline. Cached prefill counts twice, because the other requests at the
-   * upstream gain the time too.
-   */
-  private static double placementCost(
-      UpstreamState state, CallSpec call, int cachedTokens, long nowNanos) {
-    double load = (double) state.totalRunning() / Math.max(1, state.upstream().slots());
-    double coldFactor = state.isCold(nowNanos) ? COLD_COST_FACTOR : 1;
-    double firstResponseNanos =
-        state.expectedFirstResponseNanos(call, cachedTokens) * (1 + load) * coldFactor;
-    if (!call.isStreaming()) {
-      return firstResponseNanos;
-    }
-    double streamNanos = call.expectedEvents() * state.eventIntervalNanos();
-    double overrunNanos =
-        Math.max(0, nowNanos + firstResponseNanos + streamNanos - call.deadlineNanos());
-    boolean exceedsGapTarget =
-        call.gapTargetNanos() > 0
-            && state.eventIntervalNanos() > GAP_TARGET_FRACTION * call.gapTargetNanos();
-    double gapPenaltyNanos = exceedsGapTarget ? call.targetNanos() - call.arrivalNanos() : 0;
-    double savedPrefillNanos = cachedTokens * state.prefillNanosPerToken();
-    return Math.max(
-        0,
-        firstResponseNanos
-            + STREAM_TIME_WEIGHT * streamNanos
-            + overrunNanos
-            + gapPenaltyNanos
-            - savedPrefillNanos);
-  }
-
   private double minFirstResponseNanos(CallSpec call) {
     double least = Double.MAX_VALUE;
     for (UpstreamState state : upstreams.values()) {
--- a/org.cranberrystand/src/main/java/org/cranberrystand/event/LogEvent.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/event/LogEvent.java
@@ -101,7 +101,19 @@
   /** A request was sent through another node, which reaches the upstreams of its pool. */
   REQUEST_FORWARDED(5031, Severity.INFO, "request forwarded to another node"),
   /** An upstream stated, changed or withdrew the rate of refusals beyond which it fails. */
-  UPSTREAM_BRITTLE(5032, Severity.INFO, "refusal limit of an upstream changed");
+  UPSTREAM_BRITTLE(5032, Severity.INFO, "refusal limit of an upstream changed"),
+  /** Operators evacuated a failure domain: its upstreams get no new requests. */
+  EVACUATION_STARTED(5040, Severity.WARNING, "failure domain evacuated"),
+  /** The evacuation of a failure domain ended: its upstreams may get requests again. */
+  EVACUATION_ENDED(5041, Severity.WARNING, "evacuation of a failure domain ended"),
+  /** Operators evacuated a failure domain in which no upstream is registered. */
+  EVACUATION_UNKNOWN(5042, Severity.WARNING, "evacuated failure domain has no upstreams"),
+  /** The node stood still for so long that its published state may be out of date. */
+  PLACEMENT_HELD(5043, Severity.WARNING, "placement held until the state is confirmed"),
+  /** The node places requests again after it stood still. */
+  PLACEMENT_RESUMED(5044, Severity.INFO, "placement resumed"),
+  /** The store did not confirm the state of a node that stood still. */
+  STATE_NOT_CONFIRMED(5045, Severity.INFO, "state not confirmed by the store");
 
   private final int number;
   private final Severity severity;
--- a/org.cranberrystand/src/main/java/org/cranberrystand/upstream/UpstreamRegistry.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/upstream/UpstreamRegistry.java
@@ -1,6 +1,7 @@
 package org.cranberrystand.upstream;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -16,7 +17,8 @@
  * kept for a grace period. A source that is restored from a copy also lists upstreams as ready that
  * have left since: an incarnation that announced that it is leaving stays unusable, and one that
  * was removed is usable again only when it registers again or outlasts the expiry of registrations.
- * Not thread-safe.
+ * Upstreams in evacuated failure domains are not usable, whatever their registrations say. Not
+ * thread-safe.
  */
 public final class UpstreamRegistry {
   /** Upstreams register again within about 2 s after the source returns. */
@@ -35,6 +37,7 @@
   private static final int MAX_REPORTED_ANNOUNCEMENTS = 24;
 
   private final DrainTracker leaving;
+  private final EvacuatedDomains evacuated = new EvacuatedDomains();
   private final Map<String, RegisteredUpstream> entries = new LinkedHashMap<>();
   private final Map<String, Long> missingUntilNanos = new HashMap<>();
   private final Map<String, Long> removedAtNanos = new HashMap<>();
@@ -148,6 +151,54 @@
     }
   }
 
+  /**
+   * Records that the evacuation of a failure domain is published.
+   *
+   * @param domain the failure domain
+   */
+  public void evacuationStarted(String domain) {
+    evacuated.started(domain);
+  }
+
+  /**
+   * Records that the evacuation of a failure domain was removed.
+   *
+   * @param domain the failure domain
+   */
+  public void evacuationEnded(String domain) {
+    evacuated.ended(domain);
+  }
+
+  /**
+   * Replaces all evacuations with those of a full list from the source. Those that a restored
+   * source lacks stay in effect for a grace period.
+   *
+   * @param domains the listed failure domains
+   * @param nowNanos the current time
+   */
+  public void replaceEvacuations(Set<String> domains, long nowNanos) {
+    evacuated.replaceAll(domains, nowNanos);
+  }
+
+  /**
+   * Returns the failure domains whose upstreams may not receive new requests.
+   *
+   * @return the names of the failure domains
+   */
+  public ImmutableSet<String> evacuatedDomains() {
+    return evacuated.all();
+  }
+
+  /**
+   * Returns whether an upstream is registered in a failure domain, usable or not.
+   *
+   * @param domain the failure domain
+   * @return true if at least one is
+   */
+  public boolean hasUpstreamIn(String domain) {
+    return entries.values().stream().anyMatch(one -> one.failureDomain().equals(domain));
+  }
+
   /** Records that the source has become unavailable. */
   public void sourceLost() {
     sourceLost = true;
@@ -162,6 +213,7 @@
     if (sourceLost) {
       sourceLost = false;
       startGrace(nowNanos);
+      evacuated.sourceRegained(graceUntilNanos);
     }
   }
 
@@ -173,6 +225,7 @@
   public void sourceRestored(long nowNanos) {
     restoredUntilNanos = nowNanos + REMOVED_HOLD_NANOS;
     startGrace(nowNanos);
+    evacuated.sourceRestored(graceUntilNanos);
   }
 
   private void startGrace(long nowNanos) {
@@ -181,8 +234,9 @@
   }
 
   /**
-   * Removes the upstreams that did not register again within the grace period, and readmits those
-   * whose registration outlasted the time in which the source expires it.
+   * Removes the upstreams that did not register again within the grace period, readmits those whose
+   * registration outlasted the time in which the source expires it, and ends the evacuations that
+   * were not repeated.
    *
    * @param nowNanos the current time
    * @return true if the usable upstreams may have changed
@@ -191,6 +245,7 @@
     removedAtNanos.values().removeIf(at -> nowNanos - at >= REMOVAL_RETENTION_NANOS);
     boolean changed = leaving.expire();
     changed |= heldUntilNanos.values().removeIf(until -> nowNanos >= until);
+    changed |= !sourceLost && evacuated.expire(nowNanos);
     return removeMissing(nowNanos) || changed;
   }
 
@@ -210,11 +265,12 @@
   /**
    * Returns the upstreams that may receive new requests.
    *
-   * @return the registered upstreams that are not leaving
+   * @return the registered upstreams that are not leaving, outside evacuated failure domains
    */
   public ImmutableList<RegisteredUpstream> usable() {
     return entries.values().stream()
         .filter(upstream -> !isLeaving(upstream) && !heldUntilNanos.containsKey(upstream.id()))
+        .filter(upstream -> !evacuated.contains(upstream.failureDomain()))
         .collect(ImmutableList.toImmutableList());
   }
 
--- a/org.cranberrystand/src/test/java/org/cranberrystand/dispatch/CallDispatcherTest.java
+++ b/org.cranberrystand/src/test/java/org/cranberrystand/dispatch/CallDispatcherTest.java
@@ -439,4 +439,73 @@
   public void statedPauseIsLimited(String stated, long millis, boolean valid) {
     assertEquals(PauseRequest.ofSeconds(stated), new PauseRequest(millis, stated, valid));
   }
+
+  /** Guards against requests that wait in vain after all upstreams were withdrawn at once. */
+  @Test
+  public void waitingRequestsAreRefusedWhenAllUpstreamsAreWithdrawn() {
+    fillAllSlots();
+    dispatcher.submit(call(9, 0, 0), null, 0);
+    dispatcher.upstreamsWithdrawn(List.of(), MILLI);
+
+    assertEquals(dispatcher.waitingCount(), 0);
+    assertEquals(decisions.refused.get(0).reason(), NotRunReason.NO_UPSTREAM);
+    assertEquals(dispatcher.runningCount(), 2 * SLOTS);
+  }
+
+  /**
+   * Guards against refusing all waiting requests of a pool that lost a part of its upstreams, and
+   * against keeping those that the rest cannot serve in time.
+   */
+  @Test
+  public void waitingRequestsBeyondTheRemainingCapacityAreRefused() {
+    fillAllSlots();
+    for (int key = 10; key < 30; key++) {
+      dispatcher.submit(call(key, 0, 0), null, 0);
+    }
+    int waitingBefore = dispatcher.waitingCount();
+    dispatcher.upstreamsWithdrawn(List.of(engine("a")), MILLI);
+
+    assertTrue(dispatcher.waitingCount() > 0);
+    assertTrue(dispatcher.waitingCount() < waitingBefore, "waiting " + waitingBefore);
+  }
+
+  /** Guards against refusing waiting requests while the pool keeps its capacity. */
+  @Test
+  public void waitingRequestsOfOtherPoolsAreKept() {
+    fillAllSlots();
+    dispatcher.submit(call(9, 0, 0), null, 0);
+    dispatcher.upstreamsWithdrawn(List.of(engine("a"), engine("b")), MILLI);
+
+    assertEquals(dispatcher.waitingCount(), 1);
+  }
+
+  /** Guards against requests sent by an out-of-date state after a freeze of the VM. */
+  @Test
+  public void nothingIsSentAfterAStandstillUntilTheStateIsConfirmed() {
+    dispatcher.setMaxStandstill(2_500 * MILLI);
+    dispatcher.tick(0);
+    dispatcher.submit(call(1, 0, 6_000), null, 6_000 * MILLI);
+    dispatcher.tick(6_050 * MILLI);
+    assertEquals(decisions.sent.size(), 0);
+    assertTrue(dispatcher.heldNanos(6_050 * MILLI) > 0);
+
+    dispatcher.stateConfirmed(6_100 * MILLI);
+    assertEquals(decisions.sent.size(), 1);
+    assertEquals(dispatcher.heldNanos(6_100 * MILLI), 0);
+  }
+
+  /** Guards against a node that holds requests for ever because nobody confirms its state. */
+  @Test
+  public void holdEndsIfNobodyConfirmsTheState() {
+    dispatcher.setMaxStandstill(2_500 * MILLI);
+    dispatcher.tick(0);
+    dispatcher.tick(6_000 * MILLI);
+    dispatcher.submit(call(1, 0, 6_000), null, 6_000 * MILLI);
+    for (int now = 6_050; now < 8_000; now += 50) {
+      dispatcher.tick(now * MILLI);
+    }
+    assertEquals(decisions.sent.size(), 0);
+    dispatcher.tick(8_000 * MILLI);
+    assertEquals(decisions.sent.size(), 1);
+  }
 }
--- a/org.cranberrystand/src/test/java/org/cranberrystand/upstream/UpstreamRegistryTest.java
+++ b/org.cranberrystand/src/test/java/org/cranberrystand/upstream/UpstreamRegistryTest.java
@@ -175,4 +175,98 @@
     assertFalse(other.announcementsReported(registry.recentAnnouncements()));
     assertEquals(other.usable(), List.of(startedAt("b", 2)));
   }
+
+  private static RegisteredUpstream upstreamIn(String id, String domain) {
+    return new RegisteredUpstream(id, "pool", "10.0.0.1:80", domain, "v1", 4, 1, 0, false);
+  }
+
+  /** Guards against requests to an upstream that registers, or stays, in an evacuated domain. */
+  @Test
+  public void upstreamsInAnEvacuatedDomainAreUnusableUntilItEnds() {
+    registry.registered(upstreamIn("c", "e"));
+    registry.evacuationStarted("d");
+    registry.registered(upstream("a", false));
+    assertEquals(usable(), List.of("c"));
+
+    registry.evacuationEnded("d");
+    assertEquals(usable(), List.of("a", "b", "c"));
+  }
+
+  /** Guards against an upstream without a failure domain that counts as evacuated. */
+  @Test
+  public void upstreamWithoutDomainIsNotEvacuated() {
+    registry.registered(upstreamIn("c", ""));
+    registry.evacuationStarted("d");
+
+    assertEquals(usable(), List.of("c"));
+  }
+
+  /** Guards against a full list that ends evacuations, or keeps one that was removed. */
+  @Test
+  public void fullListReplacesEvacuations() {
+    registry.registered(upstreamIn("c", "e"));
+    registry.evacuationStarted("d");
+    registry.replaceEvacuations(Set.of("d"), SECOND);
+    assertEquals(usable(), List.of("c"));
+
+    registry.replaceEvacuations(Set.of("e"), SECOND);
+    assertEquals(usable(), List.of("a", "b"));
+  }
+
+  /**
+   * Guards against ending an evacuation that the copy of a restored store lacks before the
+   * operators could repeat it, and against keeping it for ever.
+   */
+  @Test
+  public void evacuationThatACopyLacksHoldsForTheGracePeriod() {
+    registry.evacuationStarted("d");
+    registry.sourceRestored(10 * SECOND);
+    registry.replaceEvacuations(Set.of(), 10 * SECOND);
+    registry.replaceEvacuations(Set.of(), 11 * SECOND);
+
+    assertFalse(registry.expire(12 * SECOND));
+    assertEquals(usable(), List.of());
+    assertTrue(registry.expire(12_200_000_000L));
+    assertEquals(usable(), List.of("a", "b"));
+  }
+
+  /** Guards against ending an evacuation that the operators repeated in time. */
+  @Test
+  public void evacuationRepeatedAfterARestorationStays() {
+    registry.evacuationStarted("d");
+    registry.sourceRestored(10 * SECOND);
+    registry.replaceEvacuations(Set.of(), 10 * SECOND);
+    registry.evacuationStarted("d");
+    registry.expire(20 * SECOND);
+
+    assertEquals(usable(), List.of());
+  }
+
+  /** Guards against an evacuation that ends in an outage, in which nobody can repeat it. */
+  @Test
+  public void gracePeriodOfAnEvacuationDoesNotEndInAnOutage() {
+    registry.evacuationStarted("d");
+    registry.sourceRestored(10 * SECOND);
+    registry.replaceEvacuations(Set.of(), 10 * SECOND);
+    registry.sourceLost();
+    registry.expire(20 * SECOND);
+    assertEquals(usable(), List.of());
+
+    registry.sourceRegained(20 * SECOND);
+    registry.expire(22 * SECOND);
+    assertEquals(usable(), List.of());
+    registry.expire(23 * SECOND);
+    assertEquals(usable(), List.of("a", "b"));
+  }
+
+  /** Guards against keeping an evacuation that the operators removed after a restoration. */
+  @Test
+  public void evacuationRemovedAfterARestorationEndsAtOnce() {
+    registry.evacuationStarted("d");
+    registry.sourceRestored(10 * SECOND);
+    registry.replaceEvacuations(Set.of("d"), 10 * SECOND);
+    registry.evacuationEnded("d");
+
+    assertEquals(usable(), List.of("a", "b"));
+  }
 }
