Place by the speed that upstreams report, near ones first among equals

Cause: the adapter dropped Server-Load, so nodes learned only from the delays of their own requests that a VM was slow.

Change: PlatformHeaders decodes the fourth value, percent of the usual time. UpstreamState multiplies the expected first response by it, with a half-life of 0.3 s, and learns the speed without the slowdown. Values below 115 are noise and have no effect. An invalid value is ignored and logged once for each upstream. While a candidate is slow, a node chooses among a quarter of the candidates at least, so that nodes with the same view do not all send to the only upstream that is not slow.

In fleets of several cells, ties go to an upstream of the node's own failure domain.

Evidence: ReportedSpeedTest, PlatformHeadersTest, UpstreamSignalsTest.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Gateway.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Gateway.java
@@ -366,6 +366,7 @@
     limiter.refresh(now);
     brittle.refresh(now);
     nodeCount = peers.nodeCount(now);
+    dispatcher.ownDomainChanged(peers.cellCount() > 1 ? settings.failureDomain() : "");
     retries.setNodeCount(peers.sharingNodeCount(now));
     metrics.setLoad(
         dispatcher.waitingCount(), dispatcher.runningCount(), callers.connectionCount(), nodeCount);
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/NodeResponseCodec.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/NodeResponseCodec.java
@@ -33,7 +33,8 @@
         false,
         Optional.ofNullable(retryAfter).map(PauseRequest::ofSeconds),
         RateLimit.NONE,
-        RateLimit.NONE);
+        RateLimit.NONE,
+        Optional.empty());
   }
 
   /** Nodes respond with these statuses only if no upstream has run the request or will. */
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/ResponseHeaders.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/ResponseHeaders.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import org.cranberrystand.dispatch.PauseRequest;
 import org.cranberrystand.dispatch.RateLimit;
+import org.cranberrystand.dispatch.ReportedSpeed;
 
 /**
  * The parsed headers of an upstream's response.
@@ -15,6 +16,7 @@
  *     say
  * @param limit the rate to which the upstream limits all nodes together
  * @param refusalLimit the rate of refusals, to all nodes together, beyond which the upstream fails
+ * @param speed how long work currently takes on the VM of the upstream; empty if it does not say
  */
 public record ResponseHeaders(
     String requestId,
@@ -23,7 +25,8 @@
     boolean leaving,
     Optional<PauseRequest> pause,
     RateLimit limit,
-    RateLimit refusalLimit) {
+    RateLimit refusalLimit,
+    Optional<ReportedSpeed> speed) {
 
   /** Returns the text that the log writes after got=; the log keeps the old name of the record. */
   @Override
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CallDispatcher.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CallDispatcher.java
@@ -33,6 +33,7 @@
   private final PlacementHold hold = new PlacementHold();
   private ImmutableMap<String, UpstreamUsage> peerUsage = ImmutableMap.of();
   private Predicate<String> isPreferred = id -> true;
+  private String ownDomain = "";
   private ToLongFunction<RegisteredUpstream> minSendIntervals = upstream -> 0;
   private ToIntFunction<RegisteredUpstream> slotShares = upstream -> Integer.MAX_VALUE;
   private long usageChanges;
@@ -65,6 +66,7 @@
       pool(name).setPreferredUpstreams(isPreferred);
       pool(name).setMinSendIntervals(minSendIntervals);
       pool(name).setSlotShares(slotShares);
+      pool(name).setOwnDomain(ownDomain);
     }
     applyPeerUsage();
     pools.values().forEach(pool -> pool.dispatchWaiting(now));
@@ -142,6 +144,29 @@
     pools.values().forEach(pool -> pool.setPreferredUpstreams(value));
   }
 
+  /**
+   * Replaces the failure domain that is preferred among upstreams of about equal cost.
+   *
+   * @param domain the failure domain of this node; empty for no preference
+   */
+  public void ownDomainChanged(String domain) {
+    if (!domain.equals(ownDomain)) {
+      ownDomain = domain;
+      pools.values().forEach(pool -> pool.setOwnDomain(domain));
+    }
+  }
+
+  /**
+   * Records how long work currently takes on the VM of an upstream.
+   *
+   * @param upstream the upstream
+   * @param speed the reported speed; ignored if invalid
+   * @param now when the report was received
+   */
+  public void speedReported(RegisteredUpstream upstream, ReportedSpeed speed, long now) {
+    pool(upstream.pool()).speedReported(upstream, speed, now);
+  }
+
   /**
    * Replaces the shortest intervals at which this node may send requests to the upstreams.
    *
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/PlacementCost.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/PlacementCost.java
@@ -23,7 +23,7 @@
     double load = (double) state.totalRunning() / Math.max(1, state.upstream().slots());
     double coldFactor = state.isCold(nowNanos) ? COLD_COST_FACTOR : 1;
     double firstResponseNanos =
-        state.expectedFirstResponseNanos(call, cachedTokens) * (1 + load) * coldFactor;
+        state.expectedFirstResponseNanos(call, cachedTokens, nowNanos) * (1 + load) * coldFactor;
     if (!call.isStreaming()) {
       return firstResponseNanos;
     }
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/PoolScheduler.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/PoolScheduler.java
@@ -36,9 +36,6 @@
   /** Fraction of the caller's wait for the first event that a request may spend in the queue. */
   private static final double MAX_FIRST_EVENT_WAIT_FRACTION = 0.5;
 
-  /** Upstreams within this factor of the lowest cost are tied; nodes must not all choose one. */
-  private static final double TIE_COST_FACTOR = 1.1;
-
   /**
    * Usage by other cells is reported later than usage by the own cell. A slot that is left free and
    * a higher cost at the upstreams of other cells compensate for this delay.
@@ -85,6 +82,7 @@
   private final PoolReach reach = new PoolReach();
   private final PlacementHold hold;
   private int preferredCount;
+  private String ownDomain = "";
 
   /**
    * Creates a pool without upstreams.
@@ -163,6 +161,19 @@
     }
   }
 
+  /** Records how long work currently takes on the VM of an upstream. */
+  void speedReported(RegisteredUpstream upstream, ReportedSpeed speed, long nowNanos) {
+    UpstreamState state = upstreams.get(upstream.id());
+    if (state != null && state.upstream().isSameIncarnation(upstream) && speed.isValid()) {
+      state.speedReported(speed, nowNanos);
+    }
+  }
+
+  /** Sets the failure domain to prefer among upstreams of about equal cost; empty for none. */
+  void setOwnDomain(String domain) {
+    ownDomain = domain;
+  }
+
   /** Records whether a connection to an upstream could be opened. */
   void connectEnded(String upstream, boolean connected, long nowNanos) {
     if (connected) {
@@ -387,7 +398,7 @@
     UpstreamState chosen = chooseUpstream(options, nowNanos);
     int cachedTokens = chosen == options.cacheHolder() ? call.prefixTokens() : 0;
     PlacementChoice choice =
-        placementChoice(chosen, call, cachedTokens, options.candidates().size());
+        placementChoice(chosen, call, cachedTokens, options.candidates().size(), nowNanos);
     remove(call.key());
     chosen.sent((long) call.promptTokens() - cachedTokens, nowNanos);
     sendRate.sent(nowNanos);
@@ -439,33 +450,27 @@
     UpstreamState cacheHolder = options.cacheHolder();
     CallSpec call = options.call();
     double[] costs = new double[candidates.size()];
-    double least = Double.MAX_VALUE;
+    boolean slowdowns = false;
     for (int i = 0; i < costs.length; i++) {
       UpstreamState state = candidates.get(i);
+      slowdowns |= state.slowdown(nowNanos) > 1;
       costs[i] =
           state == cacheHolder
               ? PlacementCost.nanos(state, call, call.prefixTokens(), nowNanos)
               : PlacementCost.nanos(state, call, 0, nowNanos)
                   * (isNonPreferred(state) ? NON_PREFERRED_COST_FACTOR : 1);
-      least = Math.min(least, costs[i]);
-    }
-    List<UpstreamState> ties = new ArrayList<>();
-    for (int i = 0; i < costs.length; i++) {
-      if (costs[i] <= least * TIE_COST_FACTOR) {
-        ties.add(candidates.get(i));
-      }
     }
-    return ties.contains(cacheHolder) ? cacheHolder : ties.get(random.nextInt(ties.size()));
+    return PlacementTies.choose(candidates, costs, cacheHolder, ownDomain, slowdowns, random);
   }
 
   private static PlacementChoice placementChoice(
-      UpstreamState chosen, CallSpec call, int cachedTokens, int candidates) {
+      UpstreamState chosen, CallSpec call, int cachedTokens, int candidates, long nowNanos) {
     return new PlacementChoice(
         chosen.totalRunning(),
         chosen.upstream().slots(),
         chosen.totalPrefillTokens(),
         cachedTokens,
-        chosen.expectedFirstResponseNanos(call, cachedTokens) / NANOS_PER_MILLI,
+        chosen.expectedFirstResponseNanos(call, cachedTokens, nowNanos) / NANOS_PER_MILLI,
         chosen.eventIntervalNanos() / NANOS_PER_MILLI,
         candidates);
   }
@@ -553,7 +558,7 @@
       ejections.succeeded(id);
       running.reportEventInterval();
       if (!running.call().isStreaming()) {
-        state.answered(nowNanos - running.sentNanos());
+        state.answered(nowNanos - running.sentNanos(), nowNanos);
       }
     } else if (ending.isFailure()) {
       ejections.failed(id, upstreams.size(), nowNanos);
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/RunningCall.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/RunningCall.java
@@ -52,7 +52,7 @@
   void eventsReceived(int count, long nowNanos) {
     if (!isDecoding()) {
       firstEventNanos = nowNanos;
-      state.firstEvent(prefillTokens, queuedPrefillTokens, nowNanos - sentNanos);
+      state.firstEvent(prefillTokens, queuedPrefillTokens, nowNanos - sentNanos, nowNanos);
     }
     events += count;
     lastEventNanos = nowNanos;
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/UpstreamState.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/UpstreamState.java
@@ -47,6 +47,7 @@
   private double serviceNanos = INITIAL_SERVICE_NANOS;
   private double eventIntervalNanos = INITIAL_EVENT_INTERVAL_NANOS;
   private boolean measured;
+  private final SlowdownEstimate slowdown = new SlowdownEstimate();
   private double admittedFraction = 1;
   private long blockedUntilNanos = Long.MIN_VALUE;
   private long pausedUntilNanos = Long.MIN_VALUE;
@@ -196,14 +197,24 @@
     return nowNanos < coldUntilNanos;
   }
 
+  /** Records how long work currently takes on the VM of the upstream. */
+  void speedReported(ReportedSpeed speed, long nowNanos) {
+    slowdown.report(speed.slowdown(), nowNanos);
+  }
+
+  /** Returns how many times as long as usual work takes now, by recent reports; 1 without them. */
+  double slowdown(long nowNanos) {
+    return slowdown.factor(nowNanos);
+  }
+
   /** Returns the expected time to the first event of a stream or to the complete response. */
-  double expectedFirstResponseNanos(CallSpec call, int cachedTokens) {
+  double expectedFirstResponseNanos(CallSpec call, int cachedTokens, long nowNanos) {
     if (!call.isStreaming()) {
       double busy = (double) totalRunning() / Math.max(1, upstream.slots());
-      return serviceNanos * (1 + busy);
+      return serviceNanos * (1 + busy) * slowdown(nowNanos);
     }
     long tokens = totalPrefillTokens() + call.promptTokens() - cachedTokens;
-    return FIRST_EVENT_BASE_NANOS + tokens * prefillNanosPerToken;
+    return (FIRST_EVENT_BASE_NANOS + tokens * prefillNanosPerToken) * slowdown(nowNanos);
   }
 
   /** Records that a request was sent, with the prompt tokens that need prefill. */
@@ -217,19 +228,21 @@
 
   /**
    * Records the first event of a request. {@code queuedPrefillTokens} tokens of other requests
-   * waited for prefill when the request was sent.
+   * waited for prefill when the request was sent. The average is that of the usual speed, since a
+   * reported slowdown is applied to it.
    */
-  void firstEvent(long prefillTokens, long queuedPrefillTokens, long elapsedNanos) {
+  void firstEvent(long prefillTokens, long queuedPrefillTokens, long elapsedNanos, long nowNanos) {
     pendingPrefillTokens = Math.max(0, pendingPrefillTokens - prefillTokens);
     long tokens = queuedPrefillTokens + prefillTokens;
     if (tokens >= MIN_SAMPLE_TOKENS) {
-      double observed = Math.max(0, elapsedNanos - FIRST_EVENT_BASE_NANOS) / tokens;
+      double usualNanos = elapsedNanos / slowdown(nowNanos);
+      double observed = Math.max(0, usualNanos - FIRST_EVENT_BASE_NANOS) / tokens;
       prefillNanosPerToken = smooth(prefillNanosPerToken, observed);
     }
   }
 
-  void answered(long elapsedNanos) {
-    serviceNanos = smooth(serviceNanos, (double) elapsedNanos);
+  void answered(long elapsedNanos, long nowNanos) {
+    serviceNanos = smooth(serviceNanos, elapsedNanos / slowdown(nowNanos));
   }
 
   /** Records the mean interval between the events of a response stream. */
