Send cold upstreams no more requests than they tolerate

A pool declares with ColdStartS and ColdPerS how its upstreams behave after a start, registrations say with ColdRemainingMs how long they are still cold, and a response may say it with Cold-Ms. The adapter decodes them; a value that cannot be used is logged once with the value. The settings cold_over and cold_slack (ColdOver and ColdSlack of the bounds) turn the limit on; without them nothing changes.

ColdUpstreams keeps the newest statement about each upstream. A broken connection, a new incarnation and a pause of the node count as cold for ColdStartS until a later registration or response says otherwise. Placement does not avoid an upstream beyond its limit.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/FleetState.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/FleetState.java
@@ -2,14 +2,19 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.Maps;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.stream.Collectors;
 import org.cranberrystand.daemon.internal.EventLog;
 import org.cranberrystand.dispatch.CallDispatcher;
+import org.cranberrystand.dispatch.ColdUpstreams;
 import org.cranberrystand.event.LogEvent;
 import org.cranberrystand.routing.RoutingTable;
+import org.cranberrystand.routing.ServicePool;
 import org.cranberrystand.upstream.DrainTracker;
 import org.cranberrystand.upstream.RegisteredUpstream;
 import org.cranberrystand.upstream.UpstreamRegistry;
@@ -24,17 +29,24 @@
 final class FleetState implements PublishedFollower.Listener {
   private final PublishedDecoder decoder;
   private final CallDispatcher dispatcher;
+  private final ColdUpstreams cold;
   private final UpstreamClient client;
   private final EventLog log;
   private final UpstreamRegistry registry = new UpstreamRegistry(MonotonicClock.system());
+  private final Map<String, ImmutableList<String>> ignoredFields = new HashMap<>();
   private final AtomicReference<RoutingTable> routing = new AtomicReference<>();
   private final AtomicReference<PublishedState> published =
       new AtomicReference<>(PublishedState.EMPTY);
 
   FleetState(
-      PublishedDecoder decoder, CallDispatcher dispatcher, UpstreamClient client, EventLog log) {
+      PublishedDecoder decoder,
+      CallDispatcher dispatcher,
+      ColdUpstreams cold,
+      UpstreamClient client,
+      EventLog log) {
     this.decoder = decoder;
     this.dispatcher = dispatcher;
+    this.cold = cold;
     this.client = client;
     this.log = log;
   }
@@ -72,6 +84,7 @@
       if (!change.isDeleted()) {
         apply(change, registered);
       } else if (!id.isEmpty()) {
+        ignoredFields.remove(change.key());
         registry.removed(id, System.nanoTime());
       }
       registered.forEach(registry::registered);
@@ -83,8 +96,11 @@
   private void apply(PublishedValue value, List<RegisteredUpstream> registered) {
     PublishedDecoder.Decoded decoded = decoder.decode(value);
     if (decoded instanceof PublishedDecoder.Declaration declaration) {
+      logIgnoredFields(value, declaration.ignoredFields());
       applyDeclaration(declaration.table(), value.revision());
     } else if (decoded instanceof PublishedDecoder.Registration registration) {
+      logIgnoredFields(value, registration.ignoredFields());
+      cold.registered(registration.upstream(), value.revision(), System.nanoTime());
       registered.add(registration.upstream());
     } else if (decoded instanceof PublishedDecoder.Ignored ignored && !ignored.reason().isEmpty()) {
       log.write(
@@ -93,10 +109,27 @@
     }
   }
 
+  /** Logs values that cannot be used, once until they change. */
+  private void logIgnoredFields(PublishedValue value, ImmutableList<String> fields) {
+    if (fields.isEmpty()) {
+      ignoredFields.remove(value.key());
+    } else if (!fields.equals(ignoredFields.put(value.key(), fields))) {
+      log.write(
+          LogEvent.VALUE_IGNORED,
+          "key="
+              + value.key()
+              + " revision="
+              + value.revision()
+              + " cause=fields cannot be used: "
+              + String.join(", ", fields));
+    }
+  }
+
   private void applyDeclaration(RoutingTable table, long revision) {
     RoutingTable current = routing.get();
     if (current == null || table.version() > current.version()) {
       routing.set(table);
+      cold.declared(Maps.transformValues(table.pools(), ServicePool::coldStart));
       log.write(
           LogEvent.ROUTING_IN_FORCE,
           "version="
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Gateway.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Gateway.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.atomic.AtomicReference;
 import org.cranberrystand.daemon.internal.EventLog;
 import org.cranberrystand.dispatch.CallDispatcher;
+import org.cranberrystand.dispatch.ColdUpstreams;
 import org.cranberrystand.dispatch.QuotaLedger;
 import org.cranberrystand.dispatch.RetryAllowance;
 import org.cranberrystand.dispatch.StreamOrigins;
@@ -108,7 +109,8 @@
             log);
     this.crashes = new CrashDetector(loop, client, log);
     crashes.setRefusalListener(admission::refuseQuarantined);
-    this.fleet = new FleetState(ports.decoder(), dispatcher, client, log);
+    ColdUpstreams cold = new ColdUpstreams(settings.limits().coldTolerance());
+    this.fleet = new FleetState(ports.decoder(), dispatcher, cold, client, log);
     this.reach =
         new ReachMonitor(dispatcher, client, fleet, metrics, log, admission::forwardWaiting);
     this.callers = new CallerServer(loop, this::callerLimits, admission::handleRequest);
@@ -118,7 +120,7 @@
     }
     this.targets = new PeerTargets(peers, seedHosts(settings), incarnation);
     this.forwarding = createForwarding(ports.headers());
-    this.limiter = new RateLimiter(dispatcher, peers, log);
+    this.limiter = new RateLimiter(dispatcher, peers, cold, fleet, log);
     this.brittle = new BrittleUpstreams(dispatcher, peers, fleet, log);
     this.reports = createReports();
     this.streams = new StreamLookup(new StreamQuestions());
@@ -134,7 +136,7 @@
             quotas,
             retries,
             crashes,
-            new UpstreamSignals(fleet, dispatcher, limiter.statements(), brittle, log),
+            new UpstreamSignals(fleet, dispatcher, limiter, brittle, log),
             forwarding,
             streams,
             fleet::routing,
@@ -309,6 +311,7 @@
       lag.tick(now);
       ticks++;
       reports.tick(now);
+      limiter.tick(now);
       dispatcher.tick(now);
       streams.tick(now);
       reach.tick(now);
@@ -330,6 +333,7 @@
     metrics.setLoad(
         dispatcher.waitingCount(), dispatcher.runningCount(), callers.connectionCount(), nodeCount);
     metrics.setLimitedUpstreams(limiter.statements().limitedCount());
+    metrics.setColdUpstreams(limiter.coldCount());
     metrics.setQuarantined(crashes.refusedCount());
     offer.set(buildOffer(now));
     follower.setPassive(peers.isStoreReadByOthers(now));
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/GatewayMetrics.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/GatewayMetrics.java
@@ -33,6 +33,7 @@
   private final AtomicInteger connections = gauge("caller.connections");
   private final AtomicInteger nodes = gauge("nodes");
   private final AtomicInteger limitedUpstreams = gauge("upstreams.limited");
+  private final AtomicInteger coldUpstreams = gauge("upstreams.cold");
   private final AtomicInteger quarantined = gauge("content.quarantined");
   private final AtomicInteger unreachablePools = gauge("pools.unreachable");
   private final Map<String, Counter> outcomes = new HashMap<>();
@@ -55,6 +56,10 @@
     limitedUpstreams.set(count);
   }
 
+  void setColdUpstreams(int count) {
+    coldUpstreams.set(count);
+  }
+
   void setQuarantined(int count) {
     quarantined.set(count);
   }
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/NodeResponseCodec.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/NodeResponseCodec.java
@@ -33,6 +33,7 @@
         false,
         Optional.ofNullable(retryAfter).map(PauseRequest::ofSeconds),
         RateLimit.NONE,
+        Optional.empty(),
         RateLimit.NONE);
   }
 
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/PublishedDecoder.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/PublishedDecoder.java
@@ -1,5 +1,6 @@
 package org.cranberrystand.daemon.gateway;
 
+import com.google.common.collect.ImmutableList;
 import org.cranberrystand.routing.RoutingTable;
 import org.cranberrystand.upstream.RegisteredUpstream;
 
@@ -17,15 +18,18 @@
    * The operators' declaration.
    *
    * @param table the declared routes, pools, teams and limits
+   * @param ignoredFields the fields whose values cannot be used, with their values
    */
-  record Declaration(RoutingTable table) implements Decoded {}
+  record Declaration(RoutingTable table, ImmutableList<String> ignoredFields) implements Decoded {}
 
   /**
    * The registration of an upstream.
    *
    * @param upstream the registered upstream
+   * @param ignoredFields the fields whose values cannot be used, with their values
    */
-  record Registration(RegisteredUpstream upstream) implements Decoded {}
+  record Registration(RegisteredUpstream upstream, ImmutableList<String> ignoredFields)
+      implements Decoded {}
 
   /**
    * A value that the gateway does not use.
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/ResponseHeaders.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/ResponseHeaders.java
@@ -1,6 +1,7 @@
 package org.cranberrystand.daemon.gateway;
 
 import java.util.Optional;
+import org.cranberrystand.dispatch.ColdDuration;
 import org.cranberrystand.dispatch.PauseRequest;
 import org.cranberrystand.dispatch.RateLimit;
 
@@ -14,6 +15,7 @@
  * @param pause how long the upstream wants no further requests from this node; empty if it does not
  *     say
  * @param limit the rate to which the upstream limits all nodes together
+ * @param coldDuration how much longer the upstream will be cold; empty if it does not say
  * @param refusalLimit the rate of refusals, to all nodes together, beyond which the upstream fails
  */
 public record ResponseHeaders(
@@ -23,6 +25,7 @@
     boolean leaving,
     Optional<PauseRequest> pause,
     RateLimit limit,
+    Optional<ColdDuration> coldDuration,
     RateLimit refusalLimit) {
 
   /** Returns the text that the log writes after got=; the log keeps the old name of the record. */
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/UpstreamSignals.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/UpstreamSignals.java
@@ -14,19 +14,19 @@
 final class UpstreamSignals {
   private final FleetState fleet;
   private final CallDispatcher dispatcher;
-  private final UpstreamStatements limits;
+  private final RateLimiter limiter;
   private final BrittleUpstreams brittle;
   private final EventLog log;
 
   UpstreamSignals(
       FleetState fleet,
       CallDispatcher dispatcher,
-      UpstreamStatements limits,
+      RateLimiter limiter,
       BrittleUpstreams brittle,
       EventLog log) {
     this.fleet = fleet;
     this.dispatcher = dispatcher;
-    this.limits = limits;
+    this.limiter = limiter;
     this.brittle = brittle;
     this.log = log;
   }
@@ -39,7 +39,8 @@
    * @param sentNanos when the request was sent
    */
   void received(RegisteredUpstream upstream, ResponseHeaders headers, long sentNanos) {
-    limits.stated(upstream, headers.limit(), sentNanos);
+    limiter.statements().stated(upstream, headers.limit(), sentNanos);
+    headers.coldDuration().ifPresent(cold -> limiter.coldStated(upstream, cold, sentNanos));
     brittle.statements().stated(upstream, headers.refusalLimit(), sentNanos);
     if (headers.leaving()) {
       fleet.upstreamLeaving(upstream);
--- a/org.cranberrystand.wire/src/main/java/org/cranberrystand/wire/settings/GatewaySettings.java
+++ b/org.cranberrystand.wire/src/main/java/org/cranberrystand/wire/settings/GatewaySettings.java
@@ -2,6 +2,8 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.net.HostAndPort;
+import java.util.Optional;
+import org.cranberrystand.dispatch.ColdTolerance;
 import org.cranberrystand.dispatch.QuotaTolerance;
 
 /**
@@ -52,6 +54,8 @@
    * @param retryRatio the allowed retries per request, over all nodes
    * @param retrySlack the retries allowed in addition within one window, over all nodes
    * @param quotaTolerance how far the requests of a team may exceed its quota
+   * @param coldTolerance how far the requests at a cold upstream may exceed the rate that it
+   *     tolerates; empty if no upstream counts as cold
    * @param shutdownMillis the time from SIGTERM to SIGKILL
    * @param addressLifetimeSeconds how long callers may cache a response of the directory
    */
@@ -59,6 +63,7 @@
       double retryRatio,
       double retrySlack,
       QuotaTolerance quotaTolerance,
+      Optional<ColdTolerance> coldTolerance,
       long shutdownMillis,
       int addressLifetimeSeconds) {}
 }
--- a/org.cranberrystand.wire/src/main/java/org/cranberrystand/wire/settings/GatewaySettingsParser.java
+++ b/org.cranberrystand.wire/src/main/java/org/cranberrystand/wire/settings/GatewaySettingsParser.java
@@ -2,6 +2,8 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.net.HostAndPort;
+import java.util.Optional;
+import org.cranberrystand.dispatch.ColdTolerance;
 import org.cranberrystand.dispatch.QuotaTolerance;
 import org.cranberrystand.util.Checked;
 import org.cranberrystand.util.Findings;
@@ -14,6 +16,7 @@
   private static final double DEFAULT_RETRY_RATIO = 0.1;
   private static final double DEFAULT_QUOTA_WINDOW_SECONDS = 8;
   private static final long DEFAULT_SHUTDOWN_MILLIS = 8_000;
+  private static final double NO_COLD_UPSTREAMS = -1;
   private static final int DEFAULT_ADDRESS_LIFETIME_SECONDS = 2;
 
   private final Findings findings;
@@ -69,6 +72,14 @@
     return cores;
   }
 
+  private static Optional<ColdTolerance> readColdTolerance(TomlReader table) {
+    double over = table.getDouble("cold_over", NO_COLD_UPSTREAMS, 0, 1_000);
+    double slack = table.getDouble("cold_slack", 0, 0, 1e6);
+    return over == NO_COLD_UPSTREAMS
+        ? Optional.empty()
+        : Optional.of(new ColdTolerance(over, slack));
+  }
+
   private static GatewaySettings.Limits readLimits(TomlReader table) {
     GatewaySettings.Limits limits =
         new GatewaySettings.Limits(
@@ -78,6 +89,7 @@
                 table.getDouble("quota_window_s", DEFAULT_QUOTA_WINDOW_SECONDS, 1, 3_600),
                 table.getDouble("quota_over", 0, 0, 10),
                 table.getDouble("quota_slack", 0, 0, 1e12)),
+            readColdTolerance(table),
             1000 * table.getLong("shutdown_s", DEFAULT_SHUTDOWN_MILLIS / 1000, 1, 3_600),
             (int) table.getLong("address_lifetime_s", DEFAULT_ADDRESS_LIFETIME_SECONDS, 1, 3_600));
     table.rejectUnknownKeys();
--- a/org.cranberrystand.wire/src/test/java/org/cranberrystand/wire/settings/GatewaySettingsParserTest.java
+++ b/org.cranberrystand.wire/src/test/java/org/cranberrystand/wire/settings/GatewaySettingsParserTest.java
@@ -7,6 +7,8 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Optional;
+import org.cranberrystand.dispatch.ColdTolerance;
 import org.cranberrystand.util.Checked;
 import org.cranberrystand.util.Finding;
 import org.testng.annotations.Test;
@@ -32,6 +34,20 @@
     assertEquals(settings.listen().callers().getPort(), 0);
   }
 
+  /** Guards against settings of earlier deployments that no longer start, or that limit more. */
+  @Test
+  public void toleranceOfColdUpstreamsIsOptional() throws IOException {
+    String without = Files.readString(TRAINING_SETTINGS);
+    String with = without + "\n[limits]\ncold_over = 1.5\ncold_slack = 5\n";
+
+    assertEquals(
+        GatewaySettingsParser.parse("node.toml", without).orElseThrow().limits().coldTolerance(),
+        Optional.empty());
+    assertEquals(
+        GatewaySettingsParser.parse("node.toml", with).orElseThrow().limits().coldTolerance(),
+        Optional.of(new ColdTolerance(1.5, 5)));
+  }
+
   /** Guards against defects that are reported only one at a time, or without their line. */
   @Test
   public void allDefectsAreReportedWithTheirLine() throws IOException {
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CallDispatcher.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CallDispatcher.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.function.Consumer;
 import java.util.function.Predicate;
 import java.util.function.ToIntFunction;
 import java.util.function.ToLongFunction;
@@ -34,6 +35,7 @@
   private Predicate<String> isPreferred = id -> true;
   private ToLongFunction<RegisteredUpstream> minSendIntervals = upstream -> 0;
   private ToIntFunction<RegisteredUpstream> slotShares = upstream -> Integer.MAX_VALUE;
+  private Consumer<RegisteredUpstream> contactLost = upstream -> {};
   private long usageChanges;
 
   /**
@@ -112,6 +114,15 @@
     pools.values().forEach(pool -> pool.setSlotShares(value));
   }
 
+  /**
+   * Sets the listener for upstreams to which a connection could not be opened or broke.
+   *
+   * @param value called before other requests are placed
+   */
+  public void setContactLostListener(Consumer<RegisteredUpstream> value) {
+    contactLost = value;
+  }
+
   private void applyPeerUsage() {
     for (PoolScheduler pool : pools.values()) {
       for (UpstreamState state : pool.upstreams()) {
@@ -186,6 +197,9 @@
    * @param now the current time
    */
   public void connectEnded(RegisteredUpstream upstream, boolean connected, long now) {
+    if (!connected) {
+      contactLost.accept(upstream);
+    }
     pool(upstream.pool()).connectEnded(upstream.id(), connected, now);
   }
 
@@ -282,6 +296,9 @@
     RunningCall call = running.remove(key);
     if (call != null) {
       usageChanges++;
+      if (ending.isConnectionLost()) {
+        contactLost.accept(call.state().upstream());
+      }
       pool(call.call().pool()).ended(call, ending, now);
     } else {
       pools.values().forEach(pool -> pool.remove(key));
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CallEnding.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CallEnding.java
@@ -34,6 +34,15 @@
     return failure;
   }
 
+  /**
+   * Returns whether the connection to the upstream broke or could not be opened.
+   *
+   * @return true if the upstream may have ended
+   */
+  public boolean isConnectionLost() {
+    return this == BROKEN || this == UNREACHABLE;
+  }
+
   /**
    * Returns whether the upstream was reachable when the request ended.
    *
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/UpstreamState.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/UpstreamState.java
@@ -192,8 +192,12 @@
     return Math.max(0, Math.min(slots - totalRunning(), slotShare - running));
   }
 
+  /**
+   * Returns whether the upstream may respond late because it has just started. An upstream whose
+   * rate is limited receives what it tolerates and is not avoided beyond that.
+   */
   boolean isCold(long nowNanos) {
-    return nowNanos < coldUntilNanos;
+    return nowNanos < coldUntilNanos && minSendIntervalNanos == 0;
   }
 
   /** Returns the expected time to the first event of a stream or to the complete response. */
--- a/org.cranberrystand/src/main/java/org/cranberrystand/event/LogEvent.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/event/LogEvent.java
@@ -101,7 +101,11 @@
   /** A request was sent through another node, which reaches the upstreams of its pool. */
   REQUEST_FORWARDED(5031, Severity.INFO, "request forwarded to another node"),
   /** An upstream stated, changed or withdrew the rate of refusals beyond which it fails. */
-  UPSTREAM_BRITTLE(5032, Severity.INFO, "refusal limit of an upstream changed");
+  UPSTREAM_BRITTLE(5032, Severity.INFO, "refusal limit of an upstream changed"),
+  /** An upstream counts as cold: it receives only as many requests as it tolerates. */
+  UPSTREAM_COLD(5040, Severity.INFO, "upstream counts as cold"),
+  /** An upstream no longer counts as cold. */
+  UPSTREAM_WARM(5041, Severity.INFO, "upstream no longer counts as cold");
 
   private final int number;
   private final Severity severity;
--- a/org.cranberrystand/src/main/java/org/cranberrystand/routing/ServicePool.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/routing/ServicePool.java
@@ -8,8 +8,10 @@
  *     together; 0 if unknown
  * @param engine whether its upstreams are model engines that batch requests
  * @param eventTokens the number of tokens in one event of an engine's stream; 0 if unknown
+ * @param coldStart how its upstreams behave after they start during traffic
  */
-public record ServicePool(String name, int maxConnections, boolean engine, int eventTokens) {
+public record ServicePool(
+    String name, int maxConnections, boolean engine, int eventTokens, ColdStart coldStart) {
   /** The rest of the connections are in use, or nodes do not know of each other yet. */
   private static final double IDLE_CONNECTION_FRACTION = 0.5;
 
--- a/org.cranberrystand/src/main/java/org/cranberrystand/upstream/RegisteredUpstream.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/upstream/RegisteredUpstream.java
@@ -11,7 +11,8 @@
  * @param slots the number of requests that it runs concurrently
  * @param startedAtMillis the wall-clock time of its start, which distinguishes two incarnations
  *     with the same identifier; 0 if unknown
- * @param coldRemainingMillis how long after its registration it still runs slowly, in milliseconds
+ * @param coldRemainingMillis how long after its registration it is still cold, in milliseconds;
+ *     {@link #COLD_UNKNOWN} if it does not say
  * @param leaving whether it accepts no new requests
  */
 public record RegisteredUpstream(
@@ -24,6 +25,8 @@
     long startedAtMillis,
     long coldRemainingMillis,
     boolean leaving) {
+  /** The registration does not say whether the upstream is cold. */
+  public static final long COLD_UNKNOWN = -1;
 
   /**
    * Returns a key of this incarnation, under which what is known of it is kept.
--- a/org.cranberrystand/src/test/java/org/cranberrystand/routing/ServicePoolTest.java
+++ b/org.cranberrystand/src/test/java/org/cranberrystand/routing/ServicePoolTest.java
@@ -7,7 +7,8 @@
 
 public final class ServicePoolTest {
   private static int idlePerNode(int maxConnections, int nodes) {
-    return new ServicePool("app", maxConnections, false, 0).idleConnectionsPerNode(nodes);
+    return new ServicePool("app", maxConnections, false, 0, ColdStart.NONE)
+        .idleConnectionsPerNode(nodes);
   }
 
   /** Guards against idle connections of a large fleet that make an upstream reset its requests. */
