--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/PoolScheduler.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/PoolScheduler.java
@@ -75,6 +75,9 @@
 
   private static final long MIN_RETRY_MILLIS = 150;
 
+  /** Longer than any interval at which a node may send requests to a limited upstream. */
+  private static final long MAX_SEND_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(20);
+
   /**
    * The upstreams that a request may be sent to now. {@code cacheHolder} is the upstream that
    * caches the prefix of the prompt; null if there is none, otherwise one of the candidates.
@@ -90,6 +93,10 @@
   private final TreeSet<WaitingCall> waiting = new TreeSet<>(WaitingCall.ORDER);
   private final Map<Long, WaitingCall> waitingByKey = new HashMap<>();
   private final Map<String, Long> pausedUntilNanos = new HashMap<>();
+
+  /** When requests were sent to incarnations that are not usable at the moment. */
+  private final Map<String, Long> sentNanosOfUnusable = new HashMap<>();
+
   private final SendRate sendRate = new SendRate();
   private final PoolReach reach = new PoolReach();
   private int preferredCount;
@@ -132,11 +139,19 @@
         if (pausedUntil != null) {
           state.pauseUntil(pausedUntil);
         }
+        Long sentNanos = sentNanosOfUnusable.remove(upstream.incarnationKey());
+        if (sentNanos != null) {
+          state.sentEarlier(sentNanos);
+        }
       }
       state.setUpstream(upstream);
       upstreams.put(upstream.id(), state);
     }
     old.keySet().forEach(ejections::forget);
+    for (UpstreamState state : old.values()) {
+      String incarnation = state.upstream().incarnationKey();
+      state.lastSentNanos().ifPresent(sent -> sentNanosOfUnusable.put(incarnation, sent));
+    }
     assumeAverageSpeeds();
   }
 
@@ -520,6 +535,7 @@
       }
     }
     pausedUntilNanos.values().removeIf(until -> nowNanos >= until);
+    sentNanosOfUnusable.values().removeIf(sent -> nowNanos - sent >= MAX_SEND_INTERVAL_NANOS);
     refuseOverdue(nowNanos);
     dispatchWaiting(nowNanos);
   }
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/UpstreamState.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/UpstreamState.java
@@ -1,6 +1,7 @@
 package org.cranberrystand.dispatch;
 
 import com.google.common.hash.Hashing;
+import java.util.OptionalLong;
 import org.cranberrystand.upstream.RegisteredUpstream;
 
 /**
@@ -210,6 +211,18 @@
     return FIRST_EVENT_BASE_NANOS + tokens * prefillNanosPerToken;
   }
 
+  /** Returns when the last request was sent; empty if none was. */
+  OptionalLong lastSentNanos() {
+    return sentBefore ? OptionalLong.of(lastSentNanos) : OptionalLong.empty();
+  }
+
+  /** Takes over when a request was sent before the upstream was unusable for some time. */
+  void sentEarlier(long sentNanos) {
+    sentBefore = true;
+    lastSentNanos = sentNanos;
+    updateLimitedUntil();
+  }
+
   /** Records that a request was sent, with the prompt tokens that need prefill. */
   void sent(long prefillTokens, long nowNanos) {
     running++;
--- a/org.cranberrystand/src/test/java/org/cranberrystand/dispatch/CallDispatcherTest.java
+++ b/org.cranberrystand/src/test/java/org/cranberrystand/dispatch/CallDispatcherTest.java
@@ -6,6 +6,7 @@
 import static org.testng.Assert.assertTrue;
 
 import com.google.common.collect.ImmutableMap;
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -69,6 +70,45 @@
     assertEquals(decisions.sentKeys().get(2 * SLOTS), 11L);
   }
 
+  /** Guards against an upstream that gets its share twice because it was unusable in between. */
+  @Test
+  public void sendIntervalHoldsAcrossUnusableTimes() {
+    dispatcher.upstreamsChanged(List.of(engine("a")), 0);
+    dispatcher.minSendIntervalsChanged(upstream -> 1_000 * MILLI);
+    dispatcher.submit(call(1, 0, 0), null, 0);
+    dispatcher.ended(1, CallEnding.ANSWERED, 100 * MILLI);
+    dispatcher.upstreamsChanged(List.of(), 200 * MILLI);
+    dispatcher.tick(250 * MILLI);
+    dispatcher.upstreamsChanged(List.of(engine("a")), 300 * MILLI);
+    dispatcher.submit(call(2, 0, 300), null, 300 * MILLI);
+    assertEquals(decisions.sentKeys(), List.of(1L));
+
+    dispatcher.tick(1_000 * MILLI);
+    assertEquals(decisions.sentKeys(), List.of(1L, 2L));
+  }
+
+  @DataProvider
+  public Object[][] endings() {
+    return new Object[][] {
+      {CallEnding.BROKEN, true},
+      {CallEnding.UNREACHABLE, true},
+      {CallEnding.SILENT, false},
+      {CallEnding.NOT_RUN, false},
+      {CallEnding.ANSWERED, false}
+    };
+  }
+
+  /** Guards against upstreams that may have started again and receive the usual rate. */
+  @Test(dataProvider = "endings")
+  public void lostConnectionIsReported(CallEnding ending, boolean isLost) {
+    List<String> lost = new ArrayList<>();
+    dispatcher.setContactLostListener(upstream -> lost.add(upstream.id()));
+    dispatcher.submit(call(1, 0, 0), "a", 0);
+    dispatcher.ended(1, ending, MILLI);
+
+    assertEquals(lost, isLost ? List.of("b") : List.of());
+  }
+
   /** Guards against nodes that use the same slot although they report their usage. */
   @Test
   public void slotsUsedByOtherNodesAreNotFree() {
