--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/FleetState.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/FleetState.java
@@ -3,17 +3,22 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.Maps;
 import com.google.common.collect.Sets;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.stream.Collectors;
 import org.cranberrystand.daemon.internal.EventLog;
 import org.cranberrystand.dispatch.CallDispatcher;
+import org.cranberrystand.dispatch.ColdUpstreams;
 import org.cranberrystand.event.LogEvent;
 import org.cranberrystand.routing.RoutingTable;
+import org.cranberrystand.routing.ServicePool;
 import org.cranberrystand.upstream.DrainTracker;
 import org.cranberrystand.upstream.RegisteredUpstream;
 import org.cranberrystand.upstream.UpstreamRegistry;
@@ -29,10 +34,12 @@
 final class FleetState implements PublishedFollower.Listener {
   private final PublishedDecoder decoder;
   private final CallDispatcher dispatcher;
+  private final ColdUpstreams cold;
   private final UpstreamClient client;
   private final GatewayMetrics metrics;
   private final EventLog log;
   private final UpstreamRegistry registry = new UpstreamRegistry(MonotonicClock.system());
+  private final Map<String, ImmutableList<String>> ignoredFields = new HashMap<>();
   private final AtomicReference<RoutingTable> routing = new AtomicReference<>();
   private final AtomicReference<PublishedState> published =
       new AtomicReference<>(PublishedState.EMPTY);
@@ -43,11 +50,13 @@
   FleetState(
       PublishedDecoder decoder,
       CallDispatcher dispatcher,
+      ColdUpstreams cold,
       UpstreamClient client,
       GatewayMetrics metrics,
       EventLog log) {
     this.decoder = decoder;
     this.dispatcher = dispatcher;
+    this.cold = cold;
     this.client = client;
     this.metrics = metrics;
     this.log = log;
@@ -96,6 +105,7 @@
       if (!change.isDeleted()) {
         apply(change, registered, evacuations);
       } else if (!id.isEmpty()) {
+        ignoredFields.remove(change.key());
         registry.removed(id, System.nanoTime());
       } else {
         registry.evacuationEnded(decoder.evacuatedDomain(change.key()));
@@ -112,8 +122,11 @@
       PublishedValue value, List<RegisteredUpstream> registered, Set<String> evacuations) {
     PublishedDecoder.Decoded decoded = decoder.decode(value);
     if (decoded instanceof PublishedDecoder.Declaration declaration) {
+      logIgnoredFields(value, declaration.ignoredFields());
       applyDeclaration(declaration.table(), value.revision());
     } else if (decoded instanceof PublishedDecoder.Registration registration) {
+      logIgnoredFields(value, registration.ignoredFields());
+      cold.registered(registration.upstream(), value.revision(), System.nanoTime());
       registered.add(registration.upstream());
     } else if (decoded instanceof PublishedDecoder.Evacuation evacuation) {
       evacuations.add(evacuation.domain());
@@ -124,10 +137,27 @@
     }
   }
 
+  /** Logs values that cannot be used, once until they change. */
+  private void logIgnoredFields(PublishedValue value, ImmutableList<String> fields) {
+    if (fields.isEmpty()) {
+      ignoredFields.remove(value.key());
+    } else if (!fields.equals(ignoredFields.put(value.key(), fields))) {
+      log.write(
+          LogEvent.VALUE_IGNORED,
+          "key="
+              + value.key()
+              + " revision="
+              + value.revision()
+              + " cause=fields cannot be used: "
+              + String.join(", ", fields));
+    }
+  }
+
   private void applyDeclaration(RoutingTable table, long revision) {
     RoutingTable current = routing.get();
     if (current == null || table.version() > current.version()) {
       routing.set(table);
+      cold.declared(Maps.transformValues(table.pools(), ServicePool::coldStart));
       log.write(
           LogEvent.ROUTING_IN_FORCE,
           "version="
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Gateway.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Gateway.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.atomic.AtomicReference;
 import org.cranberrystand.daemon.internal.EventLog;
 import org.cranberrystand.dispatch.CallDispatcher;
+import org.cranberrystand.dispatch.ColdUpstreams;
 import org.cranberrystand.dispatch.QuotaLedger;
 import org.cranberrystand.dispatch.RetryAllowance;
 import org.cranberrystand.dispatch.StreamOrigins;
@@ -126,7 +127,8 @@
             log);
     this.crashes = new CrashDetector(loop, client, log);
     crashes.setRefusalListener(admission::refuseQuarantined);
-    this.fleet = new FleetState(ports.decoder(), dispatcher, client, metrics, log);
+    ColdUpstreams cold = new ColdUpstreams(settings.limits().coldTolerance());
+    this.fleet = new FleetState(ports.decoder(), dispatcher, cold, client, metrics, log);
     this.reach =
         new ReachMonitor(dispatcher, client, fleet, metrics, log, admission::forwardWaiting);
     this.callers = new CallerServer(loop, this::callerLimits, admission::handleRequest);
@@ -137,7 +139,7 @@
     peers.setUpstreamDomains(fleet::failureDomain);
     this.targets = new PeerTargets(peers, seedHosts(settings), incarnation);
     this.forwarding = createForwarding(ports.headers());
-    this.limiter = new RateLimiter(dispatcher, peers, log);
+    this.limiter = new RateLimiter(dispatcher, peers, cold, fleet, log);
     this.brittle = new BrittleUpstreams(dispatcher, peers, fleet, log);
     this.reports = createReports();
     this.streams = new StreamLookup(new StreamQuestions());
@@ -153,7 +155,7 @@
             quotas,
             retries,
             crashes,
-            new UpstreamSignals(fleet, dispatcher, limiter.statements(), brittle, log),
+            new UpstreamSignals(fleet, dispatcher, limiter, brittle, log),
             forwarding,
             streams,
             fleet::routing,
@@ -339,6 +341,7 @@
       lag.tick(now);
       ticks++;
       reports.tick(now);
+      limiter.tick(now);
       dispatcher.tick(now);
       followStandstill(now);
       streams.tick(now);
@@ -386,6 +389,7 @@
     metrics.setLoad(
         dispatcher.waitingCount(), dispatcher.runningCount(), callers.connectionCount(), nodeCount);
     metrics.setLimitedUpstreams(limiter.statements().limitedCount());
+    metrics.setColdUpstreams(limiter.coldCount());
     metrics.setQuarantined(crashes.refusedCount());
     offer.set(buildOffer(now));
     follower.setRole(StoreRole.of(peers, now));
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/UpstreamState.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/UpstreamState.java
@@ -1,6 +1,7 @@
 package org.cranberrystand.dispatch;
 
 import com.google.common.hash.Hashing;
+import java.util.OptionalLong;
 import org.cranberrystand.upstream.RegisteredUpstream;
 
 /**
@@ -193,8 +194,12 @@
     return Math.max(0, Math.min(slots - totalRunning(), slotShare - running));
   }
 
+  /**
+   * Returns whether the upstream may respond late because it has just started. An upstream whose
+   * rate is limited receives what it tolerates and is not avoided beyond that.
+   */
   boolean isCold(long nowNanos) {
-    return nowNanos < coldUntilNanos;
+    return nowNanos < coldUntilNanos && minSendIntervalNanos == 0;
   }
 
   /** Records how long work currently takes on the VM of the upstream. */
@@ -217,6 +222,18 @@
     return (FIRST_EVENT_BASE_NANOS + tokens * prefillNanosPerToken) * slowdown(nowNanos);
   }
 
+  /** Returns when the last request was sent; empty if none was. */
+  OptionalLong lastSentNanos() {
+    return sentBefore ? OptionalLong.of(lastSentNanos) : OptionalLong.empty();
+  }
+
+  /** Takes over when a request was sent before the upstream was unusable for some time. */
+  void sentEarlier(long sentNanos) {
+    sentBefore = true;
+    lastSentNanos = sentNanos;
+    updateLimitedUntil();
+  }
+
   /** Records that a request was sent, with the prompt tokens that need prefill. */
   void sent(long prefillTokens, long nowNanos) {
     running++;
--- a/org.cranberrystand/src/main/java/org/cranberrystand/event/LogEvent.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/event/LogEvent.java
@@ -113,7 +113,11 @@
   /** The node places requests again after it stood still. */
   PLACEMENT_RESUMED(5044, Severity.INFO, "placement resumed"),
   /** The store did not confirm the state of a node that stood still. */
-  STATE_NOT_CONFIRMED(5045, Severity.INFO, "state not confirmed by the store");
+  STATE_NOT_CONFIRMED(5045, Severity.INFO, "state not confirmed by the store"),
+  /** An upstream counts as cold: it receives only as many requests as it tolerates. */
+  UPSTREAM_COLD(5046, Severity.INFO, "upstream counts as cold"),
+  /** An upstream no longer counts as cold. */
+  UPSTREAM_WARM(5047, Severity.INFO, "upstream no longer counts as cold");
 
   private final int number;
   private final Severity severity;
