Move the fair queue to a package of its own

The queue of the request scheduler is generic now, so that the dispatcher of calls can use the same class. Behaviour of the scheduler is unchanged.

--- /dev/null
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/fairness/package-info.java
@@ -0,0 +1,2 @@
+/** Sharing of the capacity of a pool among teams by weighted token cost. */
+package org.cranberrystand.fairness;
--- a/org.cranberrystand/src/main/java/org/cranberrystand/schedule/DrainRates.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/schedule/DrainRates.java
@@ -3,6 +3,7 @@
 import java.util.EnumMap;
 import java.util.Map;
 import org.cranberrystand.bundle.Tier;
+import org.cranberrystand.fairness.FairQueue;
 
 /**
  * Estimates how fast the queue of each tier drains, in tokens per second.
@@ -53,7 +54,7 @@
   }
 
   /** Takes a sample from each sampling interval that has ended and starts the next one. */
-  void update(Map<Tier, FairQueue> queues, long nowNanos) {
+  void update(Map<Tier, FairQueue<QueuedItem>> queues, long nowNanos) {
     rates.forEach((tier, rate) -> update(rate, !queues.get(tier).isEmpty(), nowNanos));
   }
 
--- a/org.cranberrystand/src/main/java/org/cranberrystand/schedule/PoolDispatcher.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/schedule/PoolDispatcher.java
@@ -12,6 +12,7 @@
 import java.util.function.ToDoubleFunction;
 import org.cranberrystand.bundle.Bundle;
 import org.cranberrystand.bundle.Tier;
+import org.cranberrystand.fairness.FairQueue;
 import org.cranberrystand.outcome.NotRunReason;
 import org.cranberrystand.upstream.UpstreamRecord;
 
@@ -49,7 +50,7 @@
   private final SchedulerOptions options;
   private final EnginePool enginePool;
   private final DecisionHandler decisions;
-  private final Map<Tier, FairQueue> queues = new EnumMap<>(Tier.class);
+  private final Map<Tier, FairQueue<QueuedItem>> queues = new EnumMap<>(Tier.class);
   private final Map<Tier, TeamShares> teamShares = new EnumMap<>(Tier.class);
   private final Map<Tier, Long> lastShedNanos = new EnumMap<>(Tier.class);
   private final Map<Tier, Integer> runningByTier = new EnumMap<>(Tier.class);
@@ -79,7 +80,7 @@
     this.lastAdjustmentNanos = nowNanos;
     this.lastRefreshNanos = nowNanos;
     for (Tier tier : Tier.values()) {
-      queues.put(tier, new FairQueue(options.has(SchedulerFeature.FAIR_QUEUEING), weights));
+      queues.put(tier, new FairQueue<>(options.has(SchedulerFeature.FAIR_QUEUEING), weights));
       teamShares.put(tier, new TeamShares(weights));
       lastShedNanos.put(tier, Long.MIN_VALUE / 2);
       runningByTier.put(tier, 0);
@@ -90,7 +91,7 @@
     return enginePool;
   }
 
-  FairQueue queue(Tier tier) {
+  FairQueue<QueuedItem> queue(Tier tier) {
     return queues.get(tier);
   }
 
@@ -152,7 +153,7 @@
   }
 
   private void shedIfOverloaded(QueuedItem queued, Tier tier, long nowNanos) {
-    FairQueue queue = queues.get(tier);
+    FairQueue<QueuedItem> queue = queues.get(tier);
     if (wasHigherTierShed(tier, nowNanos)) {
       queue.remove(queued);
       reject(
@@ -215,7 +216,7 @@
 
   private void shed(QueuedItem queued, NotRunReason reason, String detail, long nowNanos) {
     Tier tier = effectiveTier(queued);
-    FairQueue queue = queues.get(tier);
+    FairQueue<QueuedItem> queue = queues.get(tier);
     boolean aboveShare = queue.isAboveShare(queued.item().team());
     queue.remove(queued);
     boolean mayHandOver =
@@ -255,7 +256,7 @@
 
   /** Refunds a request that its upstream refused and requeues it at the front for its team. */
   void requeue(QueuedItem queued) {
-    FairQueue queue = queues.get(effectiveTier(queued));
+    FairQueue<QueuedItem> queue = queues.get(effectiveTier(queued));
     queue.charge(queued.item().team(), -queued.costTokens());
     queue.add(queued, true);
     dispatchNeeded = true;
@@ -380,11 +381,11 @@
   }
 
   private boolean isNextGuaranteed(Tier tier, long nowNanos) {
-    FairQueue queue = queues.get(tier);
+    FairQueue<QueuedItem> queue = queues.get(tier);
     if (queue.isEmpty() || (isUncontended(tier) && !wasHigherTierShed(tier, nowNanos))) {
       return false;
     }
-    String team = queue.peek(queue.isLongPrefillNext()).item().team();
+    String team = queue.peek(queue.isSecondLaneNext()).item().team();
     return tierGuarantee.isWithinGuarantee(
         tier, teamShares.get(tier).isUnderserved(team, nowNanos));
   }
@@ -419,11 +420,11 @@
 
   private boolean dispatchFrom(
       Tier tier, boolean guaranteed, EnumSet<Tier> blocked, long nowNanos) {
-    FairQueue queue = queues.get(tier);
+    FairQueue<QueuedItem> queue = queues.get(tier);
     if (queue.isEmpty() || blocked.contains(tier)) {
       return false;
     }
-    boolean longPrefillNext = queue.isLongPrefillNext();
+    boolean longPrefillNext = queue.isSecondLaneNext();
     if (dispatchHead(queue, longPrefillNext, guaranteed, nowNanos)
         || dispatchHead(queue, !longPrefillNext, guaranteed, nowNanos)) {
       return true;
@@ -433,7 +434,7 @@
   }
 
   private boolean dispatchHead(
-      FairQueue queue, boolean longPrefill, boolean guaranteed, long nowNanos) {
+      FairQueue<QueuedItem> queue, boolean longPrefill, boolean guaranteed, long nowNanos) {
     QueuedItem queued = queue.peek(longPrefill);
     EnginePool.Placement placement =
         queued == null ? null : enginePool.choose(queued, guaranteed, nowNanos);
--- a/org.cranberrystand/src/main/java/org/cranberrystand/schedule/QueuedItem.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/schedule/QueuedItem.java
@@ -1,9 +1,10 @@
 package org.cranberrystand.schedule;
 
 import org.cranberrystand.bundle.Tier;
+import org.cranberrystand.fairness.FairItem;
 
 /** A request to be dispatched, with its estimated cost and queueing state. Not thread-safe. */
-final class QueuedItem {
+final class QueuedItem implements FairItem {
   private final WorkItem item;
   private final double expectedOutputTokens;
   private final boolean longPrefill;
@@ -31,8 +32,14 @@
     return expectedOutputTokens;
   }
 
+  @Override
+  public String team() {
+    return item.team();
+  }
+
   /** Returns the estimated cost in tokens, at least 1. */
-  double costTokens() {
+  @Override
+  public double costTokens() {
     return Math.max(1, item.promptTokens() + expectedOutputTokens);
   }
 
@@ -40,7 +47,19 @@
     return longPrefill;
   }
 
-  long queuedNanos() {
+  /** Returns true for a long prefill, which waits apart so that it does not block short ones. */
+  @Override
+  public boolean isInSecondLane() {
+    return longPrefill;
+  }
+
+  @Override
+  public long deadlineNanos() {
+    return item.deadlineNanos();
+  }
+
+  @Override
+  public long queuedNanos() {
     return queuedNanos;
   }
 
@@ -48,7 +67,8 @@
     return queued;
   }
 
-  void setQueued(boolean value) {
+  @Override
+  public void setQueued(boolean value) {
     queued = value;
   }
 
--- a/org.cranberrystand/src/test/java/org/cranberrystand/schedule/FairQueueTest.java
+++ b/org.cranberrystand/src/test/java/org/cranberrystand/fairness/FairQueueTest.java
@@ -1,31 +1,68 @@
-package org.cranberrystand.schedule;
+package org.cranberrystand.fairness;
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
 import java.util.HashMap;
 import java.util.Map;
-import org.cranberrystand.bundle.WorkKind;
 import org.testng.annotations.Test;
 
 /** Tests of {@link FairQueue}. */
 public class FairQueueTest {
-  private static final WorkKind KIND = WorkKind.builder("question").pool("engines").build();
-  private long nextKey;
+  /** A request of a team. */
+  private static final class Item implements FairItem {
+    private final String team;
+    private final double costTokens;
+    private boolean queued;
 
-  private QueuedItem item(String team, int prompt) {
-    WorkItem item = WorkItem.builder(nextKey++, KIND).shop("shop", team).tokens(prompt, 0).build();
-    return new QueuedItem(item, 100, false, nextKey);
+    Item(String team, double costTokens) {
+      this.team = team;
+      this.costTokens = costTokens;
+    }
+
+    @Override
+    public String team() {
+      return team;
+    }
+
+    @Override
+    public double costTokens() {
+      return costTokens;
+    }
+
+    @Override
+    public boolean isInSecondLane() {
+      return false;
+    }
+
+    @Override
+    public long queuedNanos() {
+      return 0;
+    }
+
+    @Override
+    public long deadlineNanos() {
+      return Long.MAX_VALUE;
+    }
+
+    @Override
+    public void setQueued(boolean value) {
+      queued = value;
+    }
+  }
+
+  private static Item item(String team, int prompt) {
+    return new Item(team, prompt + 100);
   }
 
-  private static Map<String, Double> serve(FairQueue queue, double tokens) {
+  private static Map<String, Double> serve(FairQueue<Item> queue, double tokens) {
     Map<String, Double> served = new HashMap<>();
     double sum = 0;
     while (sum < tokens) {
-      QueuedItem next = queue.peek(false);
+      Item next = queue.peek(false);
       queue.removeDispatched(next);
-      served.merge(next.item().team(), next.costTokens(), Double::sum);
-      sum += next.costTokens();
+      served.merge(next.team, next.costTokens, Double::sum);
+      sum += next.costTokens;
     }
     return served;
   }
@@ -36,7 +73,7 @@
    */
   @Test
   public void backloggedTeamsAreServedByWeightedTokens() {
-    FairQueue queue = new FairQueue(true, team -> team.equals("heavy") ? 2 : 1);
+    FairQueue<Item> queue = new FairQueue<>(true, team -> team.equals("heavy") ? 2 : 1);
     for (int i = 0; i < 2_000; i++) {
       queue.add(item("heavy", 300), false);
       queue.add(item("long", 1_900), false);
@@ -50,21 +87,21 @@
   /** Guards against a new team having to wait for the backlog of a large team. */
   @Test
   public void newTeamIsServedNext() {
-    FairQueue queue = new FairQueue(true, team -> 1);
+    FairQueue<Item> queue = new FairQueue<>(true, team -> 1);
     for (int i = 0; i < 1_000; i++) {
       queue.add(item("large", 400), false);
     }
     serve(queue, 100_000);
-    QueuedItem small = item("small", 400);
+    Item small = item("small", 400);
     queue.add(small, false);
     serve(queue, 600);
-    assertTrue(!small.isQueued() || queue.peek(false) == small);
+    assertTrue(!small.queued || queue.peek(false) == small);
   }
 
   /** Guards against a team getting more service by spreading its requests over many nodes. */
   @Test
   public void serviceOnOtherNodesCounts() {
-    FairQueue queue = new FairQueue(true, team -> 1);
+    FairQueue<Item> queue = new FairQueue<>(true, team -> 1);
     for (int i = 0; i < 5_000; i++) {
       queue.add(item("spread", 400), false);
       queue.add(item("local", 400), false);
@@ -81,18 +118,18 @@
   /** Guards against evicting requests of a team with a small backlog. */
   @Test
   public void evictionTakesFromTheLargestBacklog() {
-    FairQueue queue = new FairQueue(true, team -> 1);
+    FairQueue<Item> queue = new FairQueue<>(true, team -> 1);
     queue.add(item("small", 100), false);
     for (int i = 0; i < 10; i++) {
       queue.add(item("large", 100), false);
     }
-    assertEquals(queue.evictionCandidate().item().team(), "large");
+    assertEquals(queue.evictionCandidate().team, "large");
   }
 
   /** Guards against a memory leak: 24,000 teams that went idle must not keep queue state. */
   @Test
   public void idleTeamsAreForgotten() {
-    FairQueue queue = new FairQueue(true, team -> 1);
+    FairQueue<Item> queue = new FairQueue<>(true, team -> 1);
     for (int i = 0; i < 24_000; i++) {
       queue.add(item("team-" + i, 100), false);
     }
