Share the slots of a pool among teams

Requests of a pool waited by priority and target alone, so a large team took the slots of small ones.

Requests of a team now wait in a fair queue for each priority, charged by tokens and weight. If the queue is too long, the last request of the team with the largest backlog for its weight is refused. Requests without a team are queued as before. TeamShares and TeamUsage move to the package of the fair queue.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Admission.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Admission.java
@@ -59,6 +59,9 @@
   /** Route priorities are below this limit, so the priority of the team outranks them. */
   private static final int ROUTE_PRIORITY_LIMIT = 64;
 
+  /** The platform declares no weights, so all teams of a priority have equal shares. */
+  private static final double TEAM_WEIGHT = 1;
+
   /** Interval, in admitted requests, at which finished relays are removed. */
   private static final int SWEEP_INTERVAL_REQUESTS = 16;
 
@@ -243,6 +246,7 @@
             arrival,
             arrival + TimeUnit.MILLISECONDS.toNanos(route.targetMillis()),
             arrival + TimeUnit.MILLISECONDS.toNanos(waitMillis))
+        .team(team.map(TeamPolicy::name).orElse(""), TEAM_WEIGHT, caller.quotaTokens())
         .build();
   }
 
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CallSpec.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CallSpec.java
@@ -23,6 +23,9 @@
   private final long arrivalNanos;
   private final long targetNanos;
   private final long deadlineNanos;
+  private final String team;
+  private final double teamWeight;
+  private final long costTokens;
 
   private CallSpec(Builder builder) {
     this.key = builder.key;
@@ -39,6 +42,9 @@
     this.arrivalNanos = builder.arrivalNanos;
     this.targetNanos = builder.targetNanos;
     this.deadlineNanos = builder.deadlineNanos;
+    this.team = builder.team;
+    this.teamWeight = builder.teamWeight;
+    this.costTokens = builder.costTokens;
   }
 
   /**
@@ -85,6 +91,7 @@
         .prefix(prefixKey, prefixTokens)
         .streamTiming(gapTargetNanos, maxFirstEventWaitNanos)
         .times(arrivalNanos, targetNanos, deadlineNanos)
+        .team(team, teamWeight, costTokens)
         .build();
   }
 
@@ -145,6 +152,26 @@
     return deadlineNanos;
   }
 
+  /** Returns the team that shares the pool with others; empty if the request has none. */
+  public String team() {
+    return team;
+  }
+
+  /** Returns whether the request has a team. */
+  public boolean hasTeam() {
+    return !team.isEmpty();
+  }
+
+  /** Returns the weight of the team among the teams of its priority. */
+  public double teamWeight() {
+    return teamWeight;
+  }
+
+  /** Returns the cost that is charged to the team, in tokens. */
+  public double costTokens() {
+    return (double) costTokens;
+  }
+
   /** Builder of {@link CallSpec}. */
   public static final class Builder {
     private final long key;
@@ -161,6 +188,9 @@
     private long arrivalNanos;
     private long targetNanos = Long.MAX_VALUE;
     private long deadlineNanos = Long.MAX_VALUE;
+    private String team = "";
+    private double teamWeight = 1;
+    private long costTokens = 1;
 
     private Builder(long key, String pool) {
       this.key = key;
@@ -255,6 +285,21 @@
       return this;
     }
 
+    /**
+     * Sets the team that shares the pool with others; by default, the request has none.
+     *
+     * @param name the name of the team
+     * @param weight the weight of the team among the teams of its priority, above 0
+     * @param tokens the cost of the request in tokens; at least 1 is charged
+     * @return this builder
+     */
+    public Builder team(String name, double weight, long tokens) {
+      this.team = name;
+      this.teamWeight = weight;
+      this.costTokens = Math.max(1, tokens);
+      return this;
+    }
+
     /**
      * Creates the request.
      *
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/PoolScheduler.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/PoolScheduler.java
@@ -10,7 +10,6 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.SplittableRandom;
-import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
@@ -87,8 +86,7 @@
   private final SplittableRandom random;
   private final EjectionPolicy ejections;
   private final Map<String, UpstreamState> upstreams = new LinkedHashMap<>();
-  private final TreeSet<WaitingCall> waiting = new TreeSet<>(WaitingCall.ORDER);
-  private final Map<Long, WaitingCall> waitingByKey = new HashMap<>();
+  private final CallQueue waiting = new CallQueue();
   private final Map<String, Long> pausedUntilNanos = new HashMap<>();
   private final SendRate sendRate = new SendRate();
   private final PoolReach reach = new PoolReach();
@@ -210,6 +208,9 @@
   /** Queues a request that certainly has not run. */
   void submit(CallSpec call, String excludedUpstream, long nowNanos) {
     boolean late = nowNanos > latestStartNanos(call);
+    if (call.hasTeam()) {
+      waiting.arrived(call, nowNanos);
+    }
     submit(new WaitingCall(call, excludedUpstream, false, latestWaitNanos(call), late), nowNanos);
   }
 
@@ -229,9 +230,14 @@
       refuse(call, NotRunReason.NO_UPSTREAM, nowNanos);
       return;
     }
-    add(entry);
+    waiting.add(entry);
     dispatchWaiting(nowNanos);
-    if (!waitingByKey.containsKey(call.key())) {
+    if (!waiting.contains(call.key())) {
+      return;
+    }
+    if (entry.sharesFairly()) {
+      refuseHopeless(entry, nowNanos);
+      refuseHopeless(waiting.lastOfLargestBacklog(entry), nowNanos);
       return;
     }
     double startNanos =
@@ -244,6 +250,21 @@
     }
   }
 
+  /** Refuses a queued request of a team if its turn would come too late. */
+  private void refuseHopeless(WaitingCall entry, long nowNanos) {
+    if (entry == null || !waiting.contains(entry.call().key())) {
+      return;
+    }
+    double startNanos =
+        Math.max(
+            nowNanos + waiting.teamWaitNanos(entry, sendRate.perSecond(nowNanos), nowNanos),
+            (double) nextOpeningNanos(entry.call(), nowNanos));
+    if (startNanos > entry.latestWaitNanos()) {
+      waiting.remove(entry.call().key());
+      refuse(entry.call(), NotRunReason.OVERLOADED, nowNanos);
+    }
+  }
+
   private Stream<UpstreamState> accepted(CallSpec call) {
     return upstreams.values().stream().filter(state -> call.accepts(state.upstream()));
   }
@@ -282,13 +303,7 @@
   }
 
   boolean remove(long key) {
-    WaitingCall entry = waitingByKey.remove(key);
-    return entry != null && waiting.remove(entry);
-  }
-
-  private void add(WaitingCall entry) {
-    waiting.add(entry);
-    waitingByKey.put(entry.call().key(), entry);
+    return waiting.remove(key);
   }
 
   /** Sends as many waiting requests as there are free slots, in queue order. */
@@ -310,15 +325,15 @@
     if (free.isEmpty()) {
       return null;
     }
-    for (WaitingCall entry : waiting) {
-      UpstreamState cacheHolder = findCacheHolder(entry, free);
-      List<UpstreamState> candidates =
-          free.stream().filter(state -> mayUse(entry, state, cacheHolder, nowNanos)).toList();
-      if (!candidates.isEmpty()) {
-        return new PlacementOptions(entry.call(), cacheHolder, candidates);
-      }
-    }
-    return null;
+    return waiting.findFirst(
+        entry -> {
+          UpstreamState cacheHolder = findCacheHolder(entry, free);
+          List<UpstreamState> candidates =
+              free.stream().filter(state -> mayUse(entry, state, cacheHolder, nowNanos)).toList();
+          return candidates.isEmpty()
+              ? null
+              : new PlacementOptions(entry.call(), cacheHolder, candidates);
+        });
   }
 
   private boolean mayUse(
@@ -353,7 +368,7 @@
     int cachedTokens = chosen == options.cacheHolder() ? call.prefixTokens() : 0;
     PlacementChoice choice =
         placementChoice(chosen, call, cachedTokens, options.candidates().size());
-    remove(call.key());
+    waiting.removeSent(call.key(), nowNanos);
     chosen.sent((long) call.promptTokens() - cachedTokens, nowNanos);
     sendRate.sent(nowNanos);
     started.accept(new RunningCall(call, chosen, cachedTokens, nowNanos));
@@ -492,8 +507,7 @@
   }
 
   private double expectedWaitNanos(WaitingCall entry, long nowNanos) {
-    int ahead = waiting.headSet(entry).size() + 1;
-    return ahead / sendRate.perSecond(nowNanos) * 1e9;
+    return waiting.orderedPosition(entry) / sendRate.perSecond(nowNanos) * 1e9;
   }
 
   private void refuse(CallSpec call, NotRunReason reason, long nowNanos) {
@@ -520,14 +534,15 @@
       }
     }
     pausedUntilNanos.values().removeIf(until -> nowNanos >= until);
+    waiting.refresh(nowNanos);
     refuseOverdue(nowNanos);
     dispatchWaiting(nowNanos);
   }
 
   private void refuseOverdue(long nowNanos) {
-    for (WaitingCall entry : List.copyOf(waiting)) {
+    for (WaitingCall entry : waiting.ordered()) {
       CallSpec call = entry.call();
-      if (!waiting.contains(entry)) {
+      if (!waiting.contains(call.key())) {
         // The output may have cancelled or sent other requests during a refusal.
         continue;
       }
@@ -535,10 +550,15 @@
         remove(call.key());
         refuse(call, NotRunReason.OVERLOADED, nowNanos);
       } else if (!entry.isLate() && nowNanos > latestStartNanos(call)) {
-        remove(call.key());
-        add(entry.asLate());
+        waiting.remove(call.key());
+        waiting.add(entry.asLate());
       }
     }
+    CallSpec overdue;
+    while ((overdue = waiting.takeOverdue(nowNanos)) != null) {
+      refuse(overdue, NotRunReason.OVERLOADED, nowNanos);
+    }
+    waiting.moveLate(call -> nowNanos > latestStartNanos(call));
   }
 
   /** Records the end of a request at its upstream. */
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/WaitingCall.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/WaitingCall.java
@@ -1,9 +1,10 @@
 package org.cranberrystand.dispatch;
 
 import java.util.Comparator;
+import org.cranberrystand.fairness.FairItem;
 
 /** A queued request that waits for a slot. Immutable. */
-final class WaitingCall {
+final class WaitingCall implements FairItem {
   /**
    * Requests that may have run go first, then those that can still meet their target, then by
    * priority, then by target.
@@ -67,4 +68,40 @@
   WaitingCall asLate() {
     return new WaitingCall(call, excludedUpstream, mayHaveRun, latestWaitNanos, true);
   }
+
+  /** Returns whether the request waits in the fair queue of its priority. */
+  boolean sharesFairly() {
+    return call.hasTeam() && !mayHaveRun;
+  }
+
+  @Override
+  public String team() {
+    return call.team();
+  }
+
+  @Override
+  public double costTokens() {
+    return call.costTokens();
+  }
+
+  /** Returns true for late requests, which wait behind those of their team that can be on time. */
+  @Override
+  public boolean isInSecondLane() {
+    return late;
+  }
+
+  @Override
+  public long queuedNanos() {
+    return call.arrivalNanos();
+  }
+
+  @Override
+  public long deadlineNanos() {
+    return latestWaitNanos;
+  }
+
+  @Override
+  public void setQueued(boolean value) {
+    // The queue of calls finds its entries by key.
+  }
 }
--- a/org.cranberrystand/src/main/java/org/cranberrystand/fairness/FairQueue.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/fairness/FairQueue.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.TreeSet;
 import java.util.function.Function;
+import java.util.function.Predicate;
 import java.util.function.ToDoubleFunction;
 
 /**
@@ -353,6 +354,58 @@
     return firstLast.queuedNanos() > secondLast.queuedNanos() ? firstLast : secondLast;
   }
 
+  /**
+   * Adds the first requests of the lanes of all teams that satisfy a condition to a list.
+   *
+   * @param secondLane whether to search the second lanes
+   * @param condition the condition; the first request of a lane that does not satisfy it ends the
+   *     search of the lane
+   * @param found receives the requests
+   */
+  public void collectHeads(boolean secondLane, Predicate<? super E> condition, List<E> found) {
+    int index = secondLane ? 1 : 0;
+    for (TeamEntry<E> team : lanesByVirtualTime.get(index)) {
+      for (Node<E> node : team.lanes.get(index)) {
+        if (!condition.test(node.item())) {
+          break;
+        }
+        found.add(node.item());
+      }
+    }
+  }
+
+  /**
+   * Returns the estimated cost of the queued requests of a team.
+   *
+   * @param name the team
+   * @return the cost in tokens
+   */
+  public double backlogTokens(String name) {
+    TeamEntry<E> team = teams.get(teamKey(name));
+    return team == null ? 0 : team.backlogTokens;
+  }
+
+  /**
+   * Returns the weighted share of a team among the teams with queued requests.
+   *
+   * @param name the team
+   * @return a fraction; 1 if no team has queued requests
+   */
+  public double waitingFraction(String name) {
+    TeamEntry<E> team = teams.get(teamKey(name));
+    return team == null || activeWeight <= 0 ? 1 : Math.min(1, team.weight / activeWeight);
+  }
+
+  /**
+   * Returns whether the queue keeps state of a team.
+   *
+   * @param name the team
+   * @return true if it does
+   */
+  public boolean knows(String name) {
+    return teams.containsKey(teamKey(name));
+  }
+
   /** Returns a copy of all queued requests. */
   public List<E> items() {
     List<E> result = new ArrayList<>(size());
--- a/org.cranberrystand/src/main/java/org/cranberrystand/schedule/TeamUsage.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/fairness/TeamUsage.java
@@ -1,4 +1,4 @@
-package org.cranberrystand.schedule;
+package org.cranberrystand.fairness;
 
 import com.google.common.collect.ImmutableMap;
 import java.util.Comparator;
@@ -10,7 +10,7 @@
  *
  * <p>Not thread-safe.
  */
-final class TeamUsage {
+public final class TeamUsage {
   private static final double TIME_CONSTANT_SECONDS = 5;
   private static final double NANOS_PER_SECOND = 1e9;
   private static final double IDLE_BELOW_TOKENS = 0.5;
@@ -28,7 +28,14 @@
   private final Map<String, DecayingSum> sumByTeam = new HashMap<>();
   private final DecayingSum total = new DecayingSum();
 
-  void recordService(String team, double tokens, long nowNanos) {
+  /**
+   * Records service of a team.
+   *
+   * @param team the team
+   * @param tokens the cost of the service; negative for a refund
+   * @param nowNanos the current time
+   */
+  public void recordService(String team, double tokens, long nowNanos) {
     DecayingSum sum = sumByTeam.computeIfAbsent(team, name -> new DecayingSum());
     sum.tokens = Math.max(0, sum.decayedTokens(nowNanos) + tokens);
     sum.updatedNanos = nowNanos;
@@ -36,22 +43,45 @@
     total.updatedNanos = nowNanos;
   }
 
-  double totalTokensPerSecond(long nowNanos) {
+  /**
+   * Returns the recent service of all teams.
+   *
+   * @param nowNanos the current time
+   * @return tokens per second
+   */
+  public double totalTokensPerSecond(long nowNanos) {
     return total.decayedTokens(nowNanos) / TIME_CONSTANT_SECONDS;
   }
 
-  double tokensPerSecond(String team, long nowNanos) {
+  /**
+   * Returns the recent service of a team.
+   *
+   * @param team the team
+   * @param nowNanos the current time
+   * @return tokens per second; 0 if it is unknown
+   */
+  public double tokensPerSecond(String team, long nowNanos) {
     DecayingSum sum = sumByTeam.get(team);
     return sum == null ? 0 : sum.decayedTokens(nowNanos) / TIME_CONSTANT_SECONDS;
   }
 
-  /** Removes teams without recent service. */
-  void removeIdle(long nowNanos) {
+  /**
+   * Removes teams without recent service.
+   *
+   * @param nowNanos the current time
+   */
+  public void removeIdle(long nowNanos) {
     sumByTeam.values().removeIf(r -> r.decayedTokens(nowNanos) < IDLE_BELOW_TOKENS);
   }
 
-  /** Returns the rates in tokens per second of the teams with the most service. */
-  ImmutableMap<String, Long> largestTeams(int limit, long nowNanos) {
+  /**
+   * Returns the teams with the most service.
+   *
+   * @param limit the largest number of teams
+   * @param nowNanos the current time
+   * @return tokens per second, by team
+   */
+  public ImmutableMap<String, Long> largestTeams(int limit, long nowNanos) {
     removeIdle(nowNanos);
     return sumByTeam.entrySet().stream()
         .sorted(
--- a/org.cranberrystand/src/main/java/org/cranberrystand/schedule/PoolDispatcher.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/schedule/PoolDispatcher.java
@@ -13,6 +13,7 @@
 import org.cranberrystand.bundle.Bundle;
 import org.cranberrystand.bundle.Tier;
 import org.cranberrystand.fairness.FairQueue;
+import org.cranberrystand.fairness.TeamShares;
 import org.cranberrystand.outcome.NotRunReason;
 import org.cranberrystand.upstream.UpstreamRecord;
 
--- a/org.cranberrystand/src/main/java/org/cranberrystand/schedule/RequestTable.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/schedule/RequestTable.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import org.cranberrystand.bundle.Tier;
 import org.cranberrystand.dispatch.RetryAllowance;
+import org.cranberrystand.fairness.TeamUsage;
 import org.cranberrystand.outcome.NotRunReason;
 
 /**
