Count what teams use at other nodes in their shares

The quota ledger now tells the dispatcher what teams with a quota used at other nodes; there is no new report field. Each node limits the rate at which it sends requests of teams above their share while the fleet uses more than a target below the slots of the pool. Teams within their share are not refused on arrival.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Gateway.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Gateway.java
@@ -96,6 +96,7 @@
     this.admission = new Admission(incarnation);
     this.dispatcher = new CallDispatcher(admission, incarnation);
     this.quotas = new QuotaLedger(settings.limits().quotaTolerance(), settings.startsWithFleet());
+    quotas.setUsageListener(dispatcher::usedElsewhere);
     this.retries =
         RetryAllowance.ofFleet(settings.limits().retryRatio(), settings.limits().retrySlack());
     UpstreamClient client =
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CallDispatcher.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CallDispatcher.java
@@ -34,6 +34,7 @@
   private Predicate<String> isPreferred = id -> true;
   private ToLongFunction<RegisteredUpstream> minSendIntervals = upstream -> 0;
   private ToIntFunction<RegisteredUpstream> slotShares = upstream -> Integer.MAX_VALUE;
+  private final Map<String, Double> usedElsewhereTokens = new HashMap<>();
   private long usageChanges;
 
   /**
@@ -112,6 +113,42 @@
     pools.values().forEach(pool -> pool.setSlotShares(value));
   }
 
+  /**
+   * Records what a team used at other nodes; it counts in the share of the team.
+   *
+   * @param team the team
+   * @param tokens the cost of the requests in tokens; negative for a refund
+   */
+  public void usedElsewhere(String team, double tokens) {
+    usedElsewhereTokens.merge(team, tokens, Double::sum);
+  }
+
+  /**
+   * Divides the usage of teams at other nodes, which is reported without the pool, among the pools
+   * as this node uses them.
+   */
+  private void applyUsedElsewhere(long now) {
+    usedElsewhereTokens.forEach(
+        (team, tokens) -> {
+          double ofTeam = 0;
+          double ofAll = 0;
+          for (PoolScheduler pool : pools.values()) {
+            ofTeam += pool.queue().load().ownTokensPerSecond(team, now);
+            ofAll += pool.queue().load().ownTokensPerSecond(now);
+          }
+          for (PoolScheduler pool : pools.values()) {
+            double part =
+                ofTeam > 0
+                    ? pool.queue().load().ownTokensPerSecond(team, now) / ofTeam
+                    : pool.queue().load().ownTokensPerSecond(now) / ofAll;
+            if (part > 0) {
+              pool.queue().usedElsewhere(team, tokens * part, now);
+            }
+          }
+        });
+    usedElsewhereTokens.clear();
+  }
+
   private void applyPeerUsage() {
     for (PoolScheduler pool : pools.values()) {
       for (UpstreamState state : pool.upstreams()) {
@@ -295,6 +332,7 @@
    * @param now the current time
    */
   public void tick(long now) {
+    applyUsedElsewhere(now);
     for (PoolScheduler pool : pools.values()) {
       pool.tick(runningIn(pool), now);
     }
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CallQueue.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CallQueue.java
@@ -1,6 +1,7 @@
 package org.cranberrystand.dispatch;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Iterator;
@@ -33,6 +34,7 @@
   private final Map<Long, WaitingCall> byKey = new HashMap<>();
   private final Map<String, Double> weights = new HashMap<>();
   private final TeamLoad load = new TeamLoad();
+  private final ShareControl control = new ShareControl();
   private final List<WaitingCall> becameLate = new ArrayList<>();
   private long refreshedNanos;
 
@@ -81,6 +83,9 @@
   void removeSent(long key, long nowNanos) {
     WaitingCall entry = byKey.remove(key);
     if (entry.call().hasTeam()) {
+      if (isAboveShare(entry.call(), nowNanos)) {
+        control.sent(nowNanos);
+      }
       load.sent(entry.call(), nowNanos);
     }
     if (entry.sharesFairly()) {
@@ -102,7 +107,10 @@
    * @param function returns null to continue
    * @return the first result; null if there is none
    */
-  <R> R findFirst(Function<WaitingCall, R> function) {
+  <R> R findFirst(long nowNanos, Function<WaitingCall, R> function) {
+    Predicate<WaitingCall> serves =
+        entry -> control.permits() || !isAboveShare(entry.call(), nowNanos);
+
     if (fairByPriority.isEmpty()) {
       return findIn(ordered.iterator(), function);
     }
@@ -115,8 +123,8 @@
         break;
       }
     }
-    R onTime = findByPriority(false, function);
-    return onTime == null ? findByPriority(true, function) : onTime;
+    R onTime = findByPriority(false, serves, function);
+    return onTime == null ? findByPriority(true, serves, function) : onTime;
   }
 
   private static <R> R findIn(Iterator<WaitingCall> entries, Function<WaitingCall, R> function) {
@@ -130,7 +138,8 @@
   }
 
   /** Searches the requests that are on time, or those that are late, by priority. */
-  private <R> R findByPriority(boolean late, Function<WaitingCall, R> function) {
+  private <R> R findByPriority(
+      boolean late, Predicate<WaitingCall> serves, Function<WaitingCall, R> function) {
     Iterator<WaitingCall> teamless =
         ordered.stream().filter(w -> !w.mayHaveRun() && w.isLate() == late).iterator();
     WaitingCall next = teamless.hasNext() ? teamless.next() : null;
@@ -147,7 +156,7 @@
         }
         next = teamless.hasNext() ? teamless.next() : null;
       }
-      R result = findIn(queue, late, function);
+      R result = findIn(queue, late, serves, function);
       if (result != null) {
         return result;
       }
@@ -168,14 +177,18 @@
    * requests of those that are on time.
    */
   private static <R> R findIn(
-      FairQueue<WaitingCall> queue, boolean late, Function<WaitingCall, R> function) {
+      FairQueue<WaitingCall> queue,
+      boolean late,
+      Predicate<WaitingCall> serves,
+      Function<WaitingCall, R> function) {
     if (!late && queue.isSecondLaneNext()) {
-      R result = function.apply(queue.peek(true));
+      WaitingCall lateHead = queue.peek(true);
+      R result = serves.test(lateHead) ? function.apply(lateHead) : null;
       if (result != null) {
         return result;
       }
     }
-    return queue.findFirst(late, function);
+    return queue.findFirst(late, serves, function);
   }
 
   /** Returns the requests without a team, and those that may have run. */
@@ -213,6 +226,26 @@
     becameLate.clear();
   }
 
+  /** Records what a team used at other nodes. */
+  void usedElsewhere(String team, double tokens, long nowNanos) {
+    load.usedElsewhere(team, tokens, nowNanos);
+    fairByPriority.values().forEach(queue -> queue.chargeRemote(team, tokens));
+  }
+
+  /** Returns whether a request is of a team that wants more than its share. */
+  boolean isAboveShare(CallSpec call, long nowNanos) {
+    return call.hasTeam() && load.isAboveShare(call.team(), control.occupancy(), nowNanos);
+  }
+
+  /** Returns whether a request is of a team that wants no more than its share. */
+  boolean isWithinShare(CallSpec call, long nowNanos) {
+    return load.isWithinShare(call.team(), control.occupancy(), nowNanos);
+  }
+
+  TeamLoad load() {
+    return load;
+  }
+
   /** Estimates how long the last request of a team waits for its turn. */
   double teamWaitNanos(WaitingCall entry, double callsPerSecond, long nowNanos) {
     FairQueue<WaitingCall> queue = fairQueue(entry);
@@ -227,8 +260,28 @@
     return fairQueue(entry).evictionCandidate();
   }
 
+  /** Adjusts the limits of teams to the usage of the upstreams. */
+  void update(Collection<UpstreamState> upstreams, long nowNanos) {
+    control.update(upstreams, fairCallsPerSecond(nowNanos), nowNanos);
+    refresh(nowNanos);
+  }
+
+  /** Sums up what the shares of the waiting teams above their share allow this node. */
+  private double fairCallsPerSecond(long nowNanos) {
+    double sum = 0;
+    for (FairQueue<WaitingCall> queue : fairByPriority.values()) {
+      sum +=
+          queue.sumOverWaitingTeams(
+              team ->
+                  load.isAboveShare(team, control.occupancy(), nowNanos)
+                      ? load.ownFairCallsPerSecond(team, control.occupancy(), nowNanos)
+                      : 0);
+    }
+    return sum;
+  }
+
   /** Forgets teams that no longer use the pool, at intervals. */
-  void refresh(long nowNanos) {
+  private void refresh(long nowNanos) {
     if (fairByPriority.isEmpty() || nowNanos - refreshedNanos < REFRESH_NANOS) {
       return;
     }
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/PoolScheduler.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/PoolScheduler.java
@@ -250,9 +250,11 @@
     }
   }
 
-  /** Refuses a queued request of a team if its turn would come too late. */
+  /** Refuses a queued request of a team beyond its share if its turn would come too late. */
   private void refuseHopeless(WaitingCall entry, long nowNanos) {
-    if (entry == null || !waiting.contains(entry.call().key())) {
+    if (entry == null
+        || !waiting.contains(entry.call().key())
+        || waiting.isWithinShare(entry.call(), nowNanos)) {
       return;
     }
     double startNanos =
@@ -326,6 +328,7 @@
       return null;
     }
     return waiting.findFirst(
+        nowNanos,
         entry -> {
           UpstreamState cacheHolder = findCacheHolder(entry, free);
           List<UpstreamState> candidates =
@@ -336,6 +339,11 @@
         });
   }
 
+  /** Returns the waiting requests and the recent load of their teams. */
+  CallQueue queue() {
+    return waiting;
+  }
+
   private boolean mayUse(
       WaitingCall entry, UpstreamState state, UpstreamState cacheHolder, long now) {
     boolean reserved = isNonPreferred(state) && state != cacheHolder;
@@ -534,7 +542,7 @@
       }
     }
     pausedUntilNanos.values().removeIf(until -> nowNanos >= until);
-    waiting.refresh(nowNanos);
+    waiting.update(upstreams.values(), nowNanos);
     refuseOverdue(nowNanos);
     dispatchWaiting(nowNanos);
   }
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/QuotaLedger.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/QuotaLedger.java
@@ -4,6 +4,7 @@
 import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.ObjDoubleConsumer;
 import org.cranberrystand.routing.TeamPolicy;
 import org.cranberrystand.routing.TokenQuota;
 
@@ -128,6 +129,7 @@
   private final QuotaTolerance tolerance;
   private final boolean startsWithFleet;
   private QuotaReports reports = QuotaReports.DIRECT;
+  private ObjDoubleConsumer<String> usageListener = (team, tokens) -> {};
   private double visibleFraction = 1;
 
   /**
@@ -151,6 +153,16 @@
     visibleFraction = value;
   }
 
+  /**
+   * Sets the listener that is told what teams with a quota used at other nodes.
+   *
+   * @param value receives the team and its tokens; requests of a team whose quota counts requests
+   *     are told as 1 token each
+   */
+  public void setUsageListener(ObjDoubleConsumer<String> value) {
+    usageListener = value;
+  }
+
   /**
    * Sets how this node learns of the usage of other nodes.
    *
@@ -271,6 +283,7 @@
           if (bucket != null) {
             bucket.refill(nowNanos);
             bucket.consume(increase, coverage);
+            usageListener.accept(team, increase);
           }
         });
   }
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/TeamLoad.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/TeamLoad.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import org.cranberrystand.fairness.TeamShares;
+import org.cranberrystand.fairness.TeamUsage;
 
 /**
  * The recent load of the teams of one pool on this node, from which the rate at which a team is
@@ -12,7 +13,12 @@
   /** Weight of a new request in the average cost. */
   private static final double SMOOTHING_FACTOR = 0.05;
 
+  /** Random arrivals make the measured demand of a team vary by about a tenth. */
+  private static final double ABOVE_SHARE_FACTOR = 1.2;
+
   private final Map<String, Double> weights = new HashMap<>();
+  private final TeamShares fleetShares = new TeamShares(team -> weights.getOrDefault(team, 1.0));
+  private final TeamUsage demand = new TeamUsage();
   private final TeamShares shares = new TeamShares(team -> weights.getOrDefault(team, 1.0));
   private double meanCostTokens;
 
@@ -24,6 +30,8 @@
       weights.put(call.team(), call.teamWeight());
     }
     shares.recordArrival(call.team(), nowNanos);
+    fleetShares.recordArrival(call.team(), nowNanos);
+    demand.recordService(call.team(), call.costTokens(), nowNanos);
     meanCostTokens =
         meanCostTokens == 0
             ? call.costTokens()
@@ -33,6 +41,60 @@
   /** Records that a request was sent to an upstream. */
   void sent(CallSpec call, long nowNanos) {
     shares.recordService(call.team(), call.costTokens(), nowNanos);
+    fleetShares.recordService(call.team(), call.costTokens(), nowNanos);
+  }
+
+  /** Records what a team used at other nodes. */
+  void usedElsewhere(String team, double tokens, long nowNanos) {
+    fleetShares.recordArrival(team, nowNanos);
+    fleetShares.recordService(team, tokens, nowNanos);
+    demand.recordService(team, tokens, nowNanos);
+  }
+
+  /** Returns the tokens that a team recently used on this node, per second. */
+  double ownTokensPerSecond(String team, long nowNanos) {
+    return shares.tokensPerSecond(team, nowNanos);
+  }
+
+  /** Returns the tokens that all teams recently used on this node, per second. */
+  double ownTokensPerSecond(long nowNanos) {
+    return shares.totalTokensPerSecond(nowNanos);
+  }
+
+  /**
+   * Returns whether a team wants more than its share of what the fleet can serve.
+   *
+   * @param occupancy the fraction of the slots of the pool that is in use
+   */
+  boolean isAboveShare(String team, double occupancy, long nowNanos) {
+    return fleetShares.fairFraction(team) < 1 && !isWithinShare(team, occupancy, nowNanos);
+  }
+
+  /** Returns whether other teams use the pool and a team wants no more than its share. */
+  boolean isWithinShare(String team, double occupancy, long nowNanos) {
+    return fleetShares.fairFraction(team) < 1
+        && demand.tokensPerSecond(team, nowNanos)
+            <= ABOVE_SHARE_FACTOR * fairTokensPerSecond(team, occupancy, nowNanos);
+  }
+
+  private double fairTokensPerSecond(String team, double occupancy, long nowNanos) {
+    double capacityTokensPerSecond = fleetShares.totalTokensPerSecond(nowNanos) / occupancy;
+    return fleetShares.fairFraction(team) * capacityTokensPerSecond;
+  }
+
+  /**
+   * Returns the part of the share of a team that this node may use, by its part of what the team
+   * used.
+   *
+   * @return requests per second
+   */
+  double ownFairCallsPerSecond(String team, double occupancy, long nowNanos) {
+    double total = fleetShares.tokensPerSecond(team, nowNanos);
+    if (total <= 0 || meanCostTokens <= 0) {
+      return 0;
+    }
+    double part = shares.tokensPerSecond(team, nowNanos) / total;
+    return fairTokensPerSecond(team, occupancy, nowNanos) * part / meanCostTokens;
   }
 
   /**
@@ -55,5 +117,7 @@
   /** Forgets teams without recent service. */
   void refresh(long nowNanos) {
     shares.refresh(nowNanos);
+    fleetShares.refresh(nowNanos);
+    demand.removeIdle(nowNanos);
   }
 }
--- a/org.cranberrystand/src/main/java/org/cranberrystand/fairness/TeamShares.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/fairness/TeamShares.java
@@ -104,6 +104,27 @@
     return total <= 0 ? 0 : Math.min(1, usage.tokensPerSecond(team, nowNanos) / total);
   }
 
+  /**
+   * Returns the recent service of a team.
+   *
+   * @param team the team
+   * @param nowNanos the current time
+   * @return tokens per second
+   */
+  public double tokensPerSecond(String team, long nowNanos) {
+    return usage.tokensPerSecond(team, nowNanos);
+  }
+
+  /**
+   * Returns the recent service of all teams.
+   *
+   * @param nowNanos the current time
+   * @return tokens per second
+   */
+  public double totalTokensPerSecond(long nowNanos) {
+    return usage.totalTokensPerSecond(nowNanos);
+  }
+
   /**
    * Removes teams without recent service.
    *
--- a/org.cranberrystand/src/test/java/org/cranberrystand/dispatch/QuotaLedgerTest.java
+++ b/org.cranberrystand/src/test/java/org/cranberrystand/dispatch/QuotaLedgerTest.java
@@ -6,6 +6,8 @@
 
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.OptionalInt;
 import java.util.Random;
 import org.cranberrystand.routing.TeamPolicy;
@@ -38,6 +40,25 @@
     assertEquals(admitted(ledger, 50, SECOND / 2), 5);
   }
 
+  /** Guards against a share of a team that ignores, or counts twice, what it used elsewhere. */
+  @Test
+  public void listenerIsToldTheIncreaseOfUsageOfOtherNodes() {
+    QuotaLedger ledger = new QuotaLedger(NONE, false);
+    List<Double> told = new ArrayList<>();
+    ledger.setUsageListener((team, tokens) -> told.add(tokens));
+    admitted(ledger, 1, 0);
+    for (double used : new double[] {500, 800, 800, 700}) {
+      ledger.reported(
+          "n2/1",
+          QuotaLedger.Coverage.OWN_CELL,
+          ImmutableMap.of("estrela", used),
+          ImmutableMap.of(),
+          0);
+    }
+
+    assertEquals(told, List.of(300.0, 0.0, -100.0));
+  }
+
   /** Guards against a team that gets its full quota from every node. */
   @Test
   public void usageOfOtherNodesCounts() {
--- a/org.cranberrystand/src/test/java/org/cranberrystand/dispatch/TeamSharesTest.java
+++ b/org.cranberrystand/src/test/java/org/cranberrystand/dispatch/TeamSharesTest.java
@@ -18,6 +18,8 @@
   private static final double SMALL_PER_SECOND = 7;
   private static final int SLOTS = 24;
   private static final int SECONDS = 60;
+  private static final int FLEET_SECONDS = 30;
+  private static final long REPORT_AGE_MILLIS = 400;
 
   @DataProvider
   public Object[][] largeTeamRates() {
@@ -56,4 +58,50 @@
 
     assertSmallTeamsAreServed(outcomes, "large team " + largePerSecond + "/s");
   }
+
+  @DataProvider
+  public Object[][] fleets() {
+    return new Object[][] {{8, 20, -1}, {8, 20, 0}, {8, 60, -1}, {8, 60, 0}, {8, 240, 0}};
+  }
+
+  /**
+   * Guards against small teams that lose requests to a large team on other nodes, or on one, about
+   * which nodes learn late. The pool and the load grow with the fleet.
+   */
+  @Test(dataProvider = "fleets")
+  public void teamsBelowTheirShareAreServedByFleet(int nodes, int largePerSecond, int largeNode) {
+    assertSmallTeamsAreServed(
+        playFleet(nodes, largePerSecond, largeNode),
+        nodes + " nodes, large team " + largePerSecond + "/s at node " + largeNode);
+  }
+
+  @DataProvider
+  public Object[][] largeFleets() {
+    return new Object[][] {
+      {8, 240, -1},
+      {90, 20, -1},
+      {90, 20, 0},
+      {90, 60, -1},
+      {90, 60, 0},
+      {90, 240, -1},
+      {90, 240, 0}
+    };
+  }
+
+  /** Guards against the same as {@link #teamsBelowTheirShareAreServedByFleet}. */
+  @Test(dataProvider = "largeFleets")
+  public void teamsBelowTheirShareAreServedByLargeFleet(
+      int nodes, int largePerSecond, int largeNode) {
+    assertSmallTeamsAreServed(
+        playFleet(nodes, largePerSecond, largeNode),
+        nodes + " nodes, large team " + largePerSecond + "/s at node " + largeNode);
+  }
+
+  private static Map<String, TeamLoadSimulation.Outcome> playFleet(
+      int nodes, int largePerSecond, int largeNode) {
+    int scale = nodes <= 8 ? 1 : nodes / 8;
+    TeamLoadSimulation simulation =
+        new TeamLoadSimulation(nodes, SLOTS * scale, REPORT_AGE_MILLIS, nodes + largePerSecond);
+    return simulation.play(teams(scale, largePerSecond, largeNode), FLEET_SECONDS);
+  }
 }
