--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/FleetState.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/FleetState.java
@@ -214,6 +214,11 @@
   /** Applies the end of an evacuation, after which upstreams of the domain may be cold. */
   private void evacuationEnded(String domain, String source) {
     log.write(LogEvent.EVACUATION_ENDED, evacuationFields(domain, source));
+    List<RegisteredUpstream> returning =
+        registry.usable().stream()
+            .filter(upstream -> upstream.failureDomain().equals(domain))
+            .toList();
+    cold.treatAsCold(returning, ColdUpstreams.Cause.EVACUATION_ENDED, System.nanoTime());
   }
 
   private String evacuationFields(String domain, String source) {
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Gateway.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Gateway.java
@@ -115,6 +115,7 @@
               settings.limits().evacuateMillis() / EVACUATE_STANDSTILL_DIVISOR));
     }
     this.quotas = new QuotaLedger(settings.limits().quotaTolerance(), settings.startsWithFleet());
+    quotas.setUsageListener(dispatcher::usedElsewhere);
     this.retries =
         RetryAllowance.ofFleet(settings.limits().retryRatio(), settings.limits().retrySlack());
     UpstreamClient client =
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CallDispatcher.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CallDispatcher.java
@@ -38,6 +38,7 @@
   private ToLongFunction<RegisteredUpstream> minSendIntervals = upstream -> 0;
   private ToIntFunction<RegisteredUpstream> slotShares = upstream -> Integer.MAX_VALUE;
   private Consumer<RegisteredUpstream> contactLost = upstream -> {};
+  private final Map<String, Double> usedElsewhereTokens = new HashMap<>();
   private long usageChanges;
 
   /**
@@ -191,7 +192,8 @@
   }
 
   /**
-   * Sets the listener for upstreams to which a connection could not be opened or broke.
+   * Sets the listener for upstreams to which no connection could be opened. One that only broke
+   * does not count, because sound upstreams reset connections too.
    *
    * @param value called before other requests are placed
    */
@@ -199,6 +201,42 @@
     contactLost = value;
   }
 
+  /**
+   * Records what a team used at other nodes; it counts in the share of the team.
+   *
+   * @param team the team
+   * @param tokens the cost of the requests in tokens; negative for a refund
+   */
+  public void usedElsewhere(String team, double tokens) {
+    usedElsewhereTokens.merge(team, tokens, Double::sum);
+  }
+
+  /**
+   * Divides the usage of teams at other nodes, which is reported without the pool, among the pools
+   * as this node uses them.
+   */
+  private void applyUsedElsewhere(long now) {
+    usedElsewhereTokens.forEach(
+        (team, tokens) -> {
+          double ofTeam = 0;
+          double ofAll = 0;
+          for (PoolScheduler pool : pools.values()) {
+            ofTeam += pool.queue().load().ownTokensPerSecond(team, now);
+            ofAll += pool.queue().load().ownTokensPerSecond(now);
+          }
+          for (PoolScheduler pool : pools.values()) {
+            double part =
+                ofTeam > 0
+                    ? pool.queue().load().ownTokensPerSecond(team, now) / ofTeam
+                    : pool.queue().load().ownTokensPerSecond(now) / ofAll;
+            if (part > 0) {
+              pool.queue().usedElsewhere(team, tokens * part, now);
+            }
+          }
+        });
+    usedElsewhereTokens.clear();
+  }
+
   private void applyPeerUsage() {
     for (PoolScheduler pool : pools.values()) {
       for (UpstreamState state : pool.upstreams()) {
@@ -372,9 +410,6 @@
     RunningCall call = running.remove(key);
     if (call != null) {
       usageChanges++;
-      if (ending.isConnectionLost()) {
-        contactLost.accept(call.state().upstream());
-      }
       pool(call.call().pool()).ended(call, ending, now);
     } else {
       pools.values().forEach(pool -> pool.remove(key));
@@ -389,6 +424,7 @@
    */
   public void tick(long now) {
     hold.tick(now);
+    applyUsedElsewhere(now);
     for (PoolScheduler pool : pools.values()) {
       pool.tick(runningIn(pool), now);
     }
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/ColdUpstreams.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/ColdUpstreams.java
@@ -34,7 +34,7 @@
     RESPONSE,
     /** It started again. */
     INCARNATION,
-    /** A connection to it could not be opened or broke. */
+    /** A connection to it could not be opened. */
     CONTACT_LOST,
     /** The evacuation of its failure domain ended. */
     EVACUATION_ENDED,
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/PoolScheduler.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/PoolScheduler.java
@@ -10,7 +10,6 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.SplittableRandom;
-import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
@@ -50,19 +49,6 @@
   /** Computing a shorter prefix again costs less than placement at a busier upstream. */
   private static final int MIN_PREFIX_TOKENS = 200;
 
-  /** Silence after which a streaming upstream counts as stalled; many times the gap target. */
-  private static final long STREAM_STALL_NANOS = 900_000_000L;
-
-  /**
-   * A refused caller is told to retry after a random fraction of its remaining time. Callers retry
-   * once, so an early retry would still meet the burst, and retries must not arrive together.
-   */
-  private static final double MIN_RETRY_FRACTION = 0.15;
-
-  private static final double MAX_RETRY_FRACTION = 0.32;
-
-  private static final long MIN_RETRY_MILLIS = 150;
-
   /** Longer than any interval at which a node may send requests to a limited upstream. */
   private static final long MAX_SEND_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(20);
 
@@ -78,8 +64,7 @@
   private final SplittableRandom random;
   private final EjectionPolicy ejections;
   private final Map<String, UpstreamState> upstreams = new LinkedHashMap<>();
-  private final TreeSet<WaitingCall> waiting = new TreeSet<>(WaitingCall.ORDER);
-  private final Map<Long, WaitingCall> waitingByKey = new HashMap<>();
+  private final CallQueue waiting = new CallQueue();
   private final Map<String, Long> pausedUntilNanos = new HashMap<>();
 
   /** When requests were sent to incarnations that are not usable at the moment. */
@@ -234,6 +219,9 @@
   /** Queues a request that certainly has not run. */
   void submit(CallSpec call, String excludedUpstream, long nowNanos) {
     boolean late = nowNanos > latestStartNanos(call);
+    if (call.hasTeam()) {
+      waiting.arrived(call, nowNanos);
+    }
     submit(new WaitingCall(call, excludedUpstream, false, latestWaitNanos(call), late), nowNanos);
   }
 
@@ -253,9 +241,14 @@
       refuse(call, NotRunReason.NO_UPSTREAM, nowNanos);
       return;
     }
-    add(entry);
+    waiting.add(entry);
     dispatchWaiting(nowNanos);
-    if (!waitingByKey.containsKey(call.key())) {
+    if (!waiting.contains(call.key())) {
+      return;
+    }
+    if (entry.sharesFairly()) {
+      refuseHopeless(entry, nowNanos);
+      refuseHopeless(waiting.lastOfLargestBacklog(entry), nowNanos);
       return;
     }
     double startNanos =
@@ -268,6 +261,23 @@
     }
   }
 
+  /** Refuses a queued request of a team beyond its share if its turn would come too late. */
+  private void refuseHopeless(WaitingCall entry, long nowNanos) {
+    if (entry == null
+        || !waiting.contains(entry.call().key())
+        || waiting.isWithinShare(entry.call(), nowNanos)) {
+      return;
+    }
+    double startNanos =
+        Math.max(
+            nowNanos + waiting.teamWaitNanos(entry, sendRate.perSecond(nowNanos), nowNanos),
+            (double) nextOpeningNanos(entry.call(), nowNanos));
+    if (startNanos > entry.latestWaitNanos()) {
+      waiting.remove(entry.call().key());
+      refuse(entry.call(), NotRunReason.OVERLOADED, nowNanos);
+    }
+  }
+
   private Stream<UpstreamState> accepted(CallSpec call) {
     return upstreams.values().stream().filter(state -> call.accepts(state.upstream()));
   }
@@ -307,13 +317,7 @@
   }
 
   boolean remove(long key) {
-    WaitingCall entry = waitingByKey.remove(key);
-    return entry != null && waiting.remove(entry);
-  }
-
-  private void add(WaitingCall entry) {
-    waiting.add(entry);
-    waitingByKey.put(entry.call().key(), entry);
+    return waiting.remove(key);
   }
 
   int slots() {
@@ -330,9 +334,9 @@
   void refuseUnservable(double remainingFraction, long nowNanos) {
     double perSecond = sendRate.perSecond(nowNanos) * remainingFraction;
     int ahead = 0;
-    for (WaitingCall entry : List.copyOf(waiting)) {
+    for (WaitingCall entry : waiting.all()) {
       CallSpec call = entry.call();
-      if (!waiting.contains(entry)) {
+      if (!waiting.contains(call.key())) {
         // The output may have cancelled or sent other requests during a refusal.
         continue;
       }
@@ -371,15 +375,21 @@
     if (free.isEmpty()) {
       return null;
     }
-    for (WaitingCall entry : waiting) {
-      UpstreamState cacheHolder = findCacheHolder(entry, free);
-      List<UpstreamState> candidates =
-          free.stream().filter(state -> mayUse(entry, state, cacheHolder, nowNanos)).toList();
-      if (!candidates.isEmpty()) {
-        return new PlacementOptions(entry.call(), cacheHolder, candidates);
-      }
-    }
-    return null;
+    return waiting.findFirst(
+        nowNanos,
+        entry -> {
+          UpstreamState cacheHolder = findCacheHolder(entry, free);
+          List<UpstreamState> candidates =
+              free.stream().filter(state -> mayUse(entry, state, cacheHolder, nowNanos)).toList();
+          return candidates.isEmpty()
+              ? null
+              : new PlacementOptions(entry.call(), cacheHolder, candidates);
+        });
+  }
+
+  /** Returns the waiting requests and the recent load of their teams. */
+  CallQueue queue() {
+    return waiting;
   }
 
   private boolean mayUse(
@@ -414,7 +424,7 @@
     int cachedTokens = chosen == options.cacheHolder() ? call.prefixTokens() : 0;
     PlacementChoice choice =
         placementChoice(chosen, call, cachedTokens, options.candidates().size(), nowNanos);
-    remove(call.key());
+    waiting.removeSent(call.key(), nowNanos);
     chosen.sent((long) call.promptTokens() - cachedTokens, nowNanos);
     sendRate.sent(nowNanos);
     started.accept(new RunningCall(call, chosen, cachedTokens, nowNanos));
@@ -515,18 +525,18 @@
   }
 
   private double expectedWaitNanos(WaitingCall entry, long nowNanos) {
-    int ahead = waiting.headSet(entry).size() + 1;
-    return ahead / sendRate.perSecond(nowNanos) * 1e9;
+    return waiting.orderedPosition(entry) / sendRate.perSecond(nowNanos) * 1e9;
   }
 
   private void refuse(CallSpec call, NotRunReason reason, long nowNanos) {
-    double remainingMillis = (call.deadlineNanos() - nowNanos) / NANOS_PER_MILLI;
-    double fraction =
-        MIN_RETRY_FRACTION + (MAX_RETRY_FRACTION - MIN_RETRY_FRACTION) * random.nextDouble();
-    long opening = nextOpeningNanos(call, nowNanos);
-    double closedMillis = opening == Long.MAX_VALUE ? 0 : (opening - nowNanos) / NANOS_PER_MILLI;
-    double retryMillis = Math.max(remainingMillis * fraction, closedMillis);
-    output.refuse(call, reason, (long) Math.max(MIN_RETRY_MILLIS, retryMillis));
+    long openingNanos = nextOpeningNanos(call, nowNanos);
+    output.refuse(
+        call,
+        reason,
+        RetryTime.millis(
+            call.deadlineNanos() - nowNanos,
+            openingNanos == Long.MAX_VALUE ? 0 : openingNanos - nowNanos,
+            random.nextDouble()));
   }
 
   void tick(Collection<RunningCall> running, long nowNanos) {
@@ -534,24 +544,21 @@
       state.setAdmittedFraction(ejections.admittedFraction(state.upstream().id(), nowNanos));
     }
     for (RunningCall call : running) {
-      boolean stalled =
-          call.isDecoding()
-              && nowNanos - Math.max(call.firstEventNanos(), call.state().lastReceivedNanos())
-                  > STREAM_STALL_NANOS;
-      if (stalled) {
+      if (call.isStalled(nowNanos)) {
         call.state().unreachable(nowNanos);
       }
     }
     pausedUntilNanos.values().removeIf(until -> nowNanos >= until);
     sentNanosOfUnusable.values().removeIf(sent -> nowNanos - sent >= MAX_SEND_INTERVAL_NANOS);
+    waiting.update(upstreams.values(), nowNanos);
     refuseOverdue(nowNanos);
     dispatchWaiting(nowNanos);
   }
 
   private void refuseOverdue(long nowNanos) {
-    for (WaitingCall entry : List.copyOf(waiting)) {
+    for (WaitingCall entry : waiting.ordered()) {
       CallSpec call = entry.call();
-      if (!waiting.contains(entry)) {
+      if (!waiting.contains(call.key())) {
         // The output may have cancelled or sent other requests during a refusal.
         continue;
       }
@@ -559,10 +566,15 @@
         remove(call.key());
         refuse(call, NotRunReason.OVERLOADED, nowNanos);
       } else if (!entry.isLate() && nowNanos > latestStartNanos(call)) {
-        remove(call.key());
-        add(entry.asLate());
+        waiting.remove(call.key());
+        waiting.add(entry.asLate());
       }
     }
+    CallSpec overdue;
+    while ((overdue = waiting.takeOverdue(nowNanos)) != null) {
+      refuse(overdue, NotRunReason.OVERLOADED, nowNanos);
+    }
+    waiting.moveLate(call -> nowNanos > latestStartNanos(call));
   }
 
   /** Records the end of a request at its upstream. */
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/RunningCall.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/RunningCall.java
@@ -2,6 +2,9 @@
 
 /** A request that was sent to an upstream and has not ended. Not thread-safe. */
 final class RunningCall {
+  /** Silence after which a streaming upstream counts as stalled; many times the gap target. */
+  private static final long STREAM_STALL_NANOS = 900_000_000L;
+
   /** Streams with fewer events give no reliable mean interval. */
   private static final int MIN_EVENTS_FOR_INTERVAL = 5;
 
@@ -64,4 +67,10 @@
       state.eventIntervalObserved((double) (lastEventNanos - firstEventNanos) / (events - 1));
     }
   }
+
+  /** Returns whether the stream has begun and nothing has come from its upstream for long. */
+  boolean isStalled(long nowNanos) {
+    return isDecoding()
+        && nowNanos - Math.max(firstEventNanos(), state().lastReceivedNanos()) > STREAM_STALL_NANOS;
+  }
 }
