--- a/org.cranberrystand.wire/src/test/java/org/cranberrystand/wire/settings/GatewaySettingsParserTest.java
+++ b/org.cranberrystand.wire/src/test/java/org/cranberrystand/wire/settings/GatewaySettingsParserTest.java
@@ -32,6 +32,21 @@
     assertEquals(settings.listen().callers().getPort(), 0);
   }
 
+  /** Guards against settings of earlier deployments, which do not evacuate, being refused. */
+  @Test
+  public void evacuationTimeIsOptional() throws IOException {
+    String text = Files.readString(TRAINING_SETTINGS);
+    assertEquals(evacuateMillis(text), 0);
+    assertEquals(evacuateMillis(text + "\n[limits]\nevacuate_ms = 5000"), 5_000);
+    List<String> keys =
+        findings(text + "\n[limits]\nevacuate_ms = -1").stream().map(Finding::key).toList();
+    assertEquals(keys, List.of("limits.evacuate_ms"));
+  }
+
+  private static long evacuateMillis(String text) {
+    return GatewaySettingsParser.parse("node.toml", text).orElseThrow().limits().evacuateMillis();
+  }
+
   /** Guards against defects that are reported only one at a time, or without their line. */
   @Test
   public void allDefectsAreReportedWithTheirLine() throws IOException {
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/PoolScheduler.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/PoolScheduler.java
@@ -240,7 +240,7 @@
     }
     add(entry);
     dispatchWaiting(nowNanos);
-    if (!waitingByKey.containsKey(call.key())) {
+    if (!waitingByKey.containsKey(call.key()) || hold.isHeld(nowNanos)) {
       return;
     }
     double startNanos =
--- a/org.cranberrystand/src/test/java/org/cranberrystand/dispatch/CallDispatcherTest.java
+++ b/org.cranberrystand/src/test/java/org/cranberrystand/dispatch/CallDispatcherTest.java
@@ -487,6 +487,7 @@
     dispatcher.submit(call(1, 0, 6_000), null, 6_000 * MILLI);
     dispatcher.tick(6_050 * MILLI);
     assertEquals(decisions.sent.size(), 0);
+    assertEquals(decisions.refused.size(), 0);
     assertTrue(dispatcher.heldNanos(6_050 * MILLI) > 0);
 
     dispatcher.stateConfirmed(6_100 * MILLI);
