--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Gateway.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Gateway.java
@@ -108,12 +108,7 @@
     this.settings = settings;
     this.log = log;
     this.admission = new Admission(incarnation);
-    this.dispatcher = new CallDispatcher(admission, incarnation);
-    if (settings.limits().evacuateMillis() > 0) {
-      dispatcher.setMaxStandstill(
-          TimeUnit.MILLISECONDS.toNanos(
-              settings.limits().evacuateMillis() / EVACUATE_STANDSTILL_DIVISOR));
-    }
+    this.dispatcher = createDispatcher();
     this.quotas = new QuotaLedger(settings.limits().quotaTolerance(), settings.startsWithFleet());
     quotas.setUsageListener(dispatcher::usedElsewhere);
     this.retries =
@@ -166,6 +161,16 @@
             metrics));
   }
 
+  private CallDispatcher createDispatcher() {
+    CallDispatcher created = new CallDispatcher(admission, incarnation);
+    long evacuateMillis = settings.limits().evacuateMillis();
+    if (evacuateMillis > 0) {
+      created.setMaxStandstill(
+          TimeUnit.MILLISECONDS.toNanos(evacuateMillis / EVACUATE_STANDSTILL_DIVISOR));
+    }
+    return created;
+  }
+
   private final class StreamQuestions implements StreamLookup.Messenger {
     @Override
     public void ask(ImmutableList<String> sought) {
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/PoolScheduler.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/PoolScheduler.java
@@ -243,7 +243,7 @@
     }
     waiting.add(entry);
     dispatchWaiting(nowNanos);
-    if (!waiting.contains(call.key())) {
+    if (!waiting.contains(call.key()) || hold.isHeld(nowNanos)) {
       return;
     }
     if (entry.sharesFairly()) {
--- a/org.cranberrystand/src/test/java/org/cranberrystand/dispatch/CallDispatcherTest.java
+++ b/org.cranberrystand/src/test/java/org/cranberrystand/dispatch/CallDispatcherTest.java
@@ -101,7 +101,7 @@
     }
     assertEquals(lost, List.of());
 
-    dispatcher.connectEnded(upstream("b", SLOTS), false, MILLI);
+    dispatcher.connectEnded(engine("b"), false, MILLI);
     assertEquals(lost, List.of("b"));
   }
 
@@ -523,6 +523,7 @@
     dispatcher.submit(call(1, 0, 6_000), null, 6_000 * MILLI);
     dispatcher.tick(6_050 * MILLI);
     assertEquals(decisions.sent.size(), 0);
+    assertEquals(decisions.refused.size(), 0);
     assertTrue(dispatcher.heldNanos(6_050 * MILLI) > 0);
 
     dispatcher.stateConfirmed(6_100 * MILLI);
