Fetch, apply and log changes of the state only when due

A node that takes changes from another one fetched them up to ten times per second, each time over a new connection; it now waits 250 ms between fetches. Heartbeats that change no registration no longer rebuild the state of the dispatcher, nor write an event that says the upstreams changed. Events no longer search the stack for their caller, which no log line contains.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/FleetState.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/FleetState.java
@@ -31,6 +31,9 @@
   private final AtomicReference<PublishedState> published =
       new AtomicReference<>(PublishedState.EMPTY);
 
+  /** The upstreams that the dispatcher has; null before the first list. */
+  private ImmutableList<RegisteredUpstream> appliedUpstreams;
+
   FleetState(
       PublishedDecoder decoder, CallDispatcher dispatcher, UpstreamClient client, EventLog log) {
     this.decoder = decoder;
@@ -114,6 +117,11 @@
 
   private void applyUpstreams(String source) {
     List<RegisteredUpstream> usable = registry.usable();
+    if (usable.equals(appliedUpstreams)) {
+      // Most changes of the store are heartbeats that change no registration.
+      return;
+    }
+    appliedUpstreams = ImmutableList.copyOf(usable);
     dispatcher.upstreamsChanged(usable, System.nanoTime());
     ImmutableSet<String> ids =
         usable.stream().map(RegisteredUpstream::id).collect(ImmutableSet.toImmutableSet());
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Gateway.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Gateway.java
@@ -58,6 +58,12 @@
    */
   private static final long STORE_LAG_NANOS = 500_000_000L;
 
+  /**
+   * The shortest interval between two fetches of changes from another node. Heartbeats change the
+   * state many times per second, and each fetch opens a connection.
+   */
+  private static final long MIN_FETCH_INTERVAL_NANOS = 250_000_000L;
+
   private final GatewaySettings settings;
   private final EventLog log;
   private final GatewayMetrics metrics = new GatewayMetrics();
@@ -89,6 +95,7 @@
   private PublishedStore store;
   private PublishedFollower follower;
   private boolean fetchingState;
+  private long lastFetchNanos = System.nanoTime() - MIN_FETCH_INTERVAL_NANOS;
   private long upToDateNanos;
   private int ticks;
   private int nodeCount = 1;
@@ -372,10 +379,14 @@
       upToDateNanos = now;
       return;
     }
-    if (fetchingState || (!follower.isPassive() && now - upToDateNanos < STORE_LAG_NANOS)) {
+    if (fetchingState || now - lastFetchNanos < MIN_FETCH_INTERVAL_NANOS) {
+      return;
+    }
+    if (!follower.isPassive() && now - upToDateNanos < STORE_LAG_NANOS) {
       return;
     }
     fetchingState = true;
+    lastFetchNanos = now;
     URI uri =
         URI.create(
             "http://"
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/EventLog.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/internal/EventLog.java
@@ -1,6 +1,7 @@
 package org.cranberrystand.daemon.internal;
 
 import com.google.common.flogger.FluentLogger;
+import com.google.common.flogger.LogSite;
 import com.google.common.flogger.MetadataKey;
 import org.cranberrystand.event.LogEvent;
 
@@ -38,6 +39,8 @@
   /**
    * Writes an event with its cause.
    *
+   * <p>The number of the event identifies the place, so the stack is not searched for the caller.
+   *
    * @param event the event
    * @param detail the details of the event, as {@code key=value} pairs
    * @param cause the exception that caused the event; may be null
@@ -47,6 +50,7 @@
         .at(event.severity().toLevel())
         .with(EVENT, event)
         .with(NODE, node)
+        .withInjectedLogSite(LogSite.INVALID)
         .withCause(cause)
         .log("%s", detail);
   }
