Serve the listeners besides callers without Ratpack

Four Ratpack servers with a thread each, and a Ratpack client for the store and other nodes, took a third of the processor time of a start and of an idle node. The listeners now share one Netty thread, and HttpFetch is a Netty client; paths, status codes and time-outs are unchanged.

GatewayOnPlatformTest, PartitionedNodeTest, RestoredStoreTest, PublishedFollowerTest and UpstreamSignalsTest pass.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Gateway.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Gateway.java
@@ -1,6 +1,5 @@
 package org.cranberrystand.daemon.gateway;
 
-import com.google.common.base.Strings;
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
 import com.google.common.collect.Sets;
@@ -12,6 +11,8 @@
 import java.net.URI;
 import java.security.SecureRandom;
 import java.time.Duration;
+import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ThreadLocalRandom;
@@ -34,8 +35,6 @@
 import org.cranberrystand.routing.RoutingTable;
 import org.cranberrystand.routing.ServicePool;
 import org.cranberrystand.wire.settings.GatewaySettings;
-import ratpack.exec.ExecController;
-import ratpack.util.MultiValueMap;
 
 /**
  * A node that forwards callers' requests to upstreams by declared routes.
@@ -47,7 +46,8 @@
 public final class Gateway implements AutoCloseable, DirectoryView {
   private static final long TICK_MILLIS = 50;
   private static final int TICKS_PER_REFRESH = 2;
-  private static final String PUBLISHED_PATH = "peer/v1/published";
+  private static final String PUBLISHED_PATH = "/peer/v1/published";
+  private static final String METRICS_PATH = "/metrics";
   private static final String KNOWN_PARAMETER = "known";
   private static final int MAX_IDLE_NODE_CONNECTIONS = 32;
   private static final Duration PEER_TIMEOUT = Duration.ofSeconds(1);
@@ -88,7 +88,7 @@
   private final CallerServer callers;
   private final PeerTargets targets;
   private final FleetReports reports;
-  private final GatewayServers servers = new GatewayServers();
+  private final GatewayServers servers;
   private final GatewayShutdown shutdown;
   private final AtomicReference<AddressOffer> offer = new AtomicReference<>(AddressOffer.EMPTY);
   private HttpFetch fetch;
@@ -103,6 +103,7 @@
   private Gateway(GatewaySettings settings, GatewayPorts ports, EventLog log) {
     this.settings = settings;
     this.log = log;
+    this.servers = new GatewayServers(log);
     this.admission = new Admission(incarnation);
     this.dispatcher = new CallDispatcher(admission, incarnation);
     this.quotas = new QuotaLedger(settings.limits().quotaTolerance(), settings.startsWithFleet());
@@ -270,25 +271,13 @@
     callers.open(listen.callers());
     // With port 0 in the settings, the system has chosen the port by now.
     peers.setSelf(self(HostAndPort.fromParts(host(), callerPort())));
-    ExecController exec =
-        servers.open(listen.directory(), chain -> ports.directory().apply(this).execute(chain));
-    servers.open(listen.ready(), chain -> ports.readiness().apply(this).execute(chain));
-    servers.open(
-        listen.peers(),
-        chain ->
-            chain.get(
-                PUBLISHED_PATH,
-                ctx -> {
-                  PublishedVersion known =
-                      PublishedVersion.parse(knownParameter(ctx.getRequest().getQueryParams()))
-                          .orElse(PublishedVersion.NONE);
-                  PublishedUpdate update = fleet.published().updateSince(known);
-                  ctx.getResponse().send(PublishedStateCodec.encode(update));
-                }));
+    servers.open(listen.directory(), ports.directory().apply(this));
+    servers.open(listen.ready(), ports.readiness().apply(this));
+    servers.open(listen.peers(), new HttpEndpoint(PUBLISHED_PATH, this::publishedSince));
     servers.open(
         listen.metrics(),
-        chain -> chain.get("metrics", ctx -> ctx.getResponse().send(metrics.scrape())));
-    fetch = new HttpFetch(exec);
+        new HttpEndpoint(METRICS_PATH, query -> HttpEndpoint.ofText(metrics.scrape())));
+    fetch = new HttpFetch(servers.group());
     store = ports.store().open(fetch, settings.store(), log);
     follower = new PublishedFollower(loop, store, fleet, log, incarnation);
     reports.open(host());
@@ -298,8 +287,12 @@
         .isDone();
   }
 
-  private static String knownParameter(MultiValueMap<String, String> query) {
-    return Strings.nullToEmpty(query.get(KNOWN_PARAMETER));
+  /** Replies with the changes since the version that another node knows. */
+  private HttpEndpoint.Reply publishedSince(Map<String, List<String>> query) {
+    PublishedVersion known =
+        PublishedVersion.parse(query.getOrDefault(KNOWN_PARAMETER, List.of("")).get(0))
+            .orElse(PublishedVersion.NONE);
+    return HttpEndpoint.ofBytes(PublishedStateCodec.encode(fleet.published().updateSince(known)));
   }
 
   private String host() {
@@ -392,7 +385,6 @@
             "http://"
                 + HostAndPort.fromParts(
                     newestReport.sender().host(), settings.listen().peers().getPort())
-                + "/"
                 + PUBLISHED_PATH
                 + "?"
                 + KNOWN_PARAMETER
@@ -474,7 +466,6 @@
     store.close();
     callers.close();
     reports.close();
-    fetch.close();
     servers.close();
     group.shutdownGracefully(0, 1, TimeUnit.SECONDS).await(1, TimeUnit.SECONDS);
     log.write(LogEvent.NODE_STOPPED, "");
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/GatewayPorts.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/GatewayPorts.java
@@ -1,8 +1,6 @@
 package org.cranberrystand.daemon.gateway;
 
 import java.util.function.Function;
-import ratpack.func.Action;
-import ratpack.handling.Chain;
 
 /**
  * The interfaces that the adapter of a platform implements for a gateway.
@@ -17,5 +15,5 @@
     HeaderCodec headers,
     PublishedDecoder decoder,
     PublishedStore.Factory store,
-    Function<DirectoryView, Action<Chain>> directory,
-    Function<DirectoryView, Action<Chain>> readiness) {}
+    Function<DirectoryView, HttpEndpoint> directory,
+    Function<DirectoryView, HttpEndpoint> readiness) {}
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/GatewayServers.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/GatewayServers.java
@@ -1,48 +1,140 @@
 package org.cranberrystand.daemon.gateway;
 
 import com.google.common.net.HostAndPort;
-import java.util.ArrayList;
-import java.util.List;
-import org.cranberrystand.daemon.internal.ListenerConfig;
-import ratpack.exec.ExecController;
-import ratpack.func.Action;
-import ratpack.handling.Chain;
-import ratpack.server.RatpackServer;
-import ratpack.server.ServerConfig;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.QueryStringDecoder;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.net.InetSocketAddress;
+import java.util.concurrent.TimeUnit;
+import org.cranberrystand.daemon.internal.EventLog;
+import org.cranberrystand.event.LogEvent;
 
 /**
  * The HTTP listeners of a gateway other than the one for callers: directory, readiness, peers and
  * metrics. Thread-safe.
+ *
+ * <p>They share one thread of their own, so that they reply while the event loop of the gateway is
+ * busy.
  */
 final class GatewayServers implements AutoCloseable {
-  /** One suffices, because responses are small and served from memory. */
-  private static final int THREADS = 1;
-
   /** No request to these listeners has a body. */
   private static final int MAX_BODY_BYTES = 1_024;
 
-  private final List<RatpackServer> servers = new ArrayList<>();
+  private final EventLoopGroup group =
+      new NioEventLoopGroup(1, new DefaultThreadFactory("endpoints", true));
+  private final EventLog log;
+
+  GatewayServers(EventLog log) {
+    this.log = log;
+  }
+
+  /** Returns the thread of the listeners, which clients may share. */
+  EventLoopGroup group() {
+    return group;
+  }
 
   /**
    * Opens a listener.
    *
    * @param address the address to bind to
-   * @param handlers adds the request handlers
-   * @return the controller of the executions of the server
-   * @throws Exception if the listener cannot be opened
+   * @param endpoint the only resource of the listener
+   * @throws InterruptedException if the thread is interrupted
    */
-  ExecController open(HostAndPort address, Action<? super Chain> handlers) throws Exception {
-    ServerConfig config = ListenerConfig.of(address, THREADS, MAX_BODY_BYTES);
-    RatpackServer server =
-        RatpackServer.start(spec -> spec.serverConfig(config).handlers(handlers));
-    servers.add(server);
-    return server.getRegistry().orElseThrow().get(ExecController.class);
+  void open(HostAndPort address, HttpEndpoint endpoint) throws InterruptedException {
+    new ServerBootstrap()
+        .group(group)
+        .channel(NioServerSocketChannel.class)
+        .childHandler(
+            new ChannelInitializer<SocketChannel>() {
+              @Override
+              protected void initChannel(SocketChannel channel) {
+                channel
+                    .pipeline()
+                    .addLast(new HttpServerCodec())
+                    .addLast(new HttpObjectAggregator(MAX_BODY_BYTES))
+                    .addLast(new EndpointHandler(endpoint));
+              }
+            })
+        .bind(new InetSocketAddress(address.getHost(), address.getPort()))
+        .sync();
   }
 
-  @Override
-  public void close() throws Exception {
-    for (RatpackServer server : servers) {
-      server.stop();
+  private final class EndpointHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
+    private final HttpEndpoint endpoint;
+
+    EndpointHandler(HttpEndpoint endpoint) {
+      this.endpoint = endpoint;
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
+      FullHttpResponse response = respond(request);
+      HttpUtil.setContentLength(response, response.content().readableBytes());
+      boolean keepAlive = HttpUtil.isKeepAlive(request);
+      HttpUtil.setKeepAlive(response, keepAlive);
+      ctx.writeAndFlush(response)
+          .addListener(
+              keepAlive ? ChannelFutureListener.CLOSE_ON_FAILURE : ChannelFutureListener.CLOSE);
     }
+
+    private FullHttpResponse respond(FullHttpRequest request) {
+      QueryStringDecoder query = new QueryStringDecoder(request.uri());
+      if (!request.decoderResult().isSuccess()) {
+        return response(HttpResponseStatus.BAD_REQUEST);
+      }
+      if (!query.path().equals(endpoint.path())) {
+        return response(HttpResponseStatus.NOT_FOUND);
+      }
+      if (!request.method().equals(HttpMethod.GET)) {
+        return response(HttpResponseStatus.METHOD_NOT_ALLOWED);
+      }
+      try {
+        HttpEndpoint.Reply reply = endpoint.handler().apply(query.parameters());
+        FullHttpResponse response =
+            new DefaultFullHttpResponse(
+                HttpVersion.HTTP_1_1,
+                HttpResponseStatus.valueOf(reply.status()),
+                Unpooled.wrappedBuffer(reply.body()));
+        response.headers().set(HttpHeaderNames.CONTENT_TYPE, reply.contentType().toString());
+        return response;
+      } catch (RuntimeException e) {
+        log.write(LogEvent.TASK_FAILED, "task=endpoint path=" + endpoint.path(), e);
+        return response(HttpResponseStatus.INTERNAL_SERVER_ERROR);
+      }
+    }
+
+    private FullHttpResponse response(HttpResponseStatus status) {
+      return new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER);
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+      // The client has disconnected; nothing depends on its connection.
+      ctx.close().isDone();
+    }
+  }
+
+  @Override
+  public void close() throws InterruptedException {
+    group.shutdownGracefully(0, 1, TimeUnit.SECONDS).await(1, TimeUnit.SECONDS);
   }
 }
