--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/FleetState.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/FleetState.java
@@ -47,6 +47,9 @@
 
   private ImmutableSet<String> evacuated = ImmutableSet.of();
 
+  /** The upstreams that the dispatcher has; null before the first list. */
+  private ImmutableList<RegisteredUpstream> appliedUpstreams;
+
   FleetState(
       PublishedDecoder decoder,
       CallDispatcher dispatcher,
@@ -175,6 +178,12 @@
 
   private void applyUpstreams(String source) {
     List<RegisteredUpstream> usable = registry.usable();
+    boolean withdrawn = applyEvacuations(source);
+    if (!withdrawn && usable.equals(appliedUpstreams)) {
+      // Most changes of the store are heartbeats that change no registration.
+      return;
+    }
+    appliedUpstreams = ImmutableList.copyOf(usable);
     failureDomains =
         usable.stream()
             .collect(
@@ -182,7 +191,7 @@
                     RegisteredUpstream::id,
                     RegisteredUpstream::failureDomain,
                     (first, second) -> second));
-    if (applyEvacuations(source)) {
+    if (withdrawn) {
       dispatcher.upstreamsWithdrawn(usable, System.nanoTime());
     } else {
       dispatcher.upstreamsChanged(usable, System.nanoTime());
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Gateway.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Gateway.java
@@ -1,6 +1,5 @@
 package org.cranberrystand.daemon.gateway;
 
-import com.google.common.base.Strings;
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
 import com.google.common.collect.Sets;
@@ -12,6 +11,8 @@
 import java.net.URI;
 import java.security.SecureRandom;
 import java.time.Duration;
+import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ThreadLocalRandom;
@@ -35,8 +36,6 @@
 import org.cranberrystand.routing.RoutingTable;
 import org.cranberrystand.routing.ServicePool;
 import org.cranberrystand.wire.settings.GatewaySettings;
-import ratpack.exec.ExecController;
-import ratpack.util.MultiValueMap;
 
 /**
  * A node that forwards callers' requests to upstreams by declared routes.
@@ -48,7 +47,8 @@
 public final class Gateway implements AutoCloseable, DirectoryView {
   private static final long TICK_MILLIS = 50;
   private static final int TICKS_PER_REFRESH = 2;
-  private static final String PUBLISHED_PATH = "peer/v1/published";
+  private static final String PUBLISHED_PATH = "/peer/v1/published";
+  private static final String METRICS_PATH = "/metrics";
   private static final String KNOWN_PARAMETER = "known";
   private static final int MAX_IDLE_NODE_CONNECTIONS = 32;
   private static final Duration PEER_TIMEOUT = Duration.ofSeconds(1);
@@ -68,6 +68,12 @@
   /** By then, the reports that arrived during a standstill are read and newer ones are there. */
   private static final long PEER_CONFIRMATION_NANOS = 600_000_000L;
 
+  /**
+   * The shortest interval between two fetches of changes from another node. Heartbeats change the
+   * state many times per second, and each fetch opens a connection.
+   */
+  private static final long MIN_FETCH_INTERVAL_NANOS = 250_000_000L;
+
   private final GatewaySettings settings;
   private final EventLog log;
   private final GatewayMetrics metrics = new GatewayMetrics();
@@ -92,7 +98,7 @@
   private final CallerServer callers;
   private final PeerTargets targets;
   private final FleetReports reports;
-  private final GatewayServers servers = new GatewayServers();
+  private final GatewayServers servers;
   private final GatewayShutdown shutdown;
   private final AtomicReference<AddressOffer> offer = new AtomicReference<>(AddressOffer.EMPTY);
   private HttpFetch fetch;
@@ -100,6 +106,7 @@
   private PublishedFollower follower;
   private boolean fetchingState;
   private boolean placementHeld;
+  private long lastFetchNanos = System.nanoTime() - MIN_FETCH_INTERVAL_NANOS;
   private long upToDateNanos;
   private int ticks;
   private int nodeCount = 1;
@@ -107,6 +114,7 @@
   private Gateway(GatewaySettings settings, GatewayPorts ports, EventLog log) {
     this.settings = settings;
     this.log = log;
+    this.servers = new GatewayServers(log);
     this.admission = new Admission(incarnation);
     this.dispatcher = createDispatcher();
     this.quotas = new QuotaLedger(settings.limits().quotaTolerance(), settings.startsWithFleet());
@@ -293,25 +301,13 @@
     callers.open(listen.callers());
     // With port 0 in the settings, the system has chosen the port by now.
     peers.setSelf(self(HostAndPort.fromParts(host(), callerPort())));
-    ExecController exec =
-        servers.open(listen.directory(), chain -> ports.directory().apply(this).execute(chain));
-    servers.open(listen.ready(), chain -> ports.readiness().apply(this).execute(chain));
-    servers.open(
-        listen.peers(),
-        chain ->
-            chain.get(
-                PUBLISHED_PATH,
-                ctx -> {
-                  PublishedVersion known =
-                      PublishedVersion.parse(knownParameter(ctx.getRequest().getQueryParams()))
-                          .orElse(PublishedVersion.NONE);
-                  PublishedUpdate update = fleet.published().updateSince(known);
-                  ctx.getResponse().send(PublishedStateCodec.encode(update));
-                }));
+    servers.open(listen.directory(), ports.directory().apply(this));
+    servers.open(listen.ready(), ports.readiness().apply(this));
+    servers.open(listen.peers(), new HttpEndpoint(PUBLISHED_PATH, this::publishedSince));
     servers.open(
         listen.metrics(),
-        chain -> chain.get("metrics", ctx -> ctx.getResponse().send(metrics.scrape())));
-    fetch = new HttpFetch(exec);
+        new HttpEndpoint(METRICS_PATH, query -> HttpEndpoint.ofText(metrics.scrape())));
+    fetch = new HttpFetch(servers.group());
     store = ports.store().open(fetch, settings.store(), log);
     follower = new PublishedFollower(loop, store, fleet, log, incarnation);
     reports.open(host());
@@ -321,8 +317,12 @@
         .isDone();
   }
 
-  private static String knownParameter(MultiValueMap<String, String> query) {
-    return Strings.nullToEmpty(query.get(KNOWN_PARAMETER));
+  /** Replies with the changes since the version that another node knows. */
+  private HttpEndpoint.Reply publishedSince(Map<String, List<String>> query) {
+    PublishedVersion known =
+        PublishedVersion.parse(query.getOrDefault(KNOWN_PARAMETER, List.of("")).get(0))
+            .orElse(PublishedVersion.NONE);
+    return HttpEndpoint.ofBytes(PublishedStateCodec.encode(fleet.published().updateSince(known)));
   }
 
   private String host() {
@@ -430,16 +430,19 @@
       upToDateNanos = now;
       return;
     }
-    if (fetchingState || (!follower.isPassive() && now - upToDateNanos < STORE_LAG_NANOS)) {
+    if (fetchingState || now - lastFetchNanos < MIN_FETCH_INTERVAL_NANOS) {
+      return;
+    }
+    if (!follower.isPassive() && now - upToDateNanos < STORE_LAG_NANOS) {
       return;
     }
     fetchingState = true;
+    lastFetchNanos = now;
     URI uri =
         URI.create(
             "http://"
                 + HostAndPort.fromParts(
                     newestReport.sender().host(), settings.listen().peers().getPort())
-                + "/"
                 + PUBLISHED_PATH
                 + "?"
                 + KNOWN_PARAMETER
@@ -521,7 +524,6 @@
     store.close();
     callers.close();
     reports.close();
-    fetch.close();
     servers.close();
     group.shutdownGracefully(0, 1, TimeUnit.SECONDS).await(1, TimeUnit.SECONDS);
     log.write(LogEvent.NODE_STOPPED, "");
