Send differences between nodes instead of complete reports

Frequent reports of a scope are now differences from the last base, encoded once for all receivers; a receiver without the base requests it. Heads list all other nodes in the base only. Nodes that have known the same fleet for 10 s search for other nodes a quarter as often, and reply only to nodes that know another fleet. A new version alone triggers early reports only at nodes that read the store.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/FleetReports.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/FleetReports.java
@@ -140,7 +140,8 @@
   private void sendNodeReportIfDue(long now) {
     boolean changed =
         dispatcher.usageChangeCount() != reportedChangeCount
-            || !source.version().equals(reportedVersion);
+            // Nodes that do not read the store learn of a new version from those that do.
+            || (source.readsStore() && !source.version().equals(reportedVersion));
     if (now - lastNodeReportNanos >= targets.reportIntervalNanos(changed)) {
       sendNodeReport();
     }
@@ -154,7 +155,7 @@
     reportedVersion = source.version();
     table.setAcceptsCallers(source.isReady());
     // A node that knows of one cell only may have just joined a larger fleet.
-    socket.send(
+    socket.sendNext(
         nodeReport(targets.nodesToAdvertise(now), table.cellCount() == 1, now),
         targets.ownCellHosts());
   }
@@ -169,7 +170,7 @@
 
   private void sendAggregates(long now) {
     ReportedLoad cellLoad = ownLoad(Coverage.OWN_CELL, now);
-    socket.send(
+    socket.sendNext(
         report(
             ReportScope.CELL,
             table.ownCellLoad(cellLoad, now),
@@ -178,7 +179,7 @@
             now),
         targets.otherHeadHosts(now));
     ReportedLoad otherCellsLoad = ownLoad(Coverage.OTHER_CELLS, now);
-    socket.send(
+    socket.sendNext(
         report(
             ReportScope.OTHER_CELLS,
             table.otherCellsLoad(otherCellsLoad, now),
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/ReportSocket.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/ReportSocket.java
@@ -14,16 +14,11 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.Collection;
-import java.util.EnumMap;
-import java.util.Map;
 import java.util.function.Consumer;
 import org.cranberrystand.daemon.internal.EventLog;
 import org.cranberrystand.event.LogEvent;
 import org.cranberrystand.membership.PeerReport;
-import org.cranberrystand.wire.peer.PeerFormats;
-import org.cranberrystand.wire.peer.PeerReportCodec;
-import org.cranberrystand.wire.peer.ReceivedMessage;
-import org.cranberrystand.wire.peer.ReportFormat;
+import org.cranberrystand.wire.peer.ReportExchange;
 
 /** UDP socket for the reports between nodes. Used only on the event loop, except where stated. */
 // A failed write loses a report, and the next report replaces it.
@@ -36,7 +31,7 @@
   private final int port;
   private final Consumer<PeerReport> receiver;
   private final EventLog log;
-  private final PeerFormats formats = new PeerFormats();
+  private final ReportExchange exchange = new ReportExchange(this::write);
   private Channel channel;
 
   ReportSocket(EventLoop loop, int port, Consumer<PeerReport> receiver, EventLog log) {
@@ -59,21 +54,23 @@
             .channel();
   }
 
-  /** Sends a report to other VMs, to the port on which this node receives reports. */
+  /** Sends a single report to other VMs, to the port on which this node receives reports. */
   void send(PeerReport report, Collection<String> hosts) {
-    if (hosts.isEmpty()) {
-      return;
-    }
-    Map<ReportFormat, byte[]> encoded = new EnumMap<>(ReportFormat.class);
-    for (String host : hosts) {
-      byte[] bytes =
-          encoded.computeIfAbsent(formats.formatFor(host), format -> format.encode(report));
-      channel.write(
-          new DatagramPacket(Unpooled.wrappedBuffer(bytes), new InetSocketAddress(host, port)));
-    }
+    exchange.send(report, hosts);
     channel.flush();
   }
 
+  /** Sends the next of the frequent reports of its scope to other VMs. */
+  void sendNext(PeerReport report, Collection<String> hosts) {
+    exchange.sendNext(report, hosts, System.nanoTime());
+    channel.flush();
+  }
+
+  private void write(byte[] bytes, String host) {
+    channel.write(
+        new DatagramPacket(Unpooled.wrappedBuffer(bytes), new InetSocketAddress(host, port)));
+  }
+
   void close() {
     channel.close();
   }
@@ -82,9 +79,13 @@
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
       try {
-        ReceivedMessage message = PeerReportCodec.decode(ByteBufUtil.getBytes(packet.content()));
-        formats.received(message.report().sender().host(), message.senderReads());
-        receiver.accept(message.report());
+        exchange
+            .receive(
+                ByteBufUtil.getBytes(packet.content()),
+                packet.sender().getAddress().getHostAddress(),
+                System.nanoTime())
+            .ifPresent(receiver);
+        channel.flush();
       } catch (IOException e) {
         log.write(LogEvent.REPORT_MALFORMED, "sender=" + packet.sender(), e);
       }
--- a/org.cranberrystand.wire/src/main/java/org/cranberrystand/wire/peer/BinaryReportCodec.java
+++ b/org.cranberrystand.wire/src/main/java/org/cranberrystand/wire/peer/BinaryReportCodec.java
@@ -6,8 +6,11 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import com.google.protobuf.CodedInputStream;
+import com.google.protobuf.CodedOutputStream;
 import com.google.protobuf.WireFormat;
 import java.io.IOException;
+import java.util.LinkedHashMap;
+import java.util.Map;
 import org.cranberrystand.dispatch.CrashRegister;
 import org.cranberrystand.dispatch.StreamOrigins;
 import org.cranberrystand.dispatch.UpstreamLimits;
@@ -21,12 +24,18 @@
 import org.cranberrystand.upstream.DrainTracker;
 
 /**
- * Encodes and decodes complete peer reports in a binary format of numbered fields.
+ * Encodes and decodes peer reports in a binary format of numbered fields.
  *
  * <p>A report is a version byte and a protobuf message. Fields with unknown numbers are skipped,
  * and missing fields are zero, false or empty, so builds that differ by fields read each other's
  * reports. Frequent lists are one field of packed rows; a row must not change its columns, and
- * further columns need a new field. Stateless.
+ * further columns need a new field.
+ *
+ * <p>A report is complete, or it is the difference from an earlier complete report of the same
+ * process and scope, the base. In a difference, missing fields have the value of the base. Observed
+ * events and, in reports of a node on itself, listed nodes are hints that receivers merge; a
+ * difference contains only those that are new. The incarnation, the scope and the base come first.
+ * Stateless.
  */
 final class BinaryReportCodec {
   /** The first byte of a report; differs from the first byte of JSON. */
@@ -59,51 +68,134 @@
   private static final int UNREACHABLE_POOL = 19;
   private static final int STREAM_ORIGIN = 20;
   private static final int SOUGHT_STREAM = 21;
+  private static final int BASE = 22;
+  private static final int CHANGED_USAGE = 23;
+  private static final int CHANGED_QUOTA = 24;
+  private static final int REQUESTED_SCOPE = 25;
+  private static final int IS_BASE = 26;
 
-  private static final int NODE_NAME = 1;
-  private static final int NODE_HOST = 2;
-  private static final int NODE_CALLER_ADDRESS = 3;
-
-  /** Replaces the address for callers if that is the address of the VM and a port. */
-  private static final int NODE_CALLER_PORT = 4;
-
-  private static final int NODE_ACCEPTS_CALLERS = 5;
-  private static final int NODE_CORES = 6;
-  private static final int NODE_DOMAIN = 7;
+  /** Precedes a name in a row; a higher value stands for the name at that position in the base. */
+  private static final int NEW_NAME = 0;
 
   private BinaryReportCodec() {}
 
-  /** Encodes a report. */
+  /** Encodes a complete report that is not a base. */
   static byte[] encode(PeerReport report) {
-    return FieldWriter.write(VERSION, out -> writeReport(report, out));
+    return FieldWriter.write(VERSION, out -> writeComplete(report, out));
+  }
+
+  /** Encodes a complete report to which differences will refer. */
+  static byte[] encodeBase(PeerReport report) {
+    return FieldWriter.write(
+        VERSION,
+        out -> {
+          writeComplete(report, out);
+          out.flag(IS_BASE, true, false);
+        });
+  }
+
+  /** Encodes the difference from a base; the changes must be {@link ReportChanges#areEncodable}. */
+  static byte[] encodeChanges(ReportChanges changes) {
+    return FieldWriter.write(VERSION, out -> writeChanges(changes, out));
+  }
+
+  /** Encodes a request for the base of a scope. */
+  static byte[] encodeRequest(ReportScope scope) {
+    return FieldWriter.write(VERSION, out -> out.text(REQUESTED_SCOPE, scope.code()));
   }
 
-  private static void writeReport(PeerReport report, FieldWriter out) throws IOException {
+  private static void writeComplete(PeerReport report, FieldWriter out) throws IOException {
     out.fixed64(INCARNATION, report.incarnation());
-    out.number(SEQUENCE, report.sequence());
     out.text(SCOPE, report.scope().code());
-    out.number(NODE_COUNT, report.nodeCount());
-    out.signed(CELL_COUNT, report.cellCount());
-    out.flag(REPLY_REQUESTED, report.replyRequested());
-    out.number(ERA, report.version().era());
-    out.number(REVISION, report.version().revision());
-    out.flag(READS_STORE, report.readsStore());
-    out.nested(SENDER, node -> writeNode(report.sender(), node));
+    out.number(SEQUENCE, report.sequence(), 0);
+    out.number(NODE_COUNT, report.nodeCount(), 0);
+    out.signed(CELL_COUNT, report.cellCount(), 0);
+    out.flag(REPLY_REQUESTED, report.replyRequested(), false);
+    out.number(ERA, report.version().era(), 0);
+    out.number(REVISION, report.version().revision(), 0);
+    out.flag(READS_STORE, report.readsStore(), false);
+    out.nested(SENDER, node -> NodeInfoCodec.write(report.sender(), node));
     ReportedLoad load = report.load();
     out.rows(
         USAGE,
         load.usage().entrySet(),
         (entry, row) -> {
           row.writeStringNoTag(entry.getKey());
-          row.writeUInt32NoTag(entry.getValue().running());
-          row.writeUInt64NoTag(entry.getValue().prefillTokens());
+          writeUsage(entry.getValue(), row);
         });
     writeUnits(USED_QUOTA, load.usedQuotaUnits(), out);
     writeUnits(QUOTA_BALANCE, load.quotaBalanceUnits(), out);
     for (NodeInfo node : report.listedNodes()) {
-      out.nested(LISTED_NODE, nested -> writeNode(node, nested));
+      out.nested(LISTED_NODE, nested -> NodeInfoCodec.write(node, nested));
+    }
+    out.rows(
+        UNREACHABLE_POOL,
+        report.observations().unreachablePools(),
+        (pool, row) -> row.writeStringNoTag(pool));
+    writeEvents(report.observations(), out);
+  }
+
+  private static void writeChanges(ReportChanges changes, FieldWriter out) throws IOException {
+    PeerReport report = changes.report();
+    PeerReport base = changes.base();
+    out.fixed64(INCARNATION, report.incarnation());
+    if (report.scope() != ReportScope.NODE) {
+      out.text(SCOPE, report.scope().code());
+    }
+    out.number(BASE, base.sequence(), 0);
+    out.number(SEQUENCE, report.sequence() - base.sequence(), 0);
+    out.number(NODE_COUNT, report.nodeCount(), base.nodeCount());
+    out.signed(CELL_COUNT, report.cellCount(), base.cellCount());
+    out.flag(REPLY_REQUESTED, report.replyRequested(), base.replyRequested());
+    out.number(ERA, report.version().era(), base.version().era());
+    out.number(REVISION, report.version().revision(), base.version().revision());
+    out.flag(READS_STORE, report.readsStore(), base.readsStore());
+    if (!report.sender().equals(base.sender())) {
+      out.nested(SENDER, node -> NodeInfoCodec.write(report.sender(), node));
     }
-    writeObservations(report.observations(), out);
+    ImmutableList<String> usageNames = base.load().usage().keySet().asList();
+    out.rows(
+        CHANGED_USAGE,
+        changes.usage(),
+        (entry, row) -> {
+          writeName(entry.getKey(), usageNames, row);
+          writeUsage(entry.getValue(), row);
+        });
+    ImmutableMap<String, Double> baseUnits = base.load().usedQuotaUnits();
+    ImmutableList<String> teams = baseUnits.keySet().asList();
+    out.rows(
+        CHANGED_QUOTA,
+        changes.usedQuotaUnits(),
+        (entry, row) -> {
+          writeName(entry.getKey(), teams, row);
+          row.writeSInt64NoTag(
+              fractions(entry.getValue()) - fractions(baseUnits.getOrDefault(entry.getKey(), 0.0)));
+        });
+    if (!changes.unreachablePoolsAreSame()) {
+      out.rows(
+          UNREACHABLE_POOL,
+          report.observations().unreachablePools(),
+          (pool, row) -> row.writeStringNoTag(pool));
+    }
+    writeEvents(changes.newEvents(), out);
+  }
+
+  private static void writeName(String name, ImmutableList<String> names, CodedOutputStream row)
+      throws IOException {
+    int index = names.indexOf(name);
+    row.writeUInt32NoTag(index + 1);
+    if (index < 0) {
+      row.writeStringNoTag(name);
+    }
+  }
+
+  private static void writeUsage(UpstreamUsage usage, CodedOutputStream row) throws IOException {
+    row.writeUInt32NoTag(usage.running());
+    row.writeUInt64NoTag(usage.prefillTokens());
+  }
+
+  private static long fractions(double units) {
+    return Math.round(units / UNIT_FRACTION);
   }
 
   private static void writeUnits(int field, ImmutableMap<String, Double> units, FieldWriter out)
@@ -113,11 +205,11 @@
         units.entrySet(),
         (entry, row) -> {
           row.writeStringNoTag(entry.getKey());
-          row.writeSInt64NoTag(Math.round(entry.getValue() / UNIT_FRACTION));
+          row.writeSInt64NoTag(fractions(entry.getValue()));
         });
   }
 
-  private static void writeObservations(SharedObservations observations, FieldWriter out)
+  private static void writeEvents(SharedObservations observations, FieldWriter out)
       throws IOException {
     out.rows(
         LEAVING,
@@ -141,10 +233,6 @@
             row.writeSInt64NoTag(NANOSECONDS.toMillis(crash.ageNanos()));
           }
         });
-    out.rows(
-        UNREACHABLE_POOL,
-        observations.unreachablePools(),
-        (pool, row) -> row.writeStringNoTag(pool));
     out.rows(
         STREAM_ORIGIN,
         observations.streamOrigins(),
@@ -169,50 +257,20 @@
         });
   }
 
-  private static void writeNode(NodeInfo node, FieldWriter out) throws IOException {
-    out.text(NODE_NAME, node.node());
-    out.text(NODE_HOST, node.host());
-    int port = callerPort(node);
-    if (port > 0) {
-      out.number(NODE_CALLER_PORT, port);
-    } else {
-      out.text(NODE_CALLER_ADDRESS, node.callerAddress());
-    }
-    out.flag(NODE_ACCEPTS_CALLERS, node.acceptsCallers());
-    out.real(NODE_CORES, node.cores());
-    out.text(NODE_DOMAIN, node.failureDomain());
+  /** Finds complete reports that were received before. */
+  interface Bases {
+    /** Returns the base with a sequence number, or null if it was not received. */
+    PeerReport find(long incarnation, ReportScope scope, long sequence);
   }
 
-  /** Returns the port if the address for callers is the address of the VM and a port, or 0. */
-  private static int callerPort(NodeInfo node) {
-    String address = node.callerAddress();
-    int hostLength = node.host().length();
-    if (!address.startsWith(node.host())
-        || address.length() <= hostLength + 1
-        || address.length() > hostLength + 6
-        || address.charAt(hostLength) != ':'
-        || address.charAt(hostLength + 1) == '0') {
-      return 0;
-    }
-    int port = 0;
-    for (int i = hostLength + 1; i < address.length(); i++) {
-      int digit = address.charAt(i) - '0';
-      if (digit < 0 || digit > 9) {
-        return 0;
-      }
-      port = 10 * port + digit;
-    }
-    return port;
-  }
-
-  /** Decodes a report; the input is untrusted. */
-  static PeerReport decode(byte[] bytes) throws IOException {
+  /** Decodes a message; the input is untrusted. */
+  static PeerMessage decode(byte[] bytes, Bases bases) throws IOException {
     if (bytes.length == 0 || bytes[0] != VERSION) {
       throw new IOException(
           "unknown version " + (bytes.length == 0 ? "of an empty report" : bytes[0]));
     }
     try {
-      return new Decoder().decode(CodedInputStream.newInstance(bytes, 1, bytes.length - 1));
+      return new Decoder(bases).decode(CodedInputStream.newInstance(bytes, 1, bytes.length - 1));
     } catch (IllegalArgumentException e) {
       throw new IOException("malformed report", e);
     }
@@ -220,6 +278,11 @@
 
   /** The fields of one report, as far as they are decoded. */
   private static final class Decoder {
+    private final Bases bases;
+    private PeerReport base;
+    private boolean baseMissing;
+    private boolean isBase;
+    private ReportScope requestedScope;
     private NodeInfo sender;
     private long incarnation;
     private long sequence;
@@ -236,15 +299,52 @@
     private final ImmutableList.Builder<NodeInfo> listedNodes = ImmutableList.builder();
     private final SharedObservations.Builder observations = SharedObservations.builder();
 
-    private PeerReport decode(CodedInputStream in) throws IOException {
+    private Decoder(Bases bases) {
+      this.bases = bases;
+    }
+
+    private PeerMessage decode(CodedInputStream in) throws IOException {
       for (int tag = in.readTag(); tag != 0; tag = in.readTag()) {
         if (!readField(WireFormat.getTagFieldNumber(tag), in)) {
           in.skipField(tag);
         }
+        if (baseMissing) {
+          return new PeerMessage.UnknownBase(scope);
+        }
+      }
+      if (requestedScope != null) {
+        return new PeerMessage.StateRequest(requestedScope);
       }
       if (sender == null) {
         throw new IOException("not a peer report: no sender");
       }
+      return new PeerMessage.Report(report(), ReportFormat.BINARY, isBase);
+    }
+
+    /** Assumes the values of the base for missing fields. */
+    private void applyBase(long baseSequence) {
+      base = bases.find(incarnation, scope, baseSequence);
+      if (base == null) {
+        baseMissing = true;
+        return;
+      }
+      sender = base.sender();
+      nodeCount = base.nodeCount();
+      cellCount = base.cellCount();
+      replyRequested = base.replyRequested();
+      era = base.version().era();
+      revision = base.version().revision();
+      readsStore = base.readsStore();
+      usage = base.load().usage();
+      usedQuotaUnits = base.load().usedQuotaUnits();
+      quotaBalanceUnits = base.load().quotaBalanceUnits();
+      observations.unreachablePools(base.observations().unreachablePools());
+      if (scope != ReportScope.NODE) {
+        listedNodes.addAll(base.listedNodes());
+      }
+    }
+
+    private PeerReport report() {
       return new PeerReport(
           sender,
           incarnation,
@@ -263,7 +363,8 @@
     private boolean readField(int field, CodedInputStream in) throws IOException {
       switch (field) {
         case INCARNATION -> incarnation = in.readFixed64();
-        case SEQUENCE -> sequence = in.readUInt64();
+        case BASE -> applyBase(in.readUInt64());
+        case SEQUENCE -> sequence = in.readUInt64() + (base == null ? 0 : base.sequence());
         case SCOPE -> scope = ReportScope.ofCode(in.readString());
         case NODE_COUNT -> nodeCount = in.readUInt32();
         case CELL_COUNT -> cellCount = in.readSInt32();
@@ -271,11 +372,16 @@
         case ERA -> era = in.readUInt64();
         case REVISION -> revision = in.readUInt64();
         case READS_STORE -> readsStore = in.readBool();
-        case SENDER -> sender = readNested(in, BinaryReportCodec::readNode);
+        case SENDER -> sender = readNested(in, NodeInfoCodec::read);
         case USAGE -> usage = readNested(in, BinaryReportCodec::readUsage);
         case USED_QUOTA -> usedQuotaUnits = readNested(in, BinaryReportCodec::readUnits);
+        case CHANGED_USAGE -> usage = readNested(in, rows -> changedUsage(usage, rows));
+        case CHANGED_QUOTA ->
+            usedQuotaUnits = readNested(in, rows -> changedUnits(usedQuotaUnits, rows));
+        case REQUESTED_SCOPE -> requestedScope = ReportScope.ofCode(in.readString());
+        case IS_BASE -> isBase = in.readBool();
         case QUOTA_BALANCE -> quotaBalanceUnits = readNested(in, BinaryReportCodec::readUnits);
-        case LISTED_NODE -> listedNodes.add(readNested(in, BinaryReportCodec::readNode));
+        case LISTED_NODE -> listedNodes.add(readNested(in, NodeInfoCodec::read));
         default -> {
           return readObservations(field, in);
         }
@@ -357,6 +463,46 @@
     return units.buildOrThrow();
   }
 
+  /** Reads a name, or the position of a name in the base. */
+  private static String readName(CodedInputStream in, ImmutableList<String> names)
+      throws IOException {
+    int position = in.readUInt32();
+    if (position == NEW_NAME) {
+      return in.readString();
+    }
+    if (position < 0 || position > names.size()) {
+      throw new IOException("malformed report: no name at position " + position);
+    }
+    return names.get(position - 1);
+  }
+
+  /** Replaces changed values; usage of zero means that the upstream is no longer used. */
+  private static ImmutableMap<String, UpstreamUsage> changedUsage(
+      ImmutableMap<String, UpstreamUsage> base, CodedInputStream in) throws IOException {
+    Map<String, UpstreamUsage> usage = new LinkedHashMap<>(base);
+    ImmutableList<String> names = base.keySet().asList();
+    while (!in.isAtEnd()) {
+      String name = readName(in, names);
+      UpstreamUsage value = new UpstreamUsage(in.readUInt32(), in.readUInt64());
+      if (value.equals(UpstreamUsage.NONE)) {
+        usage.remove(name);
+      } else {
+        usage.put(name, value);
+      }
+    }
+    return ImmutableMap.copyOf(usage);
+  }
+
+  private static ImmutableMap<String, Double> changedUnits(
+      ImmutableMap<String, Double> base, CodedInputStream in) throws IOException {
+    Map<String, Double> units = new LinkedHashMap<>(base);
+    ImmutableList<String> names = base.keySet().asList();
+    while (!in.isAtEnd()) {
+      units.merge(readName(in, names), in.readSInt64() * UNIT_FRACTION, Double::sum);
+    }
+    return ImmutableMap.copyOf(units);
+  }
+
   private static long readAge(CodedInputStream in) throws IOException {
     return MILLISECONDS.toNanos(in.readSInt64());
   }
@@ -379,33 +525,4 @@
     return new CrashRegister.Report(
         key, answerAgeMillis < 0 ? -1 : MILLISECONDS.toNanos(answerAgeMillis), crashes.build());
   }
-
-  private static NodeInfo readNode(CodedInputStream in) throws IOException {
-    String name = "";
-    String host = "";
-    String callerAddress = "";
-    int callerPort = 0;
-    boolean acceptsCallers = false;
-    double cores = 0;
-    String domain = "";
-    for (int tag = in.readTag(); tag != 0; tag = in.readTag()) {
-      switch (WireFormat.getTagFieldNumber(tag)) {
-        case NODE_NAME -> name = in.readString();
-        case NODE_HOST -> host = in.readString();
-        case NODE_CALLER_ADDRESS -> callerAddress = in.readString();
-        case NODE_CALLER_PORT -> callerPort = in.readUInt32();
-        case NODE_ACCEPTS_CALLERS -> acceptsCallers = in.readBool();
-        case NODE_CORES -> cores = in.readDouble();
-        case NODE_DOMAIN -> domain = in.readString();
-        default -> in.skipField(tag);
-      }
-    }
-    return new NodeInfo(
-        name,
-        host,
-        callerPort > 0 ? host + ":" + callerPort : callerAddress,
-        acceptsCallers,
-        cores,
-        domain);
-  }
 }
--- a/org.cranberrystand.wire/src/main/java/org/cranberrystand/wire/peer/FieldWriter.java
+++ b/org.cranberrystand.wire/src/main/java/org/cranberrystand/wire/peer/FieldWriter.java
@@ -7,7 +7,8 @@
 import java.util.Collection;
 
 /**
- * Writes numbered fields; fields with the value zero, false or empty are omitted. Not thread-safe.
+ * Writes numbered fields; fields with the value that the reader assumes are omitted. Not
+ * thread-safe.
  */
 final class FieldWriter {
   private static final int BUFFER_BYTES = 512;
@@ -41,22 +42,21 @@
     return writer.bytes.toByteArray();
   }
 
-  void number(int field, long value) throws IOException {
-    if (value != 0) {
+  /** Writes a number unless it is the one that the reader assumes for a missing field. */
+  void number(int field, long value, long assumed) throws IOException {
+    if (value != assumed) {
       out.writeUInt64(field, value);
     }
   }
 
-  void signed(int field, int value) throws IOException {
-    if (value != 0) {
+  void signed(int field, int value, int assumed) throws IOException {
+    if (value != assumed) {
       out.writeSInt32(field, value);
     }
   }
 
   void fixed64(int field, long value) throws IOException {
-    if (value != 0) {
-      out.writeFixed64(field, value);
-    }
+    out.writeFixed64(field, value);
   }
 
   void real(int field, double value) throws IOException {
@@ -65,9 +65,9 @@
     }
   }
 
-  void flag(int field, boolean value) throws IOException {
-    if (value) {
-      out.writeBool(field, true);
+  void flag(int field, boolean value, boolean assumed) throws IOException {
+    if (value != assumed) {
+      out.writeBool(field, value);
     }
   }
 
--- a/org.cranberrystand.wire/src/main/java/org/cranberrystand/wire/peer/JsonReportCodec.java
+++ b/org.cranberrystand.wire/src/main/java/org/cranberrystand/wire/peer/JsonReportCodec.java
@@ -122,15 +122,15 @@
   }
 
   /** Decodes a report; the input is untrusted. */
-  static ReceivedMessage decode(byte[] bytes) throws IOException {
+  static PeerMessage.Report decode(byte[] bytes) throws IOException {
     JsonNode root = Json.readTree(bytes);
     if (root == null || !root.path("n").isArray() || !root.path("i").isIntegralNumber()) {
       throw new IOException("not a peer report: n must be an array and i an integer");
     }
     try {
       boolean readsBinary = root.path(BINARY_VERSION_KEY).asInt() >= BinaryReportCodec.VERSION;
-      return new ReceivedMessage(
-          decode(root), readsBinary ? ReportFormat.BINARY : ReportFormat.JSON);
+      return new PeerMessage.Report(
+          decode(root), readsBinary ? ReportFormat.BINARY : ReportFormat.JSON, false);
     } catch (IllegalArgumentException e) {
       throw new IOException("malformed report of " + root.path("n").asText(), e);
     }
--- a/org.cranberrystand.wire/src/test/java/org/cranberrystand/wire/peer/PeerReportCodecTest.java
+++ b/org.cranberrystand.wire/src/test/java/org/cranberrystand/wire/peer/PeerReportCodecTest.java
@@ -26,6 +26,10 @@
 import org.testng.annotations.Test;
 
 public final class PeerReportCodecTest {
+  private static PeerMessage.Report decode(byte[] bytes) throws IOException {
+    return (PeerMessage.Report) new ReportReader().read(bytes);
+  }
+
   private static PeerReport report() {
     return new PeerReport(
         new NodeInfo("n1", "10.0.0.1", "10.0.0.1:80", true, 0.75, "fd-1"),
@@ -61,7 +65,7 @@
   public void decodedReportEqualsTheEncodedOne() throws IOException {
     PeerReport report = report();
     for (ReportFormat format : ReportFormat.values()) {
-      assertEquals(PeerReportCodec.decode(format.encode(report)).report(), report, format.name());
+      assertEquals(decode(format.encode(report)).report(), report, format.name());
     }
   }
 
@@ -69,8 +73,7 @@
   @Test
   public void reportsOfThisBuildStateThatItReadsTheBinaryFormat() throws IOException {
     for (ReportFormat format : ReportFormat.values()) {
-      assertEquals(
-          PeerReportCodec.decode(format.encode(report())).senderReads(), ReportFormat.BINARY);
+      assertEquals(decode(format.encode(report())).senderReads(), ReportFormat.BINARY);
     }
   }
 
@@ -82,7 +85,7 @@
             + "\"n\":[\"n1\",\"10.0.0.1\",\"10.0.0.1:80\",true,0.75],"
             + "\"u\":{\"e1\":[2,300]},\"q\":{\"t\":1.5},\"b\":{},\"c\":{},\"d\":{},\"t\":{},"
             + "\"y\":{},\"v\":[],\"o\":[],\"a\":[],\"p\":[]}";
-    ReceivedMessage message = PeerReportCodec.decode(previous.getBytes(StandardCharsets.UTF_8));
+    PeerMessage.Report message = decode(previous.getBytes(StandardCharsets.UTF_8));
 
     assertEquals(message.senderReads(), ReportFormat.JSON);
     assertEquals(
@@ -101,7 +104,7 @@
     out.writeUInt64(901, 7);
     out.flush();
 
-    assertEquals(PeerReportCodec.decode(bytes.toByteArray()).report(), report());
+    assertEquals(decode(bytes.toByteArray()).report(), report());
   }
 
   /** Guards against an exception other than the expected one for damaged datagrams. */
@@ -115,7 +118,7 @@
         damaged[random.nextInt(damaged.length)] = (byte) random.nextInt();
       }
       try {
-        PeerReportCodec.decode(damaged);
+        new ReportReader().read(damaged);
       } catch (IOException e) {
         assertNotNull(e.getMessage());
       }
@@ -126,7 +129,7 @@
   public void unknownVersionThrowsIoException() {
     byte[] bytes = ReportFormat.BINARY.encode(report());
     bytes[0] = 2;
-    assertThrows(IOException.class, () -> PeerReportCodec.decode(bytes));
+    assertThrows(IOException.class, () -> decode(bytes));
   }
 
   /** Guards against a malformed datagram whose decoding error terminates the receiver. */
@@ -142,8 +145,7 @@
           "{\"n\":[],\"i\":1,\"k\":\"n\",\"c\":{\"x\":1}}",
           "{\"n\":[],\"i\":1,\"k\":\"?\"}"
         }) {
-      assertThrows(
-          IOException.class, () -> PeerReportCodec.decode(text.getBytes(StandardCharsets.UTF_8)));
+      assertThrows(IOException.class, () -> decode(text.getBytes(StandardCharsets.UTF_8)));
     }
   }
 }
--- a/org.cranberrystand.wire/src/test/java/org/cranberrystand/wire/peer/ReportCodecTiming.java
+++ b/org.cranberrystand.wire/src/test/java/org/cranberrystand/wire/peer/ReportCodecTiming.java
@@ -64,8 +64,13 @@
     }
   }
 
+  private static int nodeCount(PeerMessage message) {
+    return ((PeerMessage.Report) message).report().nodeCount();
+  }
+
   private static String run(ReportFormat format, PeerReport report, byte[] bytes, int rounds)
       throws IOException {
+    ReportReader reader = new ReportReader();
     long checksum = 0;
     long start = System.nanoTime();
     for (int i = 0; i < rounds; i++) {
@@ -73,7 +78,7 @@
     }
     long encoded = System.nanoTime();
     for (int i = 0; i < rounds; i++) {
-      checksum += PeerReportCodec.decode(bytes).report().nodeCount();
+      checksum += nodeCount(reader.read(bytes));
     }
     long decoded = System.nanoTime();
     return String.format(
--- a/org.cranberrystand/src/main/java/org/cranberrystand/membership/NodeDirectory.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/membership/NodeDirectory.java
@@ -75,6 +75,12 @@
     return select(entry -> isFresh(entry, nowNanos));
   }
 
+  /** Returns whether a node has a fresh report, direct or relayed. */
+  boolean isFresh(String host, long nowNanos) {
+    Entry entry = entries.get(host);
+    return entry != null && isFresh(entry, nowNanos);
+  }
+
   /** Returns all nodes that may be contacted. */
   ImmutableList<NodeInfo> all() {
     return select(entry -> true);
--- a/org.cranberrystand/src/main/java/org/cranberrystand/membership/PeerTable.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/membership/PeerTable.java
@@ -124,13 +124,19 @@
     if (!report.isNewerThan(previous == null ? null : previous.report())) {
       return ReceiveResult.IGNORED;
     }
+    boolean sameKnowledge =
+        directory.isFresh(report.sender().host(), nowNanos)
+            && report.nodeCount() == nodeCount(nowNanos)
+            && report.cellCount() == layout.key();
     nodeReports.put(report.sender().node(), new ReceivedReport(report, nowNanos));
     directory.recordDirect(report.sender(), nowNanos);
     report.listedNodes().forEach(node -> directory.addUnconfirmed(node, nowNanos));
     if (isInOwnCell(report.sender())) {
       return ReceiveResult.APPLIED;
     }
-    return report.replyRequested() ? ReceiveResult.REPLY_REQUIRED : ReceiveResult.IGNORED;
+    return report.replyRequested() && !sameKnowledge
+        ? ReceiveResult.REPLY_REQUIRED
+        : ReceiveResult.IGNORED;
   }
 
   private ReceiveResult receiveCellReport(PeerReport report, long nowNanos) {
--- a/org.cranberrystand/src/main/java/org/cranberrystand/membership/PeerTargets.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/membership/PeerTargets.java
@@ -4,6 +4,7 @@
 import com.google.common.collect.ImmutableSet;
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -27,6 +28,12 @@
   /** Bounds the size of a report; the remaining nodes follow in later reports. */
   private static final int MAX_LISTED_NODES = 48;
 
+  /**
+   * Nodes of all other cells fit into one report, about 20 KB with 460 nodes. The list is sent
+   * again only when it changes, so the same list in every report costs less than successive parts.
+   */
+  private static final int MAX_RELAYED_NODES = 512;
+
   /** Nodes listed in the reports of a node to its cell in a fleet of several cells. */
   private static final int MAX_ADVERTISED_NODES = 8;
 
@@ -51,11 +58,19 @@
    */
   private static final long DISCOVERY_INTERVAL_NANOS_PER_NODE = TimeUnit.MILLISECONDS.toNanos(10);
 
+  /** Nodes that have known the same fleet for this long search for other nodes less often. */
+  private static final long SETTLE_NANOS = TimeUnit.SECONDS.toNanos(10);
+
+  /** Once settled, discovery would otherwise be most of the traffic of an idle node. */
+  private static final int SETTLED_DISCOVERY_FACTOR = 4;
+
   private final PeerTable table;
   private final String ownHost;
   private final Random random;
   private ImmutableSet<String> seeds;
   private int nextListedIndex;
+  private int knownNodeCount;
+  private long unsettledNanos;
 
   /**
    * Creates the targets of a node.
@@ -114,9 +129,16 @@
    * @return the interval in nanoseconds
    */
   public long discoveryIntervalNanos(long nowNanos) {
-    return Math.max(
-        UNCHANGED_REPORT_INTERVAL_NANOS,
-        table.nodeCount(nowNanos) * DISCOVERY_INTERVAL_NANOS_PER_NODE);
+    int nodeCount = table.nodeCount(nowNanos);
+    if (nodeCount != knownNodeCount || table.visibleFraction(nowNanos) < 1) {
+      knownNodeCount = nodeCount;
+      unsettledNanos = nowNanos;
+    }
+    long intervalNanos =
+        Math.max(UNCHANGED_REPORT_INTERVAL_NANOS, nodeCount * DISCOVERY_INTERVAL_NANOS_PER_NODE);
+    return nowNanos - unsettledNanos < SETTLE_NANOS
+        ? intervalNanos
+        : SETTLED_DISCOVERY_FACTOR * intervalNanos;
   }
 
   /**
@@ -262,6 +284,7 @@
         .addAll(
             table.freshOwnCellReports(nowNanos).stream()
                 .map(received -> received.report().sender())
+                .sorted(Comparator.comparing(NodeInfo::host))
                 .limit(MAX_LISTED_NODES - 1L)
                 .toList())
         .build();
@@ -275,15 +298,17 @@
    * @return nodes of other cells, as listed by their heads
    */
   public ImmutableList<NodeInfo> otherCellNodes(long nowNanos) {
+    // The order is always the same, so that an unchanged list is recognized.
     List<NodeInfo> all =
         table.freshCellReports(nowNanos).stream()
             .flatMap(received -> received.report().listedNodes().stream())
+            .sorted(Comparator.comparing(NodeInfo::host))
             .toList();
-    if (all.size() <= MAX_LISTED_NODES) {
+    if (all.size() <= MAX_RELAYED_NODES) {
       return ImmutableList.copyOf(all);
     }
     ImmutableList.Builder<NodeInfo> part = ImmutableList.builder();
-    for (int i = 0; i < MAX_LISTED_NODES; i++) {
+    for (int i = 0; i < MAX_RELAYED_NODES; i++) {
       part.add(all.get(Math.floorMod(nextListedIndex++, all.size())));
     }
     return part.build();
