Decide when and where a second attempt of a slow request is sent

A few slow responses dominate the tail latency. CallDispatcher finds an upstream in another failure domain that has a free slot and is not cold, paused, rate-limited, brittle, ejected or leaving, unless requests wait or were refused during the last 2 s. Nothing uses them yet.

--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CallDispatcher.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CallDispatcher.java
@@ -9,6 +9,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.Predicate;
@@ -288,6 +289,63 @@
     }
   }
 
+  /**
+   * Returns the upstream to which a hedge of a request can be sent.
+   *
+   * @param call the request, which is at an upstream
+   * @param first the upstream of its first attempt
+   * @param now the current time
+   * @return an upstream with a free slot in another failure domain; empty if there is none or the
+   *     pool is overloaded
+   */
+  public Optional<HedgeTarget> findHedgeTarget(CallSpec call, RegisteredUpstream first, long now) {
+    return pool(call.pool()).findHedgeTarget(call, first, now);
+  }
+
+  /**
+   * Records that the hedge of a request was sent; {@link #hedgeEnded} or {@link #hedgePromoted}
+   * must follow.
+   *
+   * @param call the request
+   * @param target where the hedge was sent, as just found
+   * @param now the current time
+   */
+  public void hedgeSent(CallSpec call, HedgeTarget target, long now) {
+    UpstreamState state = pool(call.pool()).find(target.upstream().id());
+    state.sent(call.promptTokens(), now);
+    running.put(hedgeKey(call.key()), new RunningCall(call, state, 0, now));
+    usageChanges++;
+  }
+
+  /**
+   * Records that the hedge of a request ended at its upstream.
+   *
+   * @param key the key of the request
+   * @param ending how the hedge ended
+   * @param now the current time
+   */
+  public void hedgeEnded(long key, CallEnding ending, long now) {
+    ended(hedgeKey(key), ending, now);
+  }
+
+  /**
+   * Records that the hedge is the only attempt left of a request; it then ends as {@link #ended}
+   * says.
+   *
+   * @param key the key of the request, whose first attempt has ended
+   */
+  public void hedgePromoted(long key) {
+    RunningCall hedge = running.remove(hedgeKey(key));
+    if (hedge != null) {
+      running.put(key, hedge);
+    }
+  }
+
+  /** Returns a key that no request has, since keys of requests are not negative. */
+  private static long hedgeKey(long key) {
+    return ~key;
+  }
+
   /**
    * Runs the periodic work: refuses requests that have waited too long and readmits ejected
    * upstreams.
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/PoolScheduler.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/PoolScheduler.java
@@ -8,6 +8,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import java.util.SplittableRandom;
 import java.util.TreeSet;
@@ -75,6 +76,9 @@
 
   private static final long MIN_RETRY_MILLIS = 150;
 
+  /** How long a pool counts as overloaded after a request was refused; several reports. */
+  private static final long OVERLOAD_NANOS = 2_000_000_000L;
+
   /**
    * The upstreams that a request may be sent to now. {@code cacheHolder} is the upstream that
    * caches the prefix of the prompt; null if there is none, otherwise one of the candidates.
@@ -93,6 +97,7 @@
   private final SendRate sendRate = new SendRate();
   private final PoolReach reach = new PoolReach();
   private int preferredCount;
+  private long overloadedUntilNanos = Long.MIN_VALUE;
 
   /**
    * Creates a pool without upstreams.
@@ -277,6 +282,26 @@
                     && mayUse(entry, state, cacheHolder, nowNanos));
   }
 
+  /** Returns where to send a hedge; empty if it could delay or displace another request. */
+  Optional<HedgeTarget> findHedgeTarget(CallSpec call, RegisteredUpstream first, long nowNanos) {
+    if (!waiting.isEmpty() || nowNanos < overloadedUntilNanos) {
+      return Optional.empty();
+    }
+    WaitingCall entry = new WaitingCall(call, first.id(), true, call.deadlineNanos(), true);
+    List<UpstreamState> candidates =
+        upstreams.values().stream()
+            .filter(state -> state.acceptsHedges(nowNanos))
+            .filter(state -> !state.upstream().failureDomain().equals(first.failureDomain()))
+            .filter(state -> mayUse(entry, state, null, nowNanos))
+            .toList();
+    if (candidates.isEmpty()) {
+      return Optional.empty();
+    }
+    UpstreamState chosen = chooseUpstream(new PlacementOptions(call, null, candidates), nowNanos);
+    return Optional.of(
+        new HedgeTarget(chosen.upstream(), placementChoice(chosen, call, 0, candidates.size())));
+  }
+
   private List<UpstreamState> freeUpstreams(long nowNanos) {
     return upstreams.values().stream().filter(state -> state.freeSlots(nowNanos) > 0).toList();
   }
@@ -497,6 +522,7 @@
   }
 
   private void refuse(CallSpec call, NotRunReason reason, long nowNanos) {
+    overloadedUntilNanos = nowNanos + OVERLOAD_NANOS;
     double remainingMillis = (call.deadlineNanos() - nowNanos) / NANOS_PER_MILLI;
     double fraction =
         MIN_RETRY_FRACTION + (MAX_RETRY_FRACTION - MIN_RETRY_FRACTION) * random.nextDouble();
@@ -546,6 +572,9 @@
     UpstreamState state = running.state();
     state.ended(running.pendingPrefillTokens());
     String id = state.upstream().id();
+    if (ending == CallEnding.NOT_RUN) {
+      overloadedUntilNanos = nowNanos + OVERLOAD_NANOS;
+    }
     if (ending == CallEnding.ANSWERED) {
       ejections.succeeded(id);
       running.reportEventInterval();
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/UpstreamState.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/UpstreamState.java
@@ -196,6 +196,16 @@
     return nowNanos < coldUntilNanos;
   }
 
+  /** Returns whether the upstream may receive hedges, which must not burden a limited one. */
+  boolean acceptsHedges(long nowNanos) {
+    return freeSlots(nowNanos) > 0
+        && !isCold(nowNanos)
+        && !upstream.leaving()
+        && minSendIntervalNanos == 0
+        && !isDivided()
+        && admittedFraction >= 1;
+  }
+
   /** Returns the expected time to the first event of a stream or to the complete response. */
   double expectedFirstResponseNanos(CallSpec call, int cachedTokens) {
     if (!call.isStreaming()) {
--- a/org.cranberrystand/src/main/java/org/cranberrystand/membership/PeerTable.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/membership/PeerTable.java
@@ -348,6 +348,16 @@
     return (1.0 + directory.fresh(nowNanos).size()) / nodeCount(nowNanos);
   }
 
+  /**
+   * Returns whether this node knows what others do.
+   *
+   * @param nowNanos the current monotonic time, in nanoseconds
+   * @return false if other nodes are known or expected, and none has a fresh report
+   */
+  public boolean hasFleetView(long nowNanos) {
+    return sharingNodeCount(nowNanos) == 1 || !directory.fresh(nowNanos).isEmpty();
+  }
+
   /**
    * Returns the fresh report with the newest version of the published state.
    *
