Add the setting for the share of hedged requests

limits.hedge_share, from 0 (default, off) to 0.1. Other values are errors that name the setting; files without it remain valid. GatewaySettingsParserTest covers both.

--- a/org.cranberrystand.wire/src/main/java/org/cranberrystand/wire/settings/GatewaySettings.java
+++ b/org.cranberrystand.wire/src/main/java/org/cranberrystand/wire/settings/GatewaySettings.java
@@ -54,11 +54,13 @@
    * @param quotaTolerance how far the requests of a team may exceed its quota
    * @param shutdownMillis the time from SIGTERM to SIGKILL
    * @param addressLifetimeSeconds how long callers may cache a response of the directory
+   * @param hedgeShare the share of requests that may be hedged; 0 for none
    */
   public record Limits(
       double retryRatio,
       double retrySlack,
       QuotaTolerance quotaTolerance,
       long shutdownMillis,
-      int addressLifetimeSeconds) {}
+      int addressLifetimeSeconds,
+      double hedgeShare) {}
 }
--- a/org.cranberrystand.wire/src/main/java/org/cranberrystand/wire/settings/GatewaySettingsParser.java
+++ b/org.cranberrystand.wire/src/main/java/org/cranberrystand/wire/settings/GatewaySettingsParser.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.net.HostAndPort;
+import org.cranberrystand.dispatch.HedgePolicy;
 import org.cranberrystand.dispatch.QuotaTolerance;
 import org.cranberrystand.util.Checked;
 import org.cranberrystand.util.Findings;
@@ -79,7 +80,8 @@
                 table.getDouble("quota_over", 0, 0, 10),
                 table.getDouble("quota_slack", 0, 0, 1e12)),
             1000 * table.getLong("shutdown_s", DEFAULT_SHUTDOWN_MILLIS / 1000, 1, 3_600),
-            (int) table.getLong("address_lifetime_s", DEFAULT_ADDRESS_LIFETIME_SECONDS, 1, 3_600));
+            (int) table.getLong("address_lifetime_s", DEFAULT_ADDRESS_LIFETIME_SECONDS, 1, 3_600),
+            table.getDouble("hedge_share", 0, 0, HedgePolicy.MAX_SHARE));
     table.rejectUnknownKeys();
     return limits;
   }
--- a/org.cranberrystand.wire/src/test/java/org/cranberrystand/wire/settings/GatewaySettingsParserTest.java
+++ b/org.cranberrystand.wire/src/test/java/org/cranberrystand/wire/settings/GatewaySettingsParserTest.java
@@ -48,4 +48,32 @@
     assertTrue(keys.contains("name"), keys.toString());
     assertTrue(findings(text).stream().filter(f -> f.line() > 0).count() >= 3);
   }
+
+  private static String withHedgeShare(String value) throws IOException {
+    return Files.readString(TRAINING_SETTINGS) + "\n[limits]\nhedge_share = " + value + "\n";
+  }
+
+  /** Guards against hedging on nodes whose operators did not ask for it. */
+  @Test
+  public void hedgingIsOffUnlessSet() throws IOException {
+    GatewaySettings absent =
+        GatewaySettingsParser.parse("node.toml", Files.readString(TRAINING_SETTINGS)).orElseThrow();
+    GatewaySettings set =
+        GatewaySettingsParser.parse("node.toml", withHedgeShare("0.1")).orElseThrow();
+
+    assertEquals(absent.limits().hedgeShare(), 0.0);
+    assertEquals(set.limits().hedgeShare(), 0.1);
+  }
+
+  /**
+   * Guards against a share of hedges that multiplies the load, or a mistyped one that is ignored.
+   */
+  @Test
+  public void invalidHedgeShareIsAnErrorThatNamesIt() throws IOException {
+    for (String value : List.of("0.11", "-0.01", "nan", "\"0.05\"", "true")) {
+      List<String> keys = findings(withHedgeShare(value)).stream().map(Finding::key).toList();
+
+      assertEquals(keys, List.of("limits.hedge_share"), value);
+    }
+  }
 }
