Send a second attempt of a slow request to another failure domain

A request that may run twice is hedged if its upstream has not responded after the learned percentile of its pool, within limits.hedge_share, the retry allowance and the attempts of its route. Idempotent requests and resumable streams before their first event; at most one hedge per request. The first response that can be forwarded wins, the other attempt is cancelled with its connection; if one fails, the other continues. RelayAttempt and RelayAttempts hold what RequestRelay kept of its attempts; RequestContent holds its crash keys. Event 5040, fields hedge, first and second of 5003, counter hedges.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Gateway.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Gateway.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.atomic.AtomicReference;
 import org.cranberrystand.daemon.internal.EventLog;
 import org.cranberrystand.dispatch.CallDispatcher;
+import org.cranberrystand.dispatch.HedgePolicy;
 import org.cranberrystand.dispatch.QuotaLedger;
 import org.cranberrystand.dispatch.RetryAllowance;
 import org.cranberrystand.dispatch.StreamOrigins;
@@ -133,6 +134,9 @@
             dispatcher,
             quotas,
             retries,
+            new Hedging(
+                new HedgePolicy(settings.limits().hedgeShare()),
+                () -> peers.hasFleetView(System.nanoTime())),
             crashes,
             new UpstreamSignals(fleet, dispatcher, limiter.statements(), brittle, log),
             forwarding,
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/GatewayMetrics.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/GatewayMetrics.java
@@ -36,6 +36,7 @@
   private final AtomicInteger quarantined = gauge("content.quarantined");
   private final AtomicInteger unreachablePools = gauge("pools.unreachable");
   private final Map<String, Counter> outcomes = new HashMap<>();
+  private final Map<String, Counter> hedges = new HashMap<>();
   private final Map<String, Timer> firstResponseTimers = new HashMap<>();
 
   private AtomicInteger gauge(String name) {
@@ -75,6 +76,14 @@
     }
   }
 
+  /** Records what became of a hedge; must be called on the event loop. */
+  void recordHedge(String outcome) {
+    hedges
+        .computeIfAbsent(
+            outcome, o -> Counter.builder(PREFIX + "hedges").tag("outcome", o).register(registry))
+        .increment();
+  }
+
   /** Records a request that was not admitted; must be called on the event loop. */
   void recordRejected(int status) {
     String outcome = "status-" + status;
--- /dev/null
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RelayAttempt.java
@@ -0,0 +1,100 @@
+package org.cranberrystand.daemon.gateway;
+
+import org.cranberrystand.dispatch.PlacementChoice;
+import org.cranberrystand.dispatch.SilencePolicy;
+import org.cranberrystand.routing.Route;
+import org.cranberrystand.upstream.RegisteredUpstream;
+
+/** One attempt of a request, at an upstream or at another node. Used only on the event loop. */
+final class RelayAttempt {
+  private final RegisteredUpstream upstream;
+  private final PlacementChoice placement;
+  private final ResponseAssembler response;
+  private final long sentNanos = System.nanoTime();
+  private UpstreamExchange exchange;
+  private boolean responded;
+  private boolean hasEvents;
+
+  /**
+   * Creates an attempt that is not sent yet.
+   *
+   * @param upstream the upstream, or the other node
+   * @param placement the figures behind the choice of the upstream; null at another node
+   * @param response assembles the response
+   */
+  RelayAttempt(RegisteredUpstream upstream, PlacementChoice placement, ResponseAssembler response) {
+    this.upstream = upstream;
+    this.placement = placement;
+    this.response = response;
+  }
+
+  RegisteredUpstream upstream() {
+    return upstream;
+  }
+
+  PlacementChoice placement() {
+    return placement;
+  }
+
+  ResponseAssembler response() {
+    return response;
+  }
+
+  /** Returns how long the upstream may be silent. */
+  long silenceLimitMillis(Route route, long patienceMillis) {
+    return hasEvents
+        ? SilencePolicy.eventLimitMillis(route.gapTargetMillis(), patienceMillis, placement)
+        : SilencePolicy.firstResponseLimitMillis(route.targetMillis(), patienceMillis, placement);
+  }
+
+  long sentNanos() {
+    return sentNanos;
+  }
+
+  void sent(UpstreamExchange startedExchange) {
+    exchange = startedExchange;
+  }
+
+  /** Returns whether the attempt was sent and has not ended. */
+  boolean isInProgress() {
+    return exchange != null;
+  }
+
+  /** Records that the upstream has ended its response, or the connection. */
+  void ended() {
+    exchange = null;
+  }
+
+  /** Ends the attempt and closes its connection. */
+  void cancel() {
+    UpstreamExchange cancelled = exchange;
+    exchange = null;
+    if (cancelled != null) {
+      cancelled.cancel();
+    }
+  }
+
+  void setReading(boolean reading) {
+    if (exchange != null) {
+      exchange.setReading(reading);
+    }
+  }
+
+  /** Records the head of the response, or the first event of a stream. */
+  void setResponded() {
+    responded = true;
+  }
+
+  boolean hasResponded() {
+    return responded;
+  }
+
+  /** Records that events of a stream arrived. */
+  void setHasEvents() {
+    hasEvents = true;
+  }
+
+  boolean hasEvents() {
+    return hasEvents;
+  }
+}
--- /dev/null
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RelayAttempts.java
@@ -0,0 +1,154 @@
+package org.cranberrystand.daemon.gateway;
+
+import io.netty.handler.codec.http.HttpRequest;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.cranberrystand.dispatch.CallEnding;
+import org.cranberrystand.dispatch.CallSpec;
+import org.cranberrystand.dispatch.PlacementChoice;
+import org.cranberrystand.routing.Route;
+import org.cranberrystand.routing.TeamPolicy;
+import org.cranberrystand.upstream.RegisteredUpstream;
+
+/** Sends the attempts of one request and counts them. Used only on the event loop. */
+final class RelayAttempts {
+  private final RelayContext context;
+  private final CallerExchange exchange;
+  private final String requestId;
+  private final OutgoingRequests outgoing;
+  private final boolean streaming;
+  private final long deadlineNanos;
+  private final Set<String> triedUpstreams = new HashSet<>();
+  private RelayAttempt current;
+  private int runCount;
+
+  /**
+   * Creates the attempts of a request that this node has not sent.
+   *
+   * @param context the components that all requests share
+   * @param exchange the exchange with the caller
+   * @param caller the headers of the caller
+   * @param route the route of the request
+   * @param team the team of the caller
+   * @param spec the request
+   */
+  RelayAttempts(
+      RelayContext context,
+      CallerExchange exchange,
+      CallerHeaders caller,
+      Route route,
+      Optional<TeamPolicy> team,
+      CallSpec spec) {
+    this.context = context;
+    this.exchange = exchange;
+    this.requestId = caller.requestId();
+    this.outgoing = new OutgoingRequests(context.headerCodec(), exchange, caller, team);
+    this.streaming = route.kind().isStreaming();
+    this.deadlineNanos = spec.deadlineNanos();
+    this.runCount = ForwardedRequest.read(exchange.request().headers()).runs();
+  }
+
+  /** Returns the last attempt, or the hedge that replaced it; null before the first one. */
+  RelayAttempt current() {
+    return current;
+  }
+
+  /** Returns the upstream of the current attempt; null before the first one. */
+  RegisteredUpstream upstream() {
+    return current == null ? null : current.upstream();
+  }
+
+  /** Returns whether the current attempt has not ended. */
+  boolean isInProgress() {
+    return current != null && current.isInProgress();
+  }
+
+  /** Returns how many upstreams may have run the request. */
+  int runCount() {
+    return runCount;
+  }
+
+  /** Records that an attempt certainly did not run. */
+  void notRun() {
+    runCount--;
+  }
+
+  Set<String> triedUpstreams() {
+    return triedUpstreams;
+  }
+
+  /** Sends the request to another node. */
+  void sendToNode(
+      RegisteredUpstream node, UpstreamClient client, ResponseAssembler.Receiver receiver) {
+    HttpRequest request = outgoing.toNode(remainingMillis(), runCount);
+    current = begin(new RelayAttempt(node, null, newResponse(receiver)), client, request);
+  }
+
+  /** Sends the request to an upstream, to resume its stream after an event unless null. */
+  void sendToUpstream(
+      RegisteredUpstream upstream,
+      PlacementChoice choice,
+      String lastEventId,
+      ResponseAssembler.Receiver receiver) {
+    HttpRequest request = outgoing.toUpstream(upstream, remainingMillis(), lastEventId);
+    current = begin(new RelayAttempt(upstream, choice, newResponse(receiver)), request);
+  }
+
+  /** Sends the request to another upstream too; the current attempt stays. */
+  RelayAttempt sendHedge(
+      RegisteredUpstream upstream, PlacementChoice choice, ResponseAssembler.Receiver receiver) {
+    HttpRequest request = outgoing.toUpstream(upstream, remainingMillis(), null);
+    return begin(new RelayAttempt(upstream, choice, newResponse(receiver)), request);
+  }
+
+  /** Cancels the current attempt if it is in progress. */
+  void cancelCurrent(CallEnding ending) {
+    if (isInProgress()) {
+      current.cancel();
+      if (!ending.isUpstreamReachable()) {
+        context.client().closeIdle(current.upstream().id());
+      }
+    }
+  }
+
+  /** Makes the hedge the current attempt; the other one must have ended. */
+  void replaceCurrent(RelayAttempt hedge) {
+    releaseResponse();
+    current = hedge;
+  }
+
+  /** Releases what is buffered of the response to the current attempt. */
+  void releaseResponse() {
+    if (current != null) {
+      current.response().release();
+    }
+  }
+
+  private ResponseAssembler newResponse(ResponseAssembler.Receiver receiver) {
+    return new ResponseAssembler(receiver, streaming);
+  }
+
+  private RelayAttempt begin(RelayAttempt attempt, HttpRequest request) {
+    return begin(attempt, context.client(), request);
+  }
+
+  private RelayAttempt begin(RelayAttempt attempt, UpstreamClient client, HttpRequest request) {
+    runCount++;
+    RegisteredUpstream target = attempt.upstream();
+    attempt.sent(
+        client.send(
+            target,
+            request,
+            exchange.body().retainedDuplicate(),
+            requestId,
+            !triedUpstreams.add(target.id()),
+            attempt.response()));
+    return attempt;
+  }
+
+  private long remainingMillis() {
+    return Math.max(1, TimeUnit.NANOSECONDS.toMillis(deadlineNanos - System.nanoTime()));
+  }
+}
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RelayContext.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RelayContext.java
@@ -17,6 +17,7 @@
  * @param dispatcher decides when and to which upstream requests are sent
  * @param quotas tracks the quota usage of teams
  * @param retries limits retries
+ * @param hedging decides on second attempts of slow requests
  * @param crashes knows which content crashes upstreams
  * @param signals applies what upstreams say of themselves in responses
  * @param forwarding sends requests through nodes that reach a pool which this one does not
@@ -34,6 +35,7 @@
     CallDispatcher dispatcher,
     QuotaLedger quotas,
     RetryAllowance<String> retries,
+    Hedging hedging,
     CrashDetector crashes,
     UpstreamSignals signals,
     PeerForwarding forwarding,
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RelayLog.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RelayLog.java
@@ -1,10 +1,12 @@
 package org.cranberrystand.daemon.gateway;
 
 import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 import org.cranberrystand.daemon.internal.EventLog;
+import org.cranberrystand.dispatch.HedgeTarget;
 import org.cranberrystand.dispatch.PlacementChoice;
 import org.cranberrystand.event.LogEvent;
 import org.cranberrystand.outcome.NotRunReason;
@@ -107,7 +109,8 @@
       int status,
       RegisteredUpstream upstream,
       int runCount,
-      long firstResponseNanos) {
+      long firstResponseNanos,
+      String hedgeFields) {
     log.write(
         LogEvent.REQUEST_ENDED,
         requestFields
@@ -122,7 +125,32 @@
             + " first_ms="
             + (firstResponseNanos == 0 ? -1 : millis(firstResponseNanos - arrivalNanos))
             + " total_ms="
-            + ageMillis());
+            + ageMillis()
+            + hedgeFields);
+  }
+
+  /** Logs that a second attempt is sent, and the figures behind it. */
+  void hedged(
+      RegisteredUpstream first,
+      HedgeTarget target,
+      long delayMillis,
+      double percentile,
+      double shareUsed) {
+    log.write(
+        LogEvent.REQUEST_HEDGED,
+        requestFields
+            + " first="
+            + first.id()
+            + " upstream="
+            + target.upstream().id()
+            + " delay_ms="
+            + delayMillis
+            + " percentile="
+            + percentile
+            + " share_used="
+            + String.format(Locale.ROOT, "%.4f", shareUsed)
+            + " candidates="
+            + target.choice().candidates());
   }
 
   void repeated(RegisteredUpstream upstream, int runCount, String cause) {
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RequestRelay.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RequestRelay.java
@@ -1,19 +1,14 @@
 package org.cranberrystand.daemon.gateway;
 
-import com.google.common.collect.ImmutableList;
 import io.netty.buffer.ByteBuf;
-import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
-import java.util.HashSet;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.cranberrystand.dispatch.CallEnding;
 import org.cranberrystand.dispatch.CallSpec;
 import org.cranberrystand.dispatch.PauseRequest;
 import org.cranberrystand.dispatch.PlacementChoice;
-import org.cranberrystand.dispatch.SilencePolicy;
 import org.cranberrystand.outcome.NotRunReason;
 import org.cranberrystand.routing.Route;
 import org.cranberrystand.routing.TeamPolicy;
@@ -35,24 +30,24 @@
 
   private static final long RETRY_AFTER_MILLIS = 300;
 
+  static final String ANSWERED = "answered";
+  static final String CALLER_GONE = "caller-gone";
+
   private final RelayContext context;
   private final CallerExchange exchange;
   private final CallerHeaders caller;
   private final Route route;
   private final Optional<TeamPolicy> team;
   private final RequestForwarding forwarding;
-  private final ContentKeys contentKeys;
-  private final OutgoingRequests outgoing;
+  private final RequestContent content;
+  private final RelayAttempts attempts;
   private final DeadlineTimer deadlineTimer;
   private final SilenceTimer silenceTimer;
   private final RelayLog log;
+  private final RequestHedge hedge;
+  private final ResponseForwarder forwarder = new ResponseForwarder();
 
-  private final Set<String> triedUpstreams = new HashSet<>();
   private CallSpec spec;
-  private UpstreamExchange attempt;
-  private RegisteredUpstream upstream;
-  private PlacementChoice placement;
-  private int runCount;
   private int attemptsWithoutRun;
   private boolean quotaCharged;
 
@@ -62,12 +57,9 @@
   private long refusalPauseMillis;
   private boolean done;
   private boolean responseStarted;
-  private boolean attemptHasEvents;
   private long firstResponseNanos;
-  private long sentNanos;
   private long lastByteNanos;
   private String lastEventId;
-  private ResponseAssembler response;
 
   RequestRelay(
       RelayContext context,
@@ -84,12 +76,13 @@
     this.spec = spec;
     this.quotaCharged = team.isPresent();
     this.forwarding = new RequestForwarding(context, exchange, caller);
-    this.runCount = forwarding.runsBefore();
-    this.contentKeys = ContentKeys.of(exchange, caller, team);
-    this.outgoing = new OutgoingRequests(context.headerCodec(), exchange, caller, team);
+    this.attempts = new RelayAttempts(context, exchange, caller, route, team, spec);
     this.deadlineTimer = new DeadlineTimer(context.loop(), spec.deadlineNanos(), new Deadline());
     this.silenceTimer = new SilenceTimer(context.loop(), new Silence());
     this.log = new RelayLog(context.log(), caller.requestId(), route, team, spec.arrivalNanos());
+    this.content =
+        new RequestContent(context.crashes(), ContentKeys.of(exchange, caller, team), log);
+    this.hedge = new RequestHedge(context, this, attempts, forwarder, content, spec, log);
     this.lastEventId = caller.lastEventId();
   }
 
@@ -123,19 +116,21 @@
     // The other node charges the request.
     refundQuota();
     atNode = true;
-    log.forwarded(node, runCount);
-    begin(node, forwarding.client(), outgoing.toNode(remainingMillis(), runCount));
+    log.forwarded(node, attempts.runCount());
+    attempts.sendToNode(node, forwarding.client(), forwarder);
   }
 
   private Optional<RegisteredUpstream> chooseNode() {
-    return responseStarted ? Optional.empty() : forwarding.chooseNode(spec.pool(), triedUpstreams);
+    return responseStarted
+        ? Optional.empty()
+        : forwarding.chooseNode(spec.pool(), attempts.triedUpstreams());
   }
 
   /** Forwards the request if it waits on a node that has lost its links to the pool. */
   void forwardWaiting() {
     if (!done
-        && attempt == null
-        && runCount == forwarding.runsBefore()
+        && !attempts.isInProgress()
+        && attempts.runCount() == forwarding.runsBefore()
         && chooseNode().isPresent()) {
       context.dispatcher().ended(spec.key(), CallEnding.CANCELLED, System.nanoTime());
       if (!forward()) {
@@ -146,8 +141,7 @@
 
   /** Refuses the request if it is not at an upstream and its content crashes upstreams. */
   boolean refuseIfQuarantined() {
-    long refusalMillis =
-        done || attempt != null ? 0 : context.crashes().refusalMillis(contentKeys.all());
+    long refusalMillis = done || attempts.isInProgress() ? 0 : content.refusalMillis();
     if (refusalMillis == 0) {
       return false;
     }
@@ -160,36 +154,29 @@
     return done;
   }
 
+  private RelayAttempt attempt() {
+    return attempts.current();
+  }
+
   /** Sends the request to the upstream that the dispatcher selected. */
   void send(RegisteredUpstream chosen, PlacementChoice choice) {
-    placement = choice;
     atNode = false;
-    log.placed(chosen, choice, runCount + 1);
-    begin(chosen, context.client(), outgoing.toUpstream(chosen, remainingMillis(), lastEventId));
+    log.placed(chosen, choice, attempts.runCount() + 1);
+    attempts.sendToUpstream(chosen, choice, lastEventId, forwarder);
     if (route.isRetryable()) {
       silenceTimer.start();
     }
+    if (route.isRetryable() && attempts.runCount() == 1 && lastEventId == null) {
+      hedge.firstAttemptSent();
+    }
   }
 
-  private void begin(RegisteredUpstream chosen, UpstreamClient client, HttpRequest request) {
-    upstream = chosen;
-    attemptHasEvents = false;
-    sentNanos = System.nanoTime();
-    lastByteNanos = sentNanos;
-    runCount++;
-    response = new ResponseAssembler(new ResponseForwarder(), route.kind().isStreaming());
-    attempt =
-        client.send(
-            chosen,
-            request,
-            exchange.body().retainedDuplicate(),
-            caller.requestId(),
-            !triedUpstreams.add(chosen.id()),
-            response);
-  }
-
-  private long remainingMillis() {
-    return Math.max(1, millis(spec.deadlineNanos() - System.nanoTime()));
+  /** Continues with the hedge as the only attempt. */
+  void continueWithHedge(RelayAttempt hedgeAttempt) {
+    attempts.replaceCurrent(hedgeAttempt);
+    lastByteNanos = System.nanoTime();
+    context.dispatcher().hedgePromoted(spec.key());
+    silenceTimer.start();
   }
 
   private static long millis(long nanos) {
@@ -207,13 +194,15 @@
       exchange.abort();
       return;
     }
-    if (runCount > 0) {
+    if (attempts.runCount() > 0) {
       fail(HttpResponseStatus.BAD_GATEWAY, "no upstream answered");
       return;
     }
     if (reason == NotRunReason.OVERLOADED) {
-      forwarding.chooseNodeWithSlots(spec.pool(), triedUpstreams).ifPresent(this::sendToNode);
-      if (attempt != null) {
+      forwarding
+          .chooseNodeWithSlots(spec.pool(), attempts.triedUpstreams())
+          .ifPresent(this::sendToNode);
+      if (attempts.isInProgress()) {
         return;
       }
     }
@@ -247,59 +236,47 @@
     done = true;
     deadlineTimer.cancel();
     silenceTimer.cancel();
-    releaseResponse();
-    log.ended(outcome, status, upstream, runCount, firstResponseNanos);
+    String hedgeFields = hedge.requestEnded(outcome);
+    attempts.releaseResponse();
+    log.ended(
+        outcome, status, attempts.upstream(), attempts.runCount(), firstResponseNanos, hedgeFields);
     context
         .metrics()
         .recordEnded(route, outcome, spec.arrivalNanos(), firstResponseNanos, System.nanoTime());
   }
 
-  private void releaseResponse() {
-    if (response != null) {
-      response.release();
-      response = null;
-    }
-  }
-
   @Override
   public void callerDisconnected() {
     if (done) {
       return;
     }
     endAttempt(CallEnding.CANCELLED);
-    if (runCount == 0) {
+    if (attempts.runCount() == 0) {
       refundQuota();
     }
-    end("caller-gone", -1);
+    end(CALLER_GONE, -1);
   }
 
   @Override
   public void writabilityChanged(boolean writable) {
-    Optional.ofNullable(attempt).ifPresent(sent -> sent.setReading(writable));
+    Optional.ofNullable(attempt()).ifPresent(sent -> sent.setReading(writable));
   }
 
   /** Cancels the attempt in progress, if any, and removes the request from the dispatcher. */
   private void endAttempt(CallEnding ending) {
-    UpstreamExchange ended = attempt;
-    attempt = null;
-    if (ended != null) {
-      ended.cancel();
-    }
-    if (ended != null && !ending.isUpstreamReachable()) {
-      context.client().closeIdle(upstream.id());
-    }
+    attempts.cancelCurrent(ending);
     context.dispatcher().ended(spec.key(), ending, System.nanoTime());
   }
 
   private final class Deadline implements DeadlineTimer.Watched {
     @Override
     public boolean isAtUpstream() {
-      return attempt != null;
+      return attempts.isInProgress();
     }
 
     @Override
     public void deadlinePassed() {
-      boolean sent = attempt != null;
+      boolean sent = attempts.isInProgress();
       endAttempt(sent && !responseStarted ? CallEnding.SILENT : CallEnding.CANCELLED);
       if (sent) {
         fail(HttpResponseStatus.GATEWAY_TIMEOUT, "no answer in time");
@@ -313,24 +290,26 @@
   private final class Silence implements SilenceTimer.Watched {
     @Override
     public long silentMillis() {
-      return done || attempt == null || atNode ? -1 : millis(response.silentNanos());
+      return done || !attempts.isInProgress() || atNode
+          ? -1
+          : millis(attempt().response().silentNanos());
     }
 
     @Override
     public long silenceLimitMillis() {
-      long patienceMillis = millis(spec.patienceNanos());
-      return attemptHasEvents
-          ? SilencePolicy.eventLimitMillis(route.gapTargetMillis(), patienceMillis, placement)
-          : SilencePolicy.firstResponseLimitMillis(route.targetMillis(), patienceMillis, placement);
+      return attempt().silenceLimitMillis(route, millis(spec.patienceNanos()));
     }
 
     @Override
     public boolean tryMove(long silentMillis) {
+      // While a hedge is in progress, the request already is at another upstream.
       boolean canMove =
-          context.dispatcher().canMove(spec, upstream.id(), System.nanoTime())
-              || chooseNode().isPresent();
+          !hedge.isInProgress()
+              && (context.dispatcher().canMove(spec, attempt().upstream().id(), System.nanoTime())
+                  || chooseNode().isPresent());
       boolean moves = canMove && tryAcquireRetry();
       if (moves) {
+        hedge.firstAttemptLasted(attempt());
         endAttempt(CallEnding.SILENT);
         retry("no data for " + silentMillis + " ms");
       }
@@ -342,29 +321,29 @@
    * Takes a retry from the allowance if a request that may have run may be sent to another
    * upstream.
    */
-  private boolean tryAcquireRetry() {
+  boolean tryAcquireRetry() {
     // Without the identifier of the last event, another attempt would restart the stream.
     boolean resumable = !responseStarted || lastEventId != null;
     return route.isRetryable()
         && resumable
         // Another node may have sent the request to as many upstreams as allowed.
         && !atNode
-        && context.crashes().refusalMillis(contentKeys.all()) == 0
-        && runCount < route.maxAttempts()
+        && content.refusalMillis() == 0
+        && attempts.runCount() < route.maxAttempts()
         && millis(spec.deadlineNanos() - System.nanoTime()) > MIN_RETRY_MILLIS
         && context.retries().tryAcquire(spec.pool());
   }
 
   private void retry(String cause) {
-    log.repeated(upstream, runCount, cause);
-    releaseResponse();
+    log.repeated(attempt().upstream(), attempts.runCount(), cause);
+    attempts.releaseResponse();
     if (forward()) {
       return;
     }
-    if (runCount > 0) {
-      context.dispatcher().resubmit(spec, upstream.id(), System.nanoTime());
+    if (attempts.runCount() > 0) {
+      context.dispatcher().resubmit(spec, attempt().upstream().id(), System.nanoTime());
     } else {
-      context.dispatcher().submit(spec, upstream.id(), System.nanoTime());
+      context.dispatcher().submit(spec, attempt().upstream().id(), System.nanoTime());
     }
   }
 
@@ -381,11 +360,21 @@
       if (atNode) {
         refusalPauseMillis = headers.pause().map(PauseRequest::millis).orElse(RETRY_AFTER_MILLIS);
       } else {
-        context.signals().received(upstream, headers, sentNanos);
+        context.signals().received(attempt().upstream(), headers, attempt().sentNanos());
+        if (!headers.notRun() && !route.kind().isStreaming()) {
+          attemptResponded();
+        }
       }
       bytesReceived();
     }
 
+    private void attemptResponded() {
+      if (!attempt().hasResponded()) {
+        attempt().setResponded();
+        hedge.firstAttemptLasted(attempt());
+      }
+    }
+
     @Override
     public void bytesReceived() {
       lastByteNanos = System.nanoTime();
@@ -394,18 +383,20 @@
 
     @Override
     public void connectFailed(Throwable cause) {
-      runCount--;
+      attempts.notRun();
       forwarding.unreachable();
       atNode = false;
       endAttempt(CallEnding.UNREACHABLE);
-      log.broken(upstream, "connect", cause);
-      retryNotRun("upstream unreachable", false);
+      log.broken(attempt().upstream(), "connect", cause);
+      if (!hedge.takeOver()) {
+        retryNotRun("upstream unreachable", false);
+      }
     }
 
     @Override
     public void eventsReceived(
         ResponseAssembler received, ByteBuf events, int count, String eventId) {
-      if (!attemptHasEvents && lastEventId != null && !received.beginsAfter(lastEventId)) {
+      if (!attempt().hasEvents() && lastEventId != null && !received.beginsAfter(lastEventId)) {
         events.release();
         breakOff("stream not resumed after event " + lastEventId);
         return;
@@ -416,10 +407,11 @@
       if (!responseStarted && !atNode) {
         bindToVersion();
       }
-      if (!attemptHasEvents) {
-        context.crashes().answered(contentKeys.parts());
+      if (!attempt().hasEvents()) {
+        content.partsAnswered();
+        attemptResponded();
       }
-      attemptHasEvents = true;
+      attempt().setHasEvents();
       context.dispatcher().eventsReceived(spec.key(), count, lastByteNanos);
       startResponse(received);
       lastEventId = eventId;
@@ -432,32 +424,39 @@
     }
 
     private void breakOff(String cause) {
-      attempt.cancel();
-      attempt = null;
+      attempt().cancel();
       retryOrFail(cause, CallEnding.FAILED);
     }
 
     /** Binds the stream to the software version of the upstream that sent its first event. */
     private void bindToVersion() {
-      spec = spec.continuedAt(upstream.softwareVersion());
+      spec = spec.continuedAt(attempt().upstream().softwareVersion());
       if (route.isResumable() && caller.lastEventId() == null && caller.requestId() != null) {
-        context.streams().began(caller.requestId(), upstream);
+        context.streams().began(caller.requestId(), attempt().upstream());
       }
     }
 
     private void startResponse(ResponseAssembler received) {
       if (!responseStarted) {
         responseStarted = true;
+        hedge.cancel();
         exchange.startResponse(received.status(), received.callerHeaders(context.headerCodec()));
       }
     }
 
     @Override
     public void bodyPartReceived(ResponseAssembler received, ByteBuf part) {
+      if (received != attempt().response()) {
+        // The hedge has replaced the attempt, whose other parts may still arrive.
+        part.release();
+        return;
+      }
       if (!responseStarted && !received.isForwardable()) {
         part.release();
         endAttempt(CallEnding.FAILED);
-        fail(HttpResponseStatus.BAD_GATEWAY, "the upstream gave no valid answer");
+        if (!hedge.takeOver()) {
+          fail(HttpResponseStatus.BAD_GATEWAY, "the upstream gave no valid answer");
+        }
         return;
       }
       startResponse(received);
@@ -466,8 +465,8 @@
 
     @Override
     public void streamEnded(ResponseAssembler received, boolean insideEvent) {
-      attempt = null;
-      if (!attemptHasEvents) {
+      attempt().ended();
+      if (!attempt().hasEvents()) {
         recordBroken();
       }
       if (insideEvent || !responseStarted) {
@@ -476,13 +475,13 @@
         return;
       }
       recordEnding(CallEnding.ANSWERED);
-      end("answered", received.status().code());
+      end(ANSWERED, received.status().code());
       exchange.finishResponse();
     }
 
     @Override
     public void responseCompleted(ResponseAssembler received, ByteBuf body) {
-      attempt = null;
+      attempt().ended();
       boolean resumedStream = responseStarted && route.kind().isStreaming();
       boolean serverError = received.status().codeClass() == HttpStatusClass.SERVER_ERROR;
       if (received.isNotRun()) {
@@ -490,6 +489,10 @@
       } else if (resumedStream || !received.isForwardable()) {
         body.release();
         retryOrFail("no valid answer", CallEnding.FAILED);
+      } else if (serverError && hedge.isInProgress()) {
+        body.release();
+        recordEnding(CallEnding.FAILED);
+        hedge.takeOver();
       } else if (serverError && tryAcquireRetry()) {
         body.release();
         recordEnding(CallEnding.FAILED);
@@ -500,11 +503,15 @@
     }
 
     private void handleNotRun(ResponseAssembler received, ByteBuf body) {
-      runCount--;
+      attempts.notRun();
       if (!atNode) {
-        context.signals().refused(upstream);
+        context.signals().refused(attempt().upstream());
       }
       recordEnding(CallEnding.NOT_RUN);
+      if (hedge.takeOver()) {
+        body.release();
+        return;
+      }
       if (atNode) {
         body.release();
         refusedByNode(received.status());
@@ -534,7 +541,7 @@
       boolean failed = status >= HttpResponseStatus.INTERNAL_SERVER_ERROR.code();
       recordEnding(failed ? CallEnding.FAILED : CallEnding.ANSWERED);
       firstResponseNanos = lastByteNanos;
-      end(failed ? "upstream-failed" : "answered", status);
+      end(failed ? "upstream-failed" : ANSWERED, status);
       if (responseStarted) {
         exchange.sendPart(body);
         exchange.finishResponse();
@@ -545,28 +552,25 @@
 
     @Override
     public void connectionBroken(Throwable cause, boolean endedByUpstream) {
-      attempt = null;
+      attempt().ended();
       if (endedByUpstream) {
         recordBroken();
       }
-      log.broken(upstream, "answer", cause);
+      log.broken(attempt().upstream(), "answer", cause);
       retryOrFail("connection broke", CallEnding.BROKEN);
     }
 
-    /** Records that this request may have crashed the upstream. */
     private void recordBroken() {
-      if (atNode) {
-        return;
+      if (!atNode) {
+        content.recordBroken(attempt());
       }
-      RegisteredUpstream broken = upstream;
-      // Content that crashes upstreams does so before the first event.
-      ImmutableList<Long> keys =
-          attemptHasEvents ? ImmutableList.of(contentKeys.whole()) : contentKeys.all();
-      context.crashes().connectionBroken(broken, keys, () -> log.crashSuspected(broken, keys));
     }
 
     private void retryOrFail(String cause, CallEnding ending) {
       recordEnding(ending);
+      if (hedge.takeOver()) {
+        return;
+      }
       if (tryAcquireRetry()) {
         retry(cause);
       } else {
@@ -577,7 +581,7 @@
     private void recordEnding(CallEnding ending) {
       context.dispatcher().ended(spec.key(), ending, System.nanoTime());
       if (ending == CallEnding.ANSWERED) {
-        context.crashes().answered(contentKeys.all());
+        content.answered();
       }
     }
   }
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CallDispatcher.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CallDispatcher.java
@@ -317,6 +317,16 @@
     usageChanges++;
   }
 
+  /**
+   * Records that bytes of the response to the hedge of a request were received.
+   *
+   * @param key the key of the request
+   * @param now the current time
+   */
+  public void hedgeBytesReceived(long key, long now) {
+    bytesReceived(hedgeKey(key), now);
+  }
+
   /**
    * Records that the hedge of a request ended at its upstream.
    *
--- a/org.cranberrystand/src/main/java/org/cranberrystand/event/LogEvent.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/event/LogEvent.java
@@ -101,7 +101,9 @@
   /** A request was sent through another node, which reaches the upstreams of its pool. */
   REQUEST_FORWARDED(5031, Severity.INFO, "request forwarded to another node"),
   /** An upstream stated, changed or withdrew the rate of refusals beyond which it fails. */
-  UPSTREAM_BRITTLE(5032, Severity.INFO, "refusal limit of an upstream changed");
+  UPSTREAM_BRITTLE(5032, Severity.INFO, "refusal limit of an upstream changed"),
+  /** A second attempt of a request was sent, because the first one had no response yet. */
+  REQUEST_HEDGED(5040, Severity.INFO, "request hedged");
 
   private final int number;
   private final Severity severity;
