--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/GatewayMetrics.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/GatewayMetrics.java
@@ -38,6 +38,7 @@
   private final AtomicInteger unreachablePools = gauge("pools.unreachable");
   private final AtomicInteger evacuatedDomains = gauge("domains.evacuated");
   private final Map<String, Counter> outcomes = new HashMap<>();
+  private final Map<String, Counter> hedges = new HashMap<>();
   private final Map<String, Timer> firstResponseTimers = new HashMap<>();
 
   private AtomicInteger gauge(String name) {
@@ -85,6 +86,14 @@
     }
   }
 
+  /** Records what became of a hedge; must be called on the event loop. */
+  void recordHedge(String outcome) {
+    hedges
+        .computeIfAbsent(
+            outcome, o -> Counter.builder(PREFIX + "hedges").tag("outcome", o).register(registry))
+        .increment();
+  }
+
   /** Records a request that was not admitted; must be called on the event loop. */
   void recordRejected(int status) {
     String outcome = "status-" + status;
--- a/org.cranberrystand.wire/src/main/java/org/cranberrystand/wire/settings/GatewaySettings.java
+++ b/org.cranberrystand.wire/src/main/java/org/cranberrystand/wire/settings/GatewaySettings.java
@@ -60,6 +60,7 @@
    * @param addressLifetimeSeconds how long callers may cache a response of the directory
    * @param evacuateMillis how long after its publication an evacuation of a failure domain must be
    *     in effect; 0 if failure domains are not evacuated
+   * @param hedgeShare the share of requests that may be hedged; 0 for none
    */
   public record Limits(
       double retryRatio,
@@ -68,5 +69,6 @@
       Optional<ColdTolerance> coldTolerance,
       long shutdownMillis,
       int addressLifetimeSeconds,
-      long evacuateMillis) {}
+      long evacuateMillis,
+      double hedgeShare) {}
 }
--- a/org.cranberrystand.wire/src/main/java/org/cranberrystand/wire/settings/GatewaySettingsParser.java
+++ b/org.cranberrystand.wire/src/main/java/org/cranberrystand/wire/settings/GatewaySettingsParser.java
@@ -4,6 +4,7 @@
 import com.google.common.net.HostAndPort;
 import java.util.Optional;
 import org.cranberrystand.dispatch.ColdTolerance;
+import org.cranberrystand.dispatch.HedgePolicy;
 import org.cranberrystand.dispatch.QuotaTolerance;
 import org.cranberrystand.util.Checked;
 import org.cranberrystand.util.Findings;
@@ -93,7 +94,8 @@
             readColdTolerance(table),
             1000 * table.getLong("shutdown_s", DEFAULT_SHUTDOWN_MILLIS / 1000, 1, 3_600),
             (int) table.getLong("address_lifetime_s", DEFAULT_ADDRESS_LIFETIME_SECONDS, 1, 3_600),
-            table.getLong("evacuate_ms", 0, 0, MAX_EVACUATE_MILLIS));
+            table.getLong("evacuate_ms", 0, 0, MAX_EVACUATE_MILLIS),
+            table.getDouble("hedge_share", 0, 0, HedgePolicy.MAX_SHARE));
     table.rejectUnknownKeys();
     return limits;
   }
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/PlacementCost.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/PlacementCost.java
@@ -1,5 +1,7 @@
 package org.cranberrystand.dispatch;
 
+import java.util.Collection;
+
 /** The cost of placing a request at an upstream, by which upstreams are compared. */
 final class PlacementCost {
   /** Cost of a second of streaming relative to a second of waiting for the first event. */
@@ -43,4 +45,19 @@
             + gapPenaltyNanos
             - savedPrefillNanos);
   }
+
+  /** Returns the time to the first response at the fastest upstream if it is idle. */
+  static double leastFirstResponseNanos(Collection<UpstreamState> upstreams, CallSpec call) {
+    double least = Double.MAX_VALUE;
+    for (UpstreamState state : upstreams) {
+      least =
+          Math.min(
+              least,
+              call.isStreaming()
+                  ? UpstreamState.FIRST_EVENT_BASE_NANOS
+                      + call.promptTokens() * state.prefillNanosPerToken()
+                  : state.serviceNanos());
+    }
+    return least;
+  }
 }
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/PoolScheduler.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/PoolScheduler.java
@@ -1,14 +1,12 @@
 package org.cranberrystand.dispatch;
 
-import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Random;
+import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -52,6 +50,9 @@
   /** Longer than any interval at which a node may send requests to a limited upstream. */
   private static final long MAX_SEND_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(20);
 
+  /** How long a pool counts as overloaded after a request was refused; several reports. */
+  private static final long OVERLOAD_NANOS = 2_000_000_000L;
+
   /**
    * The upstreams that a request may be sent to now. {@code cacheHolder} is the upstream that
    * caches the prefix of the prompt; null if there is none, otherwise one of the candidates.
@@ -75,6 +76,7 @@
   private final PlacementHold hold;
   private int preferredCount;
   private String ownDomain = "";
+  private long overloadedUntilNanos = Long.MIN_VALUE;
 
   /**
    * Creates a pool without upstreams.
@@ -193,27 +195,7 @@
 
   /** Returns the upstreams to which to open a connection, to find out whether it can be opened. */
   List<RegisteredUpstream> takeProbes(Collection<RunningCall> running, long nowNanos) {
-    int count = reach.takeProbes(silentNanos(running, nowNanos), nowNanos);
-    if (count == 0) {
-      return List.of();
-    }
-    List<RegisteredUpstream> candidates =
-        new ArrayList<>(upstreams.values().stream().map(UpstreamState::upstream).toList());
-    Collections.shuffle(candidates, new Random(random.nextLong()));
-    candidates.sort(Comparator.comparing(candidate -> reach.hasFailed(candidate.id())));
-    return candidates.subList(0, Math.min(count, candidates.size()));
-  }
-
-  private long silentNanos(Collection<RunningCall> running, long nowNanos) {
-    if (running.isEmpty()) {
-      return 0;
-    }
-    long silentNanos =
-        running.stream().mapToLong(call -> nowNanos - call.sentNanos()).max().orElseThrow();
-    for (UpstreamState state : upstreams.values()) {
-      silentNanos = Math.min(silentNanos, state.silentNanos(nowNanos));
-    }
-    return silentNanos;
+    return ProbeSelection.take(reach, upstreams.values(), running, random, nowNanos);
   }
 
   /** Queues a request that certainly has not run. */
@@ -312,6 +294,27 @@
                         && mayUse(entry, state, cacheHolder, nowNanos));
   }
 
+  /** Returns where to send a hedge; empty if it could delay or displace another request. */
+  Optional<HedgeTarget> findHedgeTarget(CallSpec call, RegisteredUpstream first, long nowNanos) {
+    if (!waiting.isEmpty() || nowNanos < overloadedUntilNanos) {
+      return Optional.empty();
+    }
+    WaitingCall entry = new WaitingCall(call, first.id(), true, call.deadlineNanos(), true);
+    List<UpstreamState> candidates =
+        upstreams.values().stream()
+            .filter(state -> state.acceptsHedges(nowNanos))
+            .filter(state -> !state.upstream().failureDomain().equals(first.failureDomain()))
+            .filter(state -> mayUse(entry, state, null, nowNanos))
+            .toList();
+    if (candidates.isEmpty()) {
+      return Optional.empty();
+    }
+    UpstreamState chosen = chooseUpstream(new PlacementOptions(call, null, candidates), nowNanos);
+    return Optional.of(
+        new HedgeTarget(
+            chosen.upstream(), placementChoice(chosen, call, 0, candidates.size(), nowNanos)));
+  }
+
   private List<UpstreamState> freeUpstreams(long nowNanos) {
     return upstreams.values().stream().filter(state -> state.freeSlots(nowNanos) > 0).toList();
   }
@@ -500,22 +503,9 @@
         candidates);
   }
 
-  private double minFirstResponseNanos(CallSpec call) {
-    double least = Double.MAX_VALUE;
-    for (UpstreamState state : upstreams.values()) {
-      least =
-          Math.min(
-              least,
-              call.isStreaming()
-                  ? UpstreamState.FIRST_EVENT_BASE_NANOS
-                      + call.promptTokens() * state.prefillNanosPerToken()
-                  : state.serviceNanos());
-    }
-    return least;
-  }
-
   private long latestStartNanos(CallSpec call) {
-    return call.targetNanos() - (long) minFirstResponseNanos(call);
+    return call.targetNanos()
+        - (long) PlacementCost.leastFirstResponseNanos(upstreams.values(), call);
   }
 
   private static long latestWaitNanos(CallSpec call) {
@@ -529,6 +519,7 @@
   }
 
   private void refuse(CallSpec call, NotRunReason reason, long nowNanos) {
+    overloadedUntilNanos = nowNanos + OVERLOAD_NANOS;
     long openingNanos = nextOpeningNanos(call, nowNanos);
     output.refuse(
         call,
@@ -582,6 +573,9 @@
     UpstreamState state = running.state();
     state.ended(running.pendingPrefillTokens());
     String id = state.upstream().id();
+    if (ending == CallEnding.NOT_RUN) {
+      overloadedUntilNanos = nowNanos + OVERLOAD_NANOS;
+    }
     if (ending == CallEnding.ANSWERED) {
       ejections.succeeded(id);
       running.reportEventInterval();
--- a/org.cranberrystand/src/main/java/org/cranberrystand/event/LogEvent.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/event/LogEvent.java
@@ -117,7 +117,9 @@
   /** An upstream counts as cold: it receives only as many requests as it tolerates. */
   UPSTREAM_COLD(5046, Severity.INFO, "upstream counts as cold"),
   /** An upstream no longer counts as cold. */
-  UPSTREAM_WARM(5047, Severity.INFO, "upstream no longer counts as cold");
+  UPSTREAM_WARM(5047, Severity.INFO, "upstream no longer counts as cold"),
+  /** A second attempt of a request was sent, because the first one had no response yet. */
+  REQUEST_HEDGED(5048, Severity.INFO, "request hedged");
 
   private final int number;
   private final Severity severity;
