Send what teams above their share want while slots are free

A limit on the rate of teams above their share kept slots free for other nodes' small teams. The limit is taken out; the fair order and the choice of whom to refuse stay.

--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CallQueue.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CallQueue.java
@@ -34,7 +34,7 @@
   private final Map<Long, WaitingCall> byKey = new HashMap<>();
   private final Map<String, Double> weights = new HashMap<>();
   private final TeamLoad load = new TeamLoad();
-  private final ShareControl control = new ShareControl();
+  private final PoolOccupancy occupancy = new PoolOccupancy();
   private final List<WaitingCall> becameLate = new ArrayList<>();
   private long refreshedNanos;
 
@@ -83,9 +83,6 @@
   void removeSent(long key, long nowNanos) {
     WaitingCall entry = byKey.remove(key);
     if (entry.call().hasTeam()) {
-      if (isAboveShare(entry.call(), nowNanos)) {
-        control.sent(nowNanos);
-      }
       load.sent(entry.call(), nowNanos);
     }
     if (entry.sharesFairly()) {
@@ -108,9 +105,6 @@
    * @return the first result; null if there is none
    */
   <R> R findFirst(long nowNanos, Function<WaitingCall, R> function) {
-    Predicate<WaitingCall> serves =
-        entry -> control.permits() || !isAboveShare(entry.call(), nowNanos);
-
     if (fairByPriority.isEmpty()) {
       return findIn(ordered.iterator(), function);
     }
@@ -123,8 +117,8 @@
         break;
       }
     }
-    R onTime = findByPriority(false, serves, function);
-    return onTime == null ? findByPriority(true, serves, function) : onTime;
+    R onTime = findByPriority(false, function);
+    return onTime == null ? findByPriority(true, function) : onTime;
   }
 
   private static <R> R findIn(Iterator<WaitingCall> entries, Function<WaitingCall, R> function) {
@@ -138,8 +132,7 @@
   }
 
   /** Searches the requests that are on time, or those that are late, by priority. */
-  private <R> R findByPriority(
-      boolean late, Predicate<WaitingCall> serves, Function<WaitingCall, R> function) {
+  private <R> R findByPriority(boolean late, Function<WaitingCall, R> function) {
     Iterator<WaitingCall> teamless =
         ordered.stream().filter(w -> !w.mayHaveRun() && w.isLate() == late).iterator();
     WaitingCall next = teamless.hasNext() ? teamless.next() : null;
@@ -156,7 +149,7 @@
         }
         next = teamless.hasNext() ? teamless.next() : null;
       }
-      R result = findIn(queue, late, serves, function);
+      R result = findIn(queue, late, function);
       if (result != null) {
         return result;
       }
@@ -177,18 +170,15 @@
    * requests of those that are on time.
    */
   private static <R> R findIn(
-      FairQueue<WaitingCall> queue,
-      boolean late,
-      Predicate<WaitingCall> serves,
-      Function<WaitingCall, R> function) {
+      FairQueue<WaitingCall> queue, boolean late, Function<WaitingCall, R> function) {
     if (!late && queue.isSecondLaneNext()) {
       WaitingCall lateHead = queue.peek(true);
-      R result = serves.test(lateHead) ? function.apply(lateHead) : null;
+      R result = function.apply(lateHead);
       if (result != null) {
         return result;
       }
     }
-    return queue.findFirst(late, serves, function);
+    return queue.findFirst(late, entry -> true, function);
   }
 
   /** Returns all requests, by priority and target. */
@@ -237,14 +227,9 @@
     fairByPriority.values().forEach(queue -> queue.chargeRemote(team, tokens));
   }
 
-  /** Returns whether a request is of a team that wants more than its share. */
-  boolean isAboveShare(CallSpec call, long nowNanos) {
-    return call.hasTeam() && load.isAboveShare(call.team(), control.occupancy(), nowNanos);
-  }
-
   /** Returns whether a request is of a team that wants no more than its share. */
   boolean isWithinShare(CallSpec call, long nowNanos) {
-    return load.isWithinShare(call.team(), control.occupancy(), nowNanos);
+    return load.isWithinShare(call.team(), occupancy.fraction(), nowNanos);
   }
 
   TeamLoad load() {
@@ -265,26 +250,12 @@
     return fairQueue(entry).evictionCandidate();
   }
 
-  /** Adjusts the limits of teams to the usage of the upstreams. */
+  /** Applies the usage of the upstreams. */
   void update(Collection<UpstreamState> upstreams, long nowNanos) {
-    control.update(upstreams, fairCallsPerSecond(nowNanos), nowNanos);
+    occupancy.update(upstreams, nowNanos);
     refresh(nowNanos);
   }
 
-  /** Sums up what the shares of the waiting teams above their share allow this node. */
-  private double fairCallsPerSecond(long nowNanos) {
-    double sum = 0;
-    for (FairQueue<WaitingCall> queue : fairByPriority.values()) {
-      sum +=
-          queue.sumOverWaitingTeams(
-              team ->
-                  load.isAboveShare(team, control.occupancy(), nowNanos)
-                      ? load.ownFairCallsPerSecond(team, control.occupancy(), nowNanos)
-                      : 0);
-    }
-    return sum;
-  }
-
   /** Forgets teams that no longer use the pool, at intervals. */
   private void refresh(long nowNanos) {
     if (fairByPriority.isEmpty() || nowNanos - refreshedNanos < REFRESH_NANOS) {
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/TeamLoad.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/TeamLoad.java
@@ -61,15 +61,6 @@
     return shares.totalTokensPerSecond(nowNanos);
   }
 
-  /**
-   * Returns whether a team wants more than its share of what the fleet can serve.
-   *
-   * @param occupancy the fraction of the slots of the pool that is in use
-   */
-  boolean isAboveShare(String team, double occupancy, long nowNanos) {
-    return fleetShares.fairFraction(team) < 1 && !isWithinShare(team, occupancy, nowNanos);
-  }
-
   /** Returns whether other teams use the pool and a team wants no more than its share. */
   boolean isWithinShare(String team, double occupancy, long nowNanos) {
     return fleetShares.fairFraction(team) < 1
@@ -82,21 +73,6 @@
     return fleetShares.fairFraction(team) * capacityTokensPerSecond;
   }
 
-  /**
-   * Returns the part of the share of a team that this node may use, by its part of what the team
-   * used.
-   *
-   * @return requests per second
-   */
-  double ownFairCallsPerSecond(String team, double occupancy, long nowNanos) {
-    double total = fleetShares.tokensPerSecond(team, nowNanos);
-    if (total <= 0 || meanCostTokens <= 0) {
-      return 0;
-    }
-    double part = shares.tokensPerSecond(team, nowNanos) / total;
-    return fairTokensPerSecond(team, occupancy, nowNanos) * part / meanCostTokens;
-  }
-
   /**
    * Estimates the rate at which the requests of a team are served while it has a backlog. A team
    * that uses more than its share gets what the others leave, which is what it got recently. The
