--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CallQueue.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CallQueue.java
@@ -104,7 +104,7 @@
    * @param function returns null to continue
    * @return the first result; null if there is none
    */
-  <R> R findFirst(long nowNanos, Function<WaitingCall, R> function) {
+  <R> R findFirst(Function<WaitingCall, R> function) {
     if (fairByPriority.isEmpty()) {
       return findIn(ordered.iterator(), function);
     }
@@ -178,7 +178,7 @@
         return result;
       }
     }
-    return queue.findFirst(late, entry -> true, function);
+    return queue.findFirst(late, function);
   }
 
   /** Returns all requests, by priority and target. */
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/PoolScheduler.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/PoolScheduler.java
@@ -379,7 +379,6 @@
       return null;
     }
     return waiting.findFirst(
-        nowNanos,
         entry -> {
           UpstreamState cacheHolder = findCacheHolder(entry, free);
           List<UpstreamState> candidates =
--- a/org.cranberrystand/src/main/java/org/cranberrystand/fairness/FairQueue.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/fairness/FairQueue.java
@@ -197,19 +197,13 @@
    * result.
    *
    * @param secondLane whether to search the second lane
-   * @param serves tested with the first request of each team; teams for which it is false are
-   *     skipped
    * @param function returns null to continue
    * @param <R> the type of the result
    * @return the first result; null if there is none
    */
-  public <R> R findFirst(
-      boolean secondLane, Predicate<? super E> serves, Function<? super E, R> function) {
+  public <R> R findFirst(boolean secondLane, Function<? super E, R> function) {
     int index = secondLane ? 1 : 0;
     for (TeamEntry<E> team : lanesByVirtualTime.get(index)) {
-      if (!serves.test(team.first(index))) {
-        continue;
-      }
       for (Node<E> node : team.lanes.get(index)) {
         R result = function.apply(node.item());
         if (result != null) {
@@ -402,20 +396,6 @@
     return team == null || activeWeight <= 0 ? 1 : Math.min(1, team.weight / activeWeight);
   }
 
-  /**
-   * Adds up a value of each team with queued requests.
-   *
-   * @param value returns the value of a team
-   * @return the sum
-   */
-  public double sumOverWaitingTeams(ToDoubleFunction<String> value) {
-    double sum = 0;
-    for (TeamEntry<E> team : teamsByBacklog) {
-      sum += value.applyAsDouble(team.name);
-    }
-    return sum;
-  }
-
   /**
    * Returns whether the queue keeps state of a team.
    *
