Close idle connections of the listeners besides callers

The listeners on Netty had no idle timeout, unlike the Ratpack servers before, so clients of the directory that never close a connection would have used up the file descriptors of a node. Read in the code, not seen in a run.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/GatewayServers.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/GatewayServers.java
@@ -22,6 +22,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.QueryStringDecoder;
+import io.netty.handler.timeout.ReadTimeoutHandler;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
@@ -39,6 +40,9 @@
   /** No request to these listeners has a body. */
   private static final int MAX_BODY_BYTES = 1_024;
 
+  /** Frees the file descriptors of clients that keep connections without closing them. */
+  private static final int IDLE_TIMEOUT_SECONDS = 60;
+
   private final EventLoopGroup group =
       new NioEventLoopGroup(1, new DefaultThreadFactory("endpoints", true));
   private final EventLog log;
@@ -69,6 +73,7 @@
               protected void initChannel(SocketChannel channel) {
                 channel
                     .pipeline()
+                    .addLast(new ReadTimeoutHandler(IDLE_TIMEOUT_SECONDS))
                     .addLast(new HttpServerCodec())
                     .addLast(new HttpObjectAggregator(MAX_BODY_BYTES))
                     .addLast(new EndpointHandler(endpoint));
@@ -128,7 +133,7 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-      // The client has disconnected; nothing depends on its connection.
+      // The client has disconnected or is idle; nothing depends on its connection.
       ctx.close().isDone();
     }
   }
