Simplify the search of waiting requests and remove an unused query

The loop over requests that may have run tested the same conditions twice, and nothing asks whether other nodes use an upstream since the limit on teams was taken out.

--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CallQueue.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CallQueue.java
@@ -109,13 +109,13 @@
       return findIn(ordered.iterator(), function);
     }
     for (WaitingCall entry : ordered) {
-      R result = entry.mayHaveRun() ? function.apply(entry) : null;
-      if (result != null || !entry.mayHaveRun()) {
-        if (result != null) {
-          return result;
-        }
+      if (!entry.mayHaveRun()) {
         break;
       }
+      R result = function.apply(entry);
+      if (result != null) {
+        return result;
+      }
     }
     R onTime = findByPriority(false, function);
     return onTime == null ? findByPriority(true, function) : onTime;
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/UpstreamState.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/UpstreamState.java
@@ -133,11 +133,6 @@
     return running + peerUsage.running();
   }
 
-  /** Returns whether other nodes run requests at the upstream. */
-  boolean isUsedByOthers() {
-    return peerUsage.running() > 0;
-  }
-
   long totalPrefillTokens() {
     return pendingPrefillTokens + peerUsage.prefillTokens();
   }
