--- a/review/src/Caller.java
+++ b/review/src/Caller.java
@@ -43,6 +43,44 @@
     }
   }
 
+  /** Sends a request for a stream; the body of the answer holds the events that came. */
+  Answer stream(
+      GatewayProcess gateway, String path, String attempt, String key, String moreHeaders) {
+    long sentNanos = System.nanoTime();
+    try (Socket socket = new Socket()) {
+      socket.connect(new InetSocketAddress(gateway.ip, GatewayProcess.FRONT_PORT), 1_000);
+      socket.setSoTimeout(5_000);
+      sentNanos = System.nanoTime();
+      record.line(sentNanos, "client sends " + attempt + " POST " + path + " to " + gateway.name);
+      String request = request("POST", path, attempt, key, "prompt of " + attempt);
+      String headers = "Model: m\r\nToken-Counts: 500,40\r\n" + moreHeaders;
+      socket
+          .getOutputStream()
+          .write(
+              request
+                  .replace("Deadline-Ms: 3000", "Deadline-Ms: 15000")
+                  .replace("Key: ", headers + "Key: ")
+                  .getBytes(StandardCharsets.ISO_8859_1));
+      InputStream in = new BufferedInputStream(socket.getInputStream());
+      Http.Head head = Http.readHead(in);
+      if (head == null) {
+        throw new IOException("connection ended without an answer");
+      }
+      StringBuilder events = new StringBuilder();
+      String error = null;
+      try {
+        Http.readBody(in, head, events);
+      } catch (IOException e) {
+        error = e.toString();
+      }
+      record.line("client got " + attempt + " " + head.status() + (error == null ? "" : " cut"));
+      return new Answer(attempt, sentNanos, head.status(), events.toString(), error);
+    } catch (IOException e) {
+      record.line("client got " + attempt + " no answer: " + e);
+      return new Answer(attempt, sentNanos, 0, "", e.toString());
+    }
+  }
+
   static String request(String method, String path, String attempt, String key, String body) {
     return method
         + " "
--- a/review/src/CutWatchCase.java
+++ b/review/src/CutWatchCase.java
@@ -4,7 +4,6 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.TimeUnit;
 
 /**
  * A runner leaves without draining while the store cuts waiting watches. Counts the requests that
@@ -12,11 +11,12 @@
  */
 final class CutWatchCase {
   private static final int GATEWAYS = 3;
+  private static final int RUNNERS = 8;
   private static final long DRAIN_TIMEOUT_MILLIS = 2_000;
   private static final long MARGIN_MILLIS = 50;
 
-  /** The least time between two moments at which the store cuts the waiting watches. */
-  private static final long CUT_INTERVAL_MILLIS = 1_000;
+  /** How often the store cuts the watches that are waiting. */
+  private static final long CUT_INTERVAL_MILLIS = 400;
 
   private CutWatchCase() {}
 
@@ -38,7 +38,7 @@
               List.of("balcao-app"),
               List.of(Setup.tenant("estrela", "k1"))));
       RunnerStandIn.Work sound = RunnerStandIn.plainWork(60);
-      for (int i = 0; i < 2; i++) {
+      for (int i = 0; i < RUNNERS; i++) {
         runners.add(
             new RunnerStandIn(
                 "i-" + i,
@@ -81,28 +81,25 @@
         thread.start();
         threads.add(thread);
       }
-      CountDownLatch cuts = new CountDownLatch(2);
+      CountDownLatch cuts = new CountDownLatch(5);
       if (trouble) {
         Thread cutter =
             new Thread(
                 () -> {
                   while (System.nanoTime() < endNanos) {
-                    if (store.waitingWatches() == GATEWAYS) {
-                      record.line("store cuts watches: " + store.cutWaitingWatches());
-                      cuts.countDown();
-                      Threads.sleep(CUT_INTERVAL_MILLIS);
-                    } else {
-                      Threads.sleep(1);
-                    }
+                    record.line("store cuts watches: " + store.cutWaitingWatches());
+                    cuts.countDown();
+                    Threads.sleep(CUT_INTERVAL_MILLIS);
                   }
                 });
         cutter.start();
         threads.add(cutter);
       }
-      if (trouble && !cuts.await(8, TimeUnit.SECONDS)) {
-        throw new IllegalStateException("the store had no watches to cut");
+      if (trouble) {
+        cuts.await();
+      } else {
+        Threads.sleep(2_000);
       }
-      Threads.sleep(500);
       long ackNanos = runners.get(0).leave();
       record.say("runner " + leaving + ": entry removed, acknowledged");
       for (Thread thread : threads) {
--- a/review/src/GatewayProcess.java
+++ b/review/src/GatewayProcess.java
@@ -106,6 +106,17 @@
             .redirectErrorStream(true)
             .redirectOutput(ProcessBuilder.Redirect.appendTo(new File(log.toString())))
             .start();
+    // No gateway outlives the case, also if the case is ended from outside.
+    Runtime.getRuntime().addShutdownHook(new Thread(process::destroyForcibly));
+  }
+
+  /** Starts the process again after it ended; the fleet as a whole has been started before. */
+  void startAgain() throws IOException {
+    Files.writeString(
+        settings,
+        Files.readString(settings)
+            .replace("starts_with_fleet = true", "starts_with_fleet = false"));
+    start();
   }
 
   /** Waits until the gateway says that it is ready. */
--- a/review/src/Http.java
+++ b/review/src/Http.java
@@ -69,34 +69,40 @@
 
   /** Reads a body that has a length or is chunked. */
   static byte[] readBody(InputStream in, Head head) throws IOException {
+    StringBuilder body = new StringBuilder();
+    readBody(in, head, body);
+    return body.toString().getBytes(StandardCharsets.ISO_8859_1);
+  }
+
+  /** Reads a body; what came of it is in the buffer also if it ended early. */
+  static void readBody(InputStream in, Head head, StringBuilder body) throws IOException {
     if ("chunked".equalsIgnoreCase(head.header("transfer-encoding"))) {
-      return readChunks(in);
+      readChunks(in, body);
+      return;
     }
     String length = head.header("content-length");
-    int count = length == null ? 0 : Integer.parseInt(length);
-    byte[] body = in.readNBytes(count);
-    if (body.length < count) {
+    append(in, length == null ? 0 : Integer.parseInt(length), body);
+  }
+
+  private static void append(InputStream in, int count, StringBuilder body) throws IOException {
+    byte[] bytes = in.readNBytes(count);
+    body.append(new String(bytes, StandardCharsets.ISO_8859_1));
+    if (bytes.length < count) {
       throw new EOFException("connection ended inside a body");
     }
-    return body;
   }
 
-  private static byte[] readChunks(InputStream in) throws IOException {
-    StringBuilder body = new StringBuilder();
+  private static void readChunks(InputStream in, StringBuilder body) throws IOException {
     while (true) {
       String size = readLine(in);
       if (size == null) {
         throw new EOFException("connection ended between chunks");
       }
       int count = Integer.parseInt(size.strip(), 16);
-      byte[] chunk = in.readNBytes(count);
-      if (chunk.length < count) {
-        throw new EOFException("connection ended inside a chunk");
-      }
-      body.append(new String(chunk, StandardCharsets.ISO_8859_1));
+      append(in, count, body);
       readLine(in);
       if (count == 0) {
-        return body.toString().getBytes(StandardCharsets.ISO_8859_1);
+        return;
       }
     }
   }
--- a/review/src/RunnerStandIn.java
+++ b/review/src/RunnerStandIn.java
@@ -27,6 +27,7 @@
 
   final String id;
   final String service;
+  final String version;
   private final String zone;
   private final int slots;
   private final long bornMillis = System.currentTimeMillis();
@@ -43,6 +44,21 @@
   RunnerStandIn(
       String id, String service, String zone, int slots, StoreStandIn store, Record record, Work work)
       throws IOException {
+    this(id, service, zone, slots, store, record, work, "1", 0);
+  }
+
+  /** Starts a runner of a version of the software, at a port of its own if the given one is 0. */
+  RunnerStandIn(
+      String id,
+      String service,
+      String zone,
+      int slots,
+      StoreStandIn store,
+      Record record,
+      Work work,
+      String version,
+      int port)
+      throws IOException {
     this.id = id;
     this.service = service;
     this.zone = zone;
@@ -50,12 +66,18 @@
     this.store = store;
     this.record = record;
     this.work = work;
+    this.version = version;
     listener = new ServerSocket();
-    listener.bind(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0), 200);
+    listener.setReuseAddress(true);
+    listener.bind(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), port), 200);
     Threads.start("runner", this::accept);
     Threads.start("beat", this::beat);
   }
 
+  int port() {
+    return listener.getLocalPort();
+  }
+
   /** The work of a sound runner of a plain service. */
   static Work plainWork(int workMillis) {
     return (runner, head, body, out) -> {
@@ -76,6 +98,28 @@
     };
   }
 
+  /** The head of a stream of events in chunks. */
+  static String streamHead(RunnerStandIn runner, Http.Head head) {
+    return "HTTP/1.1 200 OK\r\nAttempt-Id: "
+        + head.header("attempt-id")
+        + "\r\nResponse-Seal: s-"
+        + runner.id
+        + "\r\nServer-Load: 1,0,"
+        + runner.slots
+        + "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+  }
+
+  /** One event of a stream as a chunk. */
+  static String event(int number, String data) {
+    String text = "id: " + number + "\ndata: " + data + "\n\n";
+    return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
+  }
+
+  static void write(OutputStream out, String text) throws IOException {
+    out.write(text.getBytes(StandardCharsets.ISO_8859_1));
+    out.flush();
+  }
+
   private void beat() {
     while (!ended) {
       write();
@@ -84,7 +128,7 @@
   }
 
   private synchronized long write() {
-    if (!registered) {
+    if (!registered || ended || store.isDown()) {
       return System.nanoTime();
     }
     sequence++;
@@ -96,7 +140,9 @@
             + listener.getLocalPort()
             + "\",\"Zone\":\""
             + zone
-            + "\",\"Version\":\"1\",\"Slots\":"
+            + "\",\"Version\":\""
+            + version
+            + "\",\"Slots\":"
             + slots
             + ",\"State\":\""
             + state
--- a/review/src/StoreStandIn.java
+++ b/review/src/StoreStandIn.java
@@ -27,6 +27,7 @@
   private final List<Item> history = new ArrayList<>();
   private final Set<Socket> waitingWatches = new HashSet<>();
   private long revision = 1;
+  private boolean down;
 
   StoreStandIn() throws IOException {
     listener = new ServerSocket();
@@ -58,6 +59,16 @@
     return System.nanoTime();
   }
 
+  /** While the store is down, it answers each call of a gateway with 503 and takes no writes. */
+  synchronized void setDown(boolean isDown) {
+    down = isDown;
+    cutWaitingWatches();
+  }
+
+  synchronized boolean isDown() {
+    return down;
+  }
+
   synchronized int waitingWatches() {
     return waitingWatches.size();
   }
@@ -88,7 +99,9 @@
       for (Http.Head head = Http.readHead(in); head != null; head = Http.readHead(in)) {
         String target = head.target();
         Map<String, String> query = query(target);
-        if (target.startsWith("/kv-range")) {
+        if (isDown()) {
+          answer(socket, 503, "{}");
+        } else if (target.startsWith("/kv-range")) {
           answer(socket, 200, range(query));
         } else if (target.startsWith("/kv-watch")) {
           String body = watch(socket, query);
