Take a cut watch for a cut watch, not for an outage of the store

Cause: one failed watch counted as an outage. The next watch, 0.1 s later, began a grace period of 2.2 s in which a removal counts as an expired registration, and each further cut moved the end of that period for all that was missing.

Ruled out: that the removal never reached the node (the version advanced), and that requests sent earlier had waited (3011 never came).

Change: the time between two signs of the store decides. A live upstream renews its registration once a heartbeat interval and loses it after three, so an absence below two intervals expires nothing (SourceContact; the interval is the new setting store.heartbeat_ms). A failed call is checked by another one within 20 ms before the store counts as lost. A short absence extends a grace period by its own time. Watches wait 2 s at most in both roles, less than two intervals, so that a quiet store does not look absent.

Related paths: the grace period of evacuations moved the same way; passive nodes had no grace period at all and dropped expired upstreams.

Two tests of PublishedFollowerTest took one failed call for the loss and now fail two calls; those of UpstreamRegistryTest begin the grace period with the absence itself.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/FleetState.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/FleetState.java
@@ -236,7 +236,7 @@
 
   @Override
   public void storeLost() {
-    registry.sourceLost();
+    registry.sourceLost(System.nanoTime());
   }
 
   @Override
@@ -244,6 +244,11 @@
     registry.sourceRegained(System.nanoTime());
   }
 
+  @Override
+  public void registrationsMayHaveExpired() {
+    registry.registrationsMayHaveExpired(System.nanoTime());
+  }
+
   /** An upstream announced in a response to this node that it is leaving. */
   void upstreamLeaving(RegisteredUpstream upstream) {
     if (registry.announcedLeaving(upstream)) {
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Gateway.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Gateway.java
@@ -313,7 +313,8 @@
         new HttpEndpoint(METRICS_PATH, query -> HttpEndpoint.ofText(metrics.scrape())));
     fetch = new HttpFetch(servers.group());
     store = ports.store().open(fetch, settings.store(), log);
-    follower = new PublishedFollower(loop, store, fleet, log, incarnation);
+    follower =
+        new PublishedFollower(loop, store, fleet, log, settings.heartbeatMillis(), incarnation);
     reports.open(host());
     StoreRole expectedRole = hasOtherSeeds() ? StoreRole.SUPPLEMENTARY : StoreRole.LEADING;
     loop.execute(() -> follower.start(expectedRole));
@@ -403,6 +404,7 @@
     metrics.setQuarantined(crashes.refusedCount());
     offer.set(buildOffer(now));
     follower.setRole(StoreRole.of(peers, now));
+    follower.storeReadByOthers();
     fetchStateIfBehind(now);
   }
 
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/PublishedFollower.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/PublishedFollower.java
@@ -9,6 +9,7 @@
 import org.cranberrystand.daemon.internal.EventLog;
 import org.cranberrystand.event.LogEvent;
 import org.cranberrystand.membership.PublishedVersion;
+import org.cranberrystand.upstream.SourceContact;
 
 /**
  * Maintains a copy of the published state by a long-polling watch of the store, and by updates from
@@ -23,6 +24,18 @@
    */
   private static final int RECOVERY_WATCH_MILLIS = 10;
 
+  /**
+   * How soon a failed call is followed by another one. A waiting watch may be cut while the store
+   * works, so one failed call does not show that the store is lost.
+   */
+  private static final long CHECK_DELAY_MILLIS = 20;
+
+  /**
+   * The longest watch, as a fraction of the heartbeat interval. A store without changes must answer
+   * before its silence looks like an absence in which registrations expire.
+   */
+  private static final double MAX_WATCH_INTERVALS = 5.0 / 3;
+
   private static final long MIN_RETRY_DELAY_MILLIS = 100;
   private static final long MAX_RETRY_DELAY_MILLIS = 1_000;
 
@@ -42,6 +55,12 @@
 
     /** The store responds again. */
     void storeRegained();
+
+    /**
+     * The store may have been away for so long that registrations of live upstreams expired; the
+     * changes since then follow.
+     */
+    void registrationsMayHaveExpired();
   }
 
   private final EventLoop loop;
@@ -51,15 +70,31 @@
   private final SplittableRandom random;
   private PublishedState state = PublishedState.EMPTY;
   private boolean hasList;
+  private final SourceContact contact;
+  private final int maxWatchMillis;
   private boolean storeUnavailable;
+  private int failedCallCount;
   private StoreRole role = StoreRole.LEADING;
   private StoreRole firstRole = StoreRole.LEADING;
   private boolean watchSuspended;
   private long retryDelayMillis = MIN_RETRY_DELAY_MILLIS;
   private volatile boolean closed;
 
+  /**
+   * Creates a follower without state.
+   *
+   * @param heartbeatMillis the interval in which upstreams renew their registrations
+   */
   PublishedFollower(
-      EventLoop loop, PublishedStore store, Listener listener, EventLog log, long seed) {
+      EventLoop loop,
+      PublishedStore store,
+      Listener listener,
+      EventLog log,
+      long heartbeatMillis,
+      long seed) {
+    this.contact =
+        new SourceContact(TimeUnit.MILLISECONDS.toNanos(heartbeatMillis), System.nanoTime());
+    this.maxWatchMillis = (int) (MAX_WATCH_INTERVALS * heartbeatMillis);
     this.loop = loop;
     this.store = store;
     this.listener = listener;
@@ -109,6 +144,13 @@
     }
   }
 
+  /** Records that other nodes report that they read the store for this one. */
+  void storeReadByOthers() {
+    if (isPassive()) {
+      recordContact();
+    }
+  }
+
   boolean isPassive() {
     return role == StoreRole.PASSIVE;
   }
@@ -158,6 +200,7 @@
             + update.isSnapshot()
             + " store_lost="
             + storeUnavailable);
+    recordContact();
     if (update.isSnapshot()) {
       replaceState(update.applyTo(state), "peer");
     } else {
@@ -167,19 +210,23 @@
   }
 
   private void readNext() {
-    watchSuspended = isPassive() && hasList && !storeUnavailable;
+    watchSuspended = isPassive() && hasList && failedCallCount == 0;
     if (closed || watchSuspended) {
       return;
     }
     if (hasList) {
       store
-          .watch(version(), storeUnavailable ? RECOVERY_WATCH_MILLIS : role.watchMillis())
+          .watch(version(), failedCallCount > 0 ? RECOVERY_WATCH_MILLIS : watchMillis())
           .whenComplete(onLoop(this::handleWatch));
     } else {
       store.list().whenComplete(onLoop(this::handleList));
     }
   }
 
+  private int watchMillis() {
+    return Math.min(role.watchMillis(), maxWatchMillis);
+  }
+
   private <T> BiConsumer<T, Throwable> onLoop(BiConsumer<T, Throwable> action) {
     return (value, failure) -> {
       if (!closed) {
@@ -280,20 +327,51 @@
 
   private void recordSuccess() {
     retryDelayMillis = MIN_RETRY_DELAY_MILLIS;
+    failedCallCount = 0;
     if (storeUnavailable) {
       storeUnavailable = false;
       log.write(LogEvent.DEPENDENCY_REGAINED, "dependency=store version=" + version());
       listener.storeRegained();
     }
+    recordContact();
+  }
+
+  private void recordContact() {
+    long nowNanos = System.nanoTime();
+    long silentMillis = silentMillis(nowNanos);
+    if (contact.confirmed(nowNanos) && hasList) {
+      log.write(
+          LogEvent.REGISTRATIONS_UNCERTAIN,
+          "silent_ms=" + silentMillis + " version=" + version() + " role=" + role);
+      listener.registrationsMayHaveExpired();
+    }
+  }
+
+  private long silentMillis(long nowNanos) {
+    return TimeUnit.NANOSECONDS.toMillis(contact.silentNanos(nowNanos));
   }
 
   private void recordFailure(String call, Throwable failure) {
     Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+    long nowNanos = System.nanoTime();
+    String fields =
+        "dependency=store call="
+            + call
+            + " version="
+            + version()
+            + " silent_ms="
+            + silentMillis(nowNanos)
+            + " cause="
+            + cause;
+    failedCallCount++;
+    if (failedCallCount == 1 && !contact.mayHaveExpired(nowNanos)) {
+      log.write(LogEvent.STORE_CALL_FAILED, fields);
+      readAfter(random.nextLong(CHECK_DELAY_MILLIS));
+      return;
+    }
     if (!storeUnavailable) {
       storeUnavailable = true;
-      log.write(
-          LogEvent.DEPENDENCY_LOST,
-          "dependency=store call=" + call + " version=" + version() + " cause=" + cause);
+      log.write(LogEvent.DEPENDENCY_LOST, fields);
       listener.storeLost();
     }
     long delayMillis = retryDelayMillis / 2 + random.nextLong(retryDelayMillis);
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/StoreRole.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/StoreRole.java
@@ -5,19 +5,20 @@
 /** How a node reads the store, by the nodes of its cell that read it before this one. */
 enum StoreRole {
   /**
-   * Reads the store with the least delay. Its watches are short, because a dead connection is
-   * detected only at the end of a watch.
+   * Reads the store with the least delay. Watches are short, because a dead connection is detected
+   * only at the end of a watch, and because a store that answers seldom looks like one that is
+   * away.
    */
-  LEADING(2_500, 250),
+  LEADING(2_000, 250),
 
   /**
    * Reads the store in addition to the leading reader, so that changes still arrive if that one
-   * loses the store. The leading reader covers the failures that a long watch notices late.
+   * loses the store.
    */
-  SUPPLEMENTARY(10_000, 500),
+  SUPPLEMENTARY(2_000, 500),
 
   /** Receives changes from other nodes. Used only for a first list or while the store is lost. */
-  PASSIVE(2_500, 500);
+  PASSIVE(2_000, 500);
 
   private final int watchMillis;
   private final int pauseMillis;
--- a/org.cranberrystand.daemon/src/test/java/org/cranberrystand/daemon/gateway/PublishedFollowerTest.java
+++ b/org.cranberrystand.daemon/src/test/java/org/cranberrystand/daemon/gateway/PublishedFollowerTest.java
@@ -20,6 +20,7 @@
 
 public final class PublishedFollowerTest {
   private static final int TIMEOUT_SECONDS = 5;
+  private static final int HEARTBEAT_MILLIS = 1_200;
 
   /** Store whose responses are provided by the test. */
   private static final class ScriptedStore implements PublishedStore {
@@ -87,6 +88,11 @@
       calls.add("regained");
     }
 
+    @Override
+    public void registrationsMayHaveExpired() {
+      calls.add("uncertain");
+    }
+
     private String next() throws InterruptedException {
       return calls.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS);
     }
@@ -102,7 +108,8 @@
     loop = new DefaultEventLoop();
     store = new ScriptedStore();
     listener = new RecordedCalls();
-    follower = new PublishedFollower(loop, store, listener, new EventLog("n1"), 1);
+    follower =
+        new PublishedFollower(loop, store, listener, new EventLog("n1"), HEARTBEAT_MILLIS, 1);
   }
 
   @AfterMethod(alwaysRun = true)
@@ -124,6 +131,7 @@
     ScriptedStore.Watch first = store.nextWatch();
     assertTrue(first.waitMillis() > 1_000);
     first.answer().completeExceptionally(new IOException("connection lost"));
+    store.nextWatch().answer().completeExceptionally(new IOException("connection lost"));
     assertEquals(listener.next(), "lost");
 
     ScriptedStore.Watch resumed = store.nextWatch();
@@ -134,6 +142,54 @@
     assertTrue(store.nextWatch().waitMillis() > 1_000);
   }
 
+  /**
+   * Guards against taking a cut watch for the loss of the store: removals counted as expired
+   * registrations after it, and upstreams that had left got requests as long as watches were cut.
+   */
+  @Test
+  public void cutWatchesAreNoLossOfTheStore() throws Exception {
+    readFirstState(0, 7);
+    for (int i = 0; i < 5; i++) {
+      ScriptedStore.Watch cut = store.nextWatch();
+      assertTrue(cut.waitMillis() > 1_000);
+      cut.answer().completeExceptionally(new IOException("connection closed"));
+      ScriptedStore.Watch check = store.nextWatch();
+      assertTrue(check.waitMillis() <= 100, "waits " + check.waitMillis());
+      assertTrue(follower.readsStore());
+      check.answer().complete(new PublishedStore.Changes(version(0, 7), ImmutableList.of()));
+    }
+    store.nextWatch();
+    assertTrue(listener.calls.isEmpty(), listener.calls.toString());
+  }
+
+  /**
+   * Guards against losing live upstreams after an outage that ended before a call failed: all that
+   * shows it is how long the store was silent.
+   */
+  @Test
+  public void silenceOfTwoHeartbeatsIsReportedBeforeTheChanges() throws Exception {
+    readFirstState(0, 7);
+    ScriptedStore.Watch watch = store.nextWatch();
+    TimeUnit.MILLISECONDS.sleep(2 * HEARTBEAT_MILLIS + 50);
+    watch.answer().complete(change(8));
+
+    assertEquals(listener.next(), "uncertain");
+    assertEquals(listener.next(), "changed 0.8");
+  }
+
+  /** Guards against a grace period at a node that changes of the store reached through others. */
+  @Test
+  public void changesFromOtherNodesAreSignsOfTheStore() throws Exception {
+    readFirstState(0, 7);
+    store.nextWatch();
+    for (int revision = 8; revision < 12; revision++) {
+      TimeUnit.MILLISECONDS.sleep(HEARTBEAT_MILLIS);
+      PublishedUpdate update = new PublishedUpdate(version(0, revision), false, ImmutableList.of());
+      onLoop(() -> follower.applyPeerUpdate(update));
+      assertEquals(listener.next(), "changed 0." + revision);
+    }
+  }
+
   private static PublishedVersion version(long era, long revision) {
     return new PublishedVersion(era, revision);
   }
@@ -219,6 +275,9 @@
     assertEquals(listener.next(), "replaced 2.80");
     delayed.answer().complete(new PublishedStore.Changes(version(1, 101), ImmutableList.of()));
 
+    ScriptedStore.Watch check = store.nextWatch();
+    assertEquals(check.after(), version(2, 80));
+    check.answer().complete(new PublishedStore.Changes(version(1, 101), ImmutableList.of()));
     assertEquals(listener.next(), "lost");
     assertEquals(store.nextWatch().after(), version(2, 80));
   }
--- a/org.cranberrystand.wire/src/main/java/org/cranberrystand/wire/settings/GatewaySettings.java
+++ b/org.cranberrystand.wire/src/main/java/org/cranberrystand/wire/settings/GatewaySettings.java
@@ -18,6 +18,7 @@
  * @param listen the listeners
  * @param seeds the peer listeners of some other nodes, used to join the fleet
  * @param store the store that publishes the routing configuration and the upstreams
+ * @param heartbeatMillis the interval in which upstreams renew their registrations in the store
  * @param limits the limits set by the operators
  */
 public record GatewaySettings(
@@ -28,6 +29,7 @@
     Listen listen,
     ImmutableList<HostAndPort> seeds,
     HostAndPort store,
+    long heartbeatMillis,
     Limits limits) {
 
   /**
--- a/org.cranberrystand.wire/src/main/java/org/cranberrystand/wire/settings/GatewaySettingsParser.java
+++ b/org.cranberrystand.wire/src/main/java/org/cranberrystand/wire/settings/GatewaySettingsParser.java
@@ -16,6 +16,9 @@
   private static final int MAX_PORT = 65_535;
   private static final double DEFAULT_RETRY_RATIO = 0.1;
   private static final double DEFAULT_QUOTA_WINDOW_SECONDS = 8;
+  private static final long DEFAULT_HEARTBEAT_MILLIS = 1_200;
+  private static final long MIN_HEARTBEAT_MILLIS = 100;
+  private static final long MAX_HEARTBEAT_MILLIS = 600_000;
   private static final long DEFAULT_SHUTDOWN_MILLIS = 8_000;
   private static final long MAX_EVACUATE_MILLIS = 3_600_000;
   private static final double NO_COLD_UPSTREAMS = -1;
@@ -58,13 +61,24 @@
         SettingsAddresses.parseAll(root, "seeds", root.getStringSet("seeds"));
     TomlReader storeTable = root.getTable("store");
     HostAndPort store = SettingsAddresses.readRequired(storeTable, "address");
+    long heartbeatMillis =
+        storeTable.getLong(
+            "heartbeat_ms", DEFAULT_HEARTBEAT_MILLIS, MIN_HEARTBEAT_MILLIS, MAX_HEARTBEAT_MILLIS);
     storeTable.rejectUnknownKeys();
     GatewaySettings.Limits limits = readLimits(root.getTable("limits"));
     root.rejectUnknownKeys();
     return findings.toChecked(
         () ->
             new GatewaySettings(
-                node, failureDomain, cores, startsWithFleet, listen, seeds, store, limits));
+                node,
+                failureDomain,
+                cores,
+                startsWithFleet,
+                listen,
+                seeds,
+                store,
+                heartbeatMillis,
+                limits));
   }
 
   private static double readCores(TomlReader table) {
--- a/org.cranberrystand.wire/src/test/java/org/cranberrystand/wire/settings/GatewaySettingsParserTest.java
+++ b/org.cranberrystand.wire/src/test/java/org/cranberrystand/wire/settings/GatewaySettingsParserTest.java
@@ -63,6 +63,22 @@
     return GatewaySettingsParser.parse("node.toml", text).orElseThrow().limits().evacuateMillis();
   }
 
+  /** Guards against settings without a heartbeat being refused, and against a useless one. */
+  @Test
+  public void heartbeatIsOptionalAndMustBeUsable() throws IOException {
+    String text = Files.readString(TRAINING_SETTINGS);
+    assertEquals(
+        GatewaySettingsParser.parse("node.toml", text).orElseThrow().heartbeatMillis(), 1_200);
+    String other = text.replace("[store]", "[store]\nheartbeat_ms = 600");
+    assertEquals(
+        GatewaySettingsParser.parse("node.toml", other).orElseThrow().heartbeatMillis(), 600);
+    List<String> keys =
+        findings(text.replace("[store]", "[store]\nheartbeat_ms = 0")).stream()
+            .map(Finding::key)
+            .toList();
+    assertEquals(keys, List.of("store.heartbeat_ms"));
+  }
+
   /** Guards against defects that are reported only one at a time, or without their line. */
   @Test
   public void allDefectsAreReportedWithTheirLine() throws IOException {
--- a/org.cranberrystand/src/main/java/org/cranberrystand/event/LogEvent.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/event/LogEvent.java
@@ -119,7 +119,11 @@
   /** An upstream no longer counts as cold. */
   UPSTREAM_WARM(5047, Severity.INFO, "upstream no longer counts as cold"),
   /** A second attempt of a request was sent, because the first one had no response yet. */
-  REQUEST_HEDGED(5048, Severity.INFO, "request hedged");
+  REQUEST_HEDGED(5048, Severity.INFO, "request hedged"),
+  /** A call of the store failed; another call shows whether the store is lost. */
+  STORE_CALL_FAILED(5049, Severity.INFO, "call of the store failed"),
+  /** The store may have been away for so long that registrations of live upstreams expired. */
+  REGISTRATIONS_UNCERTAIN(5050, Severity.WARNING, "registrations may have expired");
 
   private final int number;
   private final Severity severity;
--- a/org.cranberrystand/src/main/java/org/cranberrystand/upstream/EvacuatedDomains.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/upstream/EvacuatedDomains.java
@@ -49,7 +49,12 @@
   }
 
   /** Extends the grace period of missing evacuations, which cannot be repeated in an outage. */
-  void sourceRegained(long untilNanos) {
+  void extendGrace(long awayNanos) {
+    missingUntilNanos.replaceAll((domain, until) -> until + awayNanos);
+  }
+
+  /** Starts the grace period of missing evacuations again. */
+  void restartGrace(long untilNanos) {
     missingUntilNanos.replaceAll((domain, until) -> untilNanos);
   }
 
--- a/org.cranberrystand/src/main/java/org/cranberrystand/upstream/UpstreamRegistry.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/upstream/UpstreamRegistry.java
@@ -43,6 +43,7 @@
   private final Map<String, Long> removedAtNanos = new HashMap<>();
   private final Map<String, Long> heldUntilNanos = new HashMap<>();
   private boolean sourceLost;
+  private long lostAtNanos;
   private long graceUntilNanos = Long.MIN_VALUE;
   private long restoredUntilNanos = Long.MIN_VALUE;
 
@@ -127,9 +128,9 @@
     if (upstream == null) {
       return;
     }
-    boolean mayReregister = !isLeaving(upstream) && (sourceLost || nowNanos < graceUntilNanos);
+    boolean mayReregister = !isLeaving(upstream) && nowNanos < graceUntilNanos;
     if (mayReregister) {
-      missingUntilNanos.putIfAbsent(id, Math.max(graceUntilNanos, nowNanos));
+      missingUntilNanos.putIfAbsent(id, graceUntilNanos);
     } else {
       forget(upstream, nowNanos);
     }
@@ -208,22 +209,47 @@
     return entries.values().stream().anyMatch(one -> one.failureDomain().equals(domain));
   }
 
-  /** Records that the source has become unavailable. */
-  public void sourceLost() {
-    sourceLost = true;
+  /**
+   * Records that the source has become unavailable.
+   *
+   * @param nowNanos the current time
+   */
+  public void sourceLost(long nowNanos) {
+    if (!sourceLost) {
+      sourceLost = true;
+      lostAtNanos = nowNanos;
+    }
   }
 
   /**
-   * Records that the source is available again.
+   * Records that the source is available again. Grace periods in progress are extended by the time
+   * in which upstreams could not register.
    *
    * @param nowNanos the current time
    */
   public void sourceRegained(long nowNanos) {
-    if (sourceLost) {
-      sourceLost = false;
-      startGrace(nowNanos);
-      evacuated.sourceRegained(graceUntilNanos);
+    if (!sourceLost) {
+      return;
+    }
+    sourceLost = false;
+    long awayNanos = nowNanos - lostAtNanos;
+    if (lostAtNanos < graceUntilNanos) {
+      graceUntilNanos += awayNanos;
     }
+    missingUntilNanos.replaceAll((id, until) -> until + awayNanos);
+    evacuated.extendGrace(awayNanos);
+  }
+
+  /**
+   * Records that the source was away for so long that registrations of live upstreams may have
+   * expired. Removals count as expired registrations for a grace period.
+   *
+   * @param nowNanos the current time
+   * @see SourceContact
+   */
+  public void registrationsMayHaveExpired(long nowNanos) {
+    startGrace(nowNanos);
+    evacuated.restartGrace(graceUntilNanos);
   }
 
   /**
--- a/org.cranberrystand/src/test/java/org/cranberrystand/upstream/UpstreamRegistryTest.java
+++ b/org.cranberrystand/src/test/java/org/cranberrystand/upstream/UpstreamRegistryTest.java
@@ -50,8 +50,7 @@
    */
   @Test
   public void expiredEntryIsKeptForTheGracePeriod() {
-    registry.sourceLost();
-    registry.sourceRegained(10 * SECOND);
+    registry.registrationsMayHaveExpired(10 * SECOND);
     registry.removed("a", 10 * SECOND);
 
     assertEquals(usable(), List.of("a", "b"));
@@ -62,8 +61,7 @@
 
   @Test
   public void upstreamThatRegistersAgainIsKept() {
-    registry.sourceLost();
-    registry.sourceRegained(10 * SECOND);
+    registry.registrationsMayHaveExpired(10 * SECOND);
     registry.replaceAll(List.of(upstream("b", false)), 10 * SECOND);
     registry.registered(upstream("a", false));
 
@@ -77,13 +75,40 @@
   @Test
   public void leavingUpstreamGetsNoGracePeriod() {
     registry.registered(upstream("a", true));
-    registry.sourceLost();
+    registry.registrationsMayHaveExpired(10 * SECOND);
+    registry.removed("a", 10 * SECOND);
+
+    assertEquals(usable(), List.of("b"));
+  }
+
+  /**
+   * Guards against requests to an upstream that left while calls of the store failed: the store was
+   * away for too short a time to expire its registration.
+   */
+  @Test
+  public void removalAfterAShortAbsenceIsNoExpiry() {
+    registry.sourceLost(9 * SECOND);
     registry.sourceRegained(10 * SECOND);
     registry.removed("a", 10 * SECOND);
 
     assertEquals(usable(), List.of("b"));
   }
 
+  /** Guards against a grace period that starts again with each short absence of the store. */
+  @Test
+  public void shortAbsencesExtendTheGracePeriodByTheirOwnTimeOnly() {
+    registry.registrationsMayHaveExpired(10 * SECOND);
+    registry.removed("a", 10 * SECOND);
+    for (int i = 0; i < 10; i++) {
+      registry.sourceLost(10 * SECOND + i * SECOND / 5);
+      registry.sourceRegained(10 * SECOND + i * SECOND / 5 + SECOND / 10);
+    }
+
+    assertFalse(registry.expire(13 * SECOND));
+    assertTrue(registry.expire(13_200_000_000L));
+    assertEquals(usable(), List.of("b"));
+  }
+
   private static RegisteredUpstream startedAt(String id, long startedAtMillis) {
     return new RegisteredUpstream(
         id, "pool", "10.0.0.1:80", "d", "v1", 4, startedAtMillis, 0, false);
@@ -277,7 +302,7 @@
     registry.evacuationStarted("d");
     registry.sourceRestored(10 * SECOND);
     registry.replaceEvacuations(Set.of(), 10 * SECOND);
-    registry.sourceLost();
+    registry.sourceLost(10 * SECOND);
     registry.expire(20 * SECOND);
     assertEquals(usable(), List.of());
 
