Refuse only the content that explains the crashes of upstreams

Cause: a crash was charged to all parts of the prompt, each part with three crashes was refused, and only an answer clears a part. Of a refused part nothing was sent any more that could have got an answer.

Evidence: 3012 for the first part and for the crashing part with the same three crashes (5029), and every refusal afterwards with the reason quarantined.

Ruled out: that the caller's key or the number of upstreams left was the reason (requests with another first part were served).

Change: a key is refused only if no other key explains its crashes better: one that was never answered, before the crashes or after, at any node, or one that was there in further crashes too. Where several explain them equally well, one request a second and node with some of them finds out, at one upstream only. 3012 says what is suspected how much; 5051 names the requests that find out.

Why it works: the parts of a request compete for the blame instead of being judged one by one, and what is refused without certainty gets the chance to be cleared. Now the crash that lies closest to another is dropped.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/CrashDetector.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/CrashDetector.java
@@ -28,7 +28,7 @@
     this.log = log;
   }
 
-  /** Sets what to call when further content is refused. */
+  /** Sets what to call when further content is suspected. */
   void setRefusalListener(Runnable listener) {
     refusalListener = listener;
   }
@@ -78,8 +78,10 @@
                 LogEvent.CONTENT_QUARANTINED,
                 "key="
                     + Long.toHexString(key)
+                    + " suspicion="
+                    + register.suspicion(key, System.nanoTime())
                     + " ms="
-                    + refusalMillis(ImmutableList.of(key))
+                    + judge(ImmutableList.of(key)).refusalMillis()
                     + " source="
                     + source));
     if (!keys.isEmpty()) {
@@ -87,10 +89,14 @@
     }
   }
 
-  /** Returns for how long a request must be refused; 0 if it is accepted. */
-  long refusalMillis(ImmutableList<Long> keys) {
-    long nanos = register.refusalNanos(keys, System.nanoTime());
-    return (nanos + 999_999) / 1_000_000;
+  /** Decides whether a request with the given keys may be sent. */
+  CrashRegister.Verdict judge(ImmutableList<Long> keys) {
+    return register.judge(keys, System.nanoTime());
+  }
+
+  /** Records that a request is sent to find out whether some of its keys crash upstreams. */
+  void probeSent(ImmutableList<Long> keys) {
+    register.probeSent(keys, System.nanoTime());
   }
 
   /** Returns what to tell other nodes. */
@@ -98,7 +104,7 @@
     return register.reports(System.nanoTime());
   }
 
-  /** Returns the number of keys that are refused. */
+  /** Returns the number of keys because of which requests are refused. */
   int refusedCount() {
     return register.refusedCount(System.nanoTime());
   }
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RelayLog.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RelayLog.java
@@ -169,10 +169,14 @@
   void crashSuspected(RegisteredUpstream upstream, List<Long> contentKeys) {
     log.write(
         LogEvent.CRASH_SUSPECTED,
-        requestFields
-            + " upstream="
-            + upstream.id()
-            + " keys="
-            + contentKeys.stream().map(Long::toHexString).collect(Collectors.joining(",")));
+        requestFields + " upstream=" + upstream.id() + " keys=" + hexKeys(contentKeys));
+  }
+
+  void probing(List<Long> contentKeys) {
+    log.write(LogEvent.CONTENT_PROBED, requestFields + " keys=" + hexKeys(contentKeys));
+  }
+
+  private static String hexKeys(List<Long> contentKeys) {
+    return contentKeys.stream().map(Long::toHexString).collect(Collectors.joining(","));
   }
 }
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RequestContent.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RequestContent.java
@@ -1,6 +1,7 @@
 package org.cranberrystand.daemon.gateway;
 
 import com.google.common.collect.ImmutableList;
+import org.cranberrystand.dispatch.CrashRegister;
 import org.cranberrystand.upstream.RegisteredUpstream;
 
 /** The content of one request, which may crash upstreams. Used only on the event loop. */
@@ -8,6 +9,7 @@
   private final CrashDetector crashes;
   private final ContentKeys keys;
   private final RelayLog log;
+  private boolean isProbe;
 
   RequestContent(CrashDetector crashes, ContentKeys keys, RelayLog log) {
     this.crashes = crashes;
@@ -15,9 +17,30 @@
     this.log = log;
   }
 
-  /** Returns for how long the content is refused; 0 if it is not. */
+  /**
+   * Returns for how long the content is refused; 0 if it may be sent. A request that may be sent to
+   * find out which content crashes upstreams counts as sent for that from now on.
+   */
   long refusalMillis() {
-    return crashes.refusalMillis(keys.all());
+    CrashRegister.Verdict verdict = crashes.judge(keys.all());
+    if (isProbe) {
+      // Its own probe is what this request would have to wait for.
+      return verdict.probedKeys().isEmpty() ? verdict.refusalMillis() : 0;
+    }
+    if (verdict.isProbe()) {
+      isProbe = true;
+      crashes.probeSent(verdict.probedKeys());
+      log.probing(verdict.probedKeys());
+    }
+    return verdict.refusalMillis();
+  }
+
+  /**
+   * Returns whether the content may be sent to a further upstream after one that may have run it.
+   */
+  boolean mayRepeat() {
+    CrashRegister.Verdict verdict = crashes.judge(keys.all());
+    return !isProbe && verdict.refusalNanos() == 0 && verdict.probedKeys().isEmpty();
   }
 
   /** Records that an upstream survived the shared parts of the prompt. */
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RequestRelay.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RequestRelay.java
@@ -328,7 +328,7 @@
         && resumable
         // Another node may have sent the request to as many upstreams as allowed.
         && !atNode
-        && content.refusalMillis() == 0
+        && content.mayRepeat()
         && attempts.runCount() < route.maxAttempts()
         && millis(spec.deadlineNanos() - System.nanoTime()) > MIN_RETRY_MILLIS
         && context.retries().tryAcquire(spec.pool());
--- /dev/null
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CrashEvidence.java
@@ -0,0 +1,196 @@
+package org.cranberrystand.dispatch;
+
+import com.google.common.collect.ImmutableList;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * What is known of one key of requests: the crashes since the last answer to a request with it, and
+ * whether there ever was an answer. Not thread-safe.
+ */
+final class CrashEvidence {
+  /** An upstream runs many requests at a time, so two crashes may be a coincidence. */
+  private static final int CRASHES_TO_SUSPECT = 3;
+
+  /** Crashes that are closer have a common cause, such as a failure domain that was lost. */
+  private static final long MIN_SEPARATION_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
+
+  /** Doubles with each further crash. */
+  private static final long REFUSAL_NANOS = TimeUnit.SECONDS.toNanos(120);
+
+  private static final int MAX_CRASHES = 8;
+
+  /** Covers several reports, so that a lost one does no harm. */
+  private static final long REPORT_NANOS = TimeUnit.SECONDS.toNanos(3);
+
+  /**
+   * The age under which an answer is passed on of which another node told. It is from before all
+   * crashes; passing on its own age would add the delay of each report.
+   */
+  private static final long EARLIER_ANSWER_AGE_NANOS = TimeUnit.HOURS.toNanos(1);
+
+  private final Map<Integer, Long> crashNanosByUpstream = new HashMap<>();
+  private boolean everAnswered;
+  private boolean clearedByAnswer;
+  private long answerNanos;
+  private boolean changed;
+  private long changedNanos;
+
+  /**
+   * Creates evidence without crashes.
+   *
+   * @param lastAnswerNanos when this node received the last answer; null if it received none
+   */
+  CrashEvidence(Long lastAnswerNanos) {
+    if (lastAnswerNanos != null) {
+      everAnswered = true;
+      clearedByAnswer = true;
+      answerNanos = lastAnswerNanos;
+    }
+  }
+
+  /** Takes over what a node knows of the key. */
+  void merge(CrashRegister.Report report, long nowNanos) {
+    List<Integer> laterCrashes =
+        report.crashes().stream().map(CrashRegister.Crash::upstream).toList();
+    if (report.answerAgeNanos() >= 0) {
+      addAnswer(nowNanos - report.answerAgeNanos(), laterCrashes, nowNanos);
+    }
+    for (CrashRegister.Crash crash : report.crashes()) {
+      if (!crashNanosByUpstream.containsKey(crash.upstream())) {
+        // A crash from before an answer that this node knows shows that the sender does not know
+        // it, so the answer is passed on again.
+        setChanged(nowNanos);
+        if (crash.ageNanos() >= 0) {
+          addCrash(crash.upstream(), nowNanos - crash.ageNanos());
+        }
+      }
+    }
+  }
+
+  private void addCrash(int upstream, long atNanos) {
+    if (clearedByAnswer && atNanos - answerNanos <= 0) {
+      return;
+    }
+    crashNanosByUpstream.put(upstream, atNanos);
+    if (crashNanosByUpstream.size() > MAX_CRASHES) {
+      removeClosestCrash();
+    }
+  }
+
+  /**
+   * Removes the crash that follows another one most closely. Removing the oldest would leave only
+   * crashes with a common cause, by the time between them, while many upstreams crash.
+   */
+  private void removeClosestCrash() {
+    List<Long> sorted = sortedCrashes();
+    int closest = 1;
+    for (int i = 2; i < sorted.size(); i++) {
+      if (sorted.get(i) - sorted.get(i - 1) < sorted.get(closest) - sorted.get(closest - 1)) {
+        closest = i;
+      }
+    }
+    crashNanosByUpstream.values().remove(sorted.get(closest));
+  }
+
+  /** Records that this node received an answer. */
+  void answered(long nowNanos) {
+    addAnswer(nowNanos, List.of(), nowNanos);
+  }
+
+  private void addAnswer(long atNanos, List<Integer> laterCrashes, long nowNanos) {
+    boolean cleared =
+        crashNanosByUpstream
+            .entrySet()
+            .removeIf(
+                crash -> crash.getValue() - atNanos <= 0 && !laterCrashes.contains(crash.getKey()));
+    if (cleared) {
+      clearedByAnswer = true;
+      answerNanos = atNanos;
+    }
+    if (cleared || !everAnswered) {
+      setChanged(nowNanos);
+    }
+    everAnswered = true;
+  }
+
+  private void setChanged(long nowNanos) {
+    changed = true;
+    changedNanos = nowNanos;
+  }
+
+  private List<Long> sortedCrashes() {
+    List<Long> sorted = new ArrayList<>(crashNanosByUpstream.values());
+    sorted.sort((a, b) -> Long.signum(a - b));
+    return sorted;
+  }
+
+  /** Returns for how long the key must be refused; at most 0 if it is accepted. */
+  long refusalNanos(long nowNanos) {
+    int count = 0;
+    long last = 0;
+    for (long crash : sortedCrashes()) {
+      if (count == 0 || crash - last >= MIN_SEPARATION_NANOS) {
+        count++;
+        last = crash;
+      }
+    }
+    return count < CRASHES_TO_SUSPECT
+        ? 0
+        : last + (REFUSAL_NANOS << (count - CRASHES_TO_SUSPECT)) - nowNanos;
+  }
+
+  boolean isSuspected(long nowNanos) {
+    return crashNanosByUpstream.size() >= CRASHES_TO_SUSPECT && refusalNanos(nowNanos) > 0;
+  }
+
+  /** Returns whether this key was there in all crashes of another one and is more suspect. */
+  boolean explains(CrashEvidence other) {
+    if (!includesCrashesOf(other)) {
+      return false;
+    }
+    return everAnswered == other.everAnswered ? !other.includesCrashesOf(this) : other.everAnswered;
+  }
+
+  /** Returns whether this key and another one explain the same crashes equally well. */
+  boolean rivals(CrashEvidence other) {
+    return everAnswered == other.everAnswered
+        && includesCrashesOf(other)
+        && other.includesCrashesOf(this);
+  }
+
+  private boolean includesCrashesOf(CrashEvidence other) {
+    return other.crashNanosByUpstream.entrySet().stream()
+        .allMatch(crash -> includes(crash.getKey(), crash.getValue()));
+  }
+
+  private boolean includes(int upstream, long atNanos) {
+    // Of more crashes than the maximum, some are not kept.
+    return crashNanosByUpstream.containsKey(upstream)
+        || (crashNanosByUpstream.size() == MAX_CRASHES
+            && atNanos - sortedCrashes().get(MAX_CRASHES - 1) <= 0);
+  }
+
+  boolean isReported(long nowNanos) {
+    return isSuspected(nowNanos) || (changed && nowNanos - changedNanos < REPORT_NANOS);
+  }
+
+  CrashRegister.Report report(long key, long nowNanos) {
+    return new CrashRegister.Report(
+        key,
+        answerAgeNanos(nowNanos),
+        crashNanosByUpstream.entrySet().stream()
+            .map(crash -> new CrashRegister.Crash(crash.getKey(), nowNanos - crash.getValue()))
+            .collect(ImmutableList.toImmutableList()));
+  }
+
+  private long answerAgeNanos(long nowNanos) {
+    if (clearedByAnswer) {
+      return nowNanos - answerNanos;
+    }
+    return everAnswered ? EARLIER_ANSWER_AGE_NANOS : -1;
+  }
+}
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CrashRegister.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CrashRegister.java
@@ -1,45 +1,38 @@
 package org.cranberrystand.dispatch;
 
 import com.google.common.collect.ImmutableList;
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 
 /**
  * Finds out which content crashes upstreams, from what the requests had in common that upstreams
  * were about to answer when they crashed.
  *
  * <p>A request has several keys: one for its whole content and one for each part of its prompt that
- * other requests may share. A key is refused after several crashes without an answer in between.
- * Any answer clears a key, since content that crashes upstreams never gets one; so keys that many
- * sound requests share stay accepted.
+ * other requests may share. A key is suspected after several crashes without an answer in between.
+ * Any answer clears a key, since content that crashes upstreams never gets one.
+ *
+ * <p>All keys of a request are charged with its crash, though one of them explains it. So a
+ * suspected key is refused only if no other key explains its crashes better: one that no request
+ * was ever answered with, or one that was there in further crashes. If several keys explain the
+ * same crashes equally well, requests with all of them are refused, and of the requests with some
+ * of them one at a time is sent, to find out ({@link Suspicion}).
  *
  * <p>Nodes tell each other of crashes and answers, because the requests with a key arrive at any
  * node. The number of entries is bounded; the least recently updated entry is evicted first. Not
  * thread-safe.
  */
 public final class CrashRegister {
-  /** An upstream runs many requests at a time, so two crashes may be a coincidence. */
-  private static final int CRASHES_TO_REFUSE = 3;
-
-  /** Crashes that are closer have a common cause, such as a failure domain that was lost. */
-  private static final long MIN_SEPARATION_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
+  /** An upstream crashes within this time if it crashes because of a request. */
+  private static final long PROBE_NANOS = TimeUnit.SECONDS.toNanos(1);
 
-  /** Doubles with each further crash. */
-  private static final long REFUSAL_NANOS = TimeUnit.SECONDS.toNanos(120);
-
-  private static final int MAX_CRASHES_PER_KEY = 8;
   private static final int MAX_ENTRIES = 1_024;
   private static final int MAX_ANSWERS = 4_096;
 
-  /** Covers several reports, so that a lost one does no harm. */
-  private static final long REPORT_NANOS = TimeUnit.SECONDS.toNanos(3);
-
   /** Limits the size of a report. */
   private static final int MAX_REPORTED = 32;
 
@@ -55,78 +48,37 @@
    * What a node knows of a key, as passed on to other nodes.
    *
    * @param key the key
-   * @param answerAgeNanos the time since the last answer to a request with the key, in nanoseconds;
-   *     negative if there was none
+   * @param answerAgeNanos the time since an answer to a request with the key, in nanoseconds;
+   *     negative if none is known
    * @param crashes the crashes since then
    */
   public record Report(long key, long answerAgeNanos, ImmutableList<Crash> crashes) {}
 
-  /** The crashes of a key since the last answer to a request with it. */
-  private static final class Evidence {
-    private final Map<Integer, Long> crashNanosByUpstream = new HashMap<>();
-    private boolean answered;
-    private long answerNanos;
-    private long changedNanos;
-
-    /** Returns whether the crash is news; it is not if a request was answered since then. */
-    private boolean addCrash(int upstream, long atNanos) {
-      boolean outdated = answered && atNanos - answerNanos <= 0;
-      if (outdated || crashNanosByUpstream.putIfAbsent(upstream, atNanos) != null) {
-        return false;
-      }
-      if (crashNanosByUpstream.size() > MAX_CRASHES_PER_KEY) {
-        crashNanosByUpstream.values().remove(sortedCrashes().get(0));
-      }
-      return true;
-    }
-
-    /** Clears the crashes before an answer, and returns whether there were any. */
-    private boolean addAnswer(long atNanos, Collection<Integer> laterCrashes) {
-      boolean cleared =
-          crashNanosByUpstream
-              .entrySet()
-              .removeIf(
-                  crash ->
-                      crash.getValue() - atNanos <= 0 && !laterCrashes.contains(crash.getKey()));
-      if (cleared) {
-        answered = true;
-        answerNanos = atNanos;
-      }
-      return cleared;
-    }
-
-    private List<Long> sortedCrashes() {
-      List<Long> sorted = new ArrayList<>(crashNanosByUpstream.values());
-      sorted.sort((a, b) -> Long.signum(a - b));
-      return sorted;
-    }
-
-    /** Returns for how long the key must be refused; at most 0 if it is accepted. */
-    private long refusalNanos(long nowNanos) {
-      int count = 0;
-      long last = 0;
-      for (long crash : sortedCrashes()) {
-        if (count == 0 || crash - last >= MIN_SEPARATION_NANOS) {
-          count++;
-          last = crash;
-        }
-      }
-      return count < CRASHES_TO_REFUSE
-          ? 0
-          : last + (REFUSAL_NANOS << (count - CRASHES_TO_REFUSE)) - nowNanos;
-    }
-
-    private boolean isRefused(long nowNanos) {
-      return crashNanosByUpstream.size() >= CRASHES_TO_REFUSE && refusalNanos(nowNanos) > 0;
+  /**
+   * Whether a request may be sent.
+   *
+   * @param refusalNanos for how long the request must be refused, in nanoseconds; 0 if it may be
+   *     sent
+   * @param probedKeys the keys of which the request finds out whether they crash upstreams, if it
+   *     may be sent; it must be sent to one upstream only
+   */
+  public record Verdict(long refusalNanos, ImmutableList<Long> probedKeys) {
+    /**
+     * Returns for how long the request must be refused.
+     *
+     * @return the time in milliseconds, rounded up; 0 if it may be sent
+     */
+    public long refusalMillis() {
+      return (refusalNanos + 999_999) / 1_000_000;
     }
 
-    private Report report(long key, long nowNanos) {
-      return new Report(
-          key,
-          answered ? nowNanos - answerNanos : -1,
-          crashNanosByUpstream.entrySet().stream()
-              .map(crash -> new Crash(crash.getKey(), nowNanos - crash.getValue()))
-              .collect(ImmutableList.toImmutableList()));
+    /**
+     * Returns whether the request may be sent only to find out which content crashes upstreams.
+     *
+     * @return true if it may be sent, and probes keys
+     */
+    public boolean isProbe() {
+      return refusalNanos == 0 && !probedKeys.isEmpty();
     }
   }
 
@@ -146,11 +98,13 @@
     }
   }
 
-  private final Map<Long, Evidence> evidenceByKey = new BoundedMap<>(MAX_ENTRIES);
+  private final Map<Long, CrashEvidence> evidenceByKey = new BoundedMap<>(MAX_ENTRIES);
 
   /** Kept for all keys, since another node may report a crash from before the answer. */
   private final Map<Long, Long> answerNanosByKey = new BoundedMap<>(MAX_ANSWERS);
 
+  private final Map<Long, Long> probeUntilNanosByKey = new BoundedMap<>(MAX_ENTRIES);
+
   /**
    * Records that an upstream crashed when it was about to answer a request.
    *
@@ -158,7 +112,7 @@
    * @param incarnation the key of the incarnation of the upstream
    * @param atNanos the time of the crash
    * @param nowNanos the current time
-   * @return the keys that are refused from now on
+   * @return the keys that are suspected from now on
    */
   public ImmutableList<Long> crashed(
       Collection<Long> keys, String incarnation, long atNanos, long nowNanos) {
@@ -178,7 +132,7 @@
    *
    * @param reports the reports of the node
    * @param nowNanos the current time
-   * @return the keys that are refused from now on
+   * @return the keys that are suspected from now on
    */
   public ImmutableList<Long> reported(Collection<Report> reports, long nowNanos) {
     return reports.stream()
@@ -187,37 +141,18 @@
         .collect(ImmutableList.toImmutableList());
   }
 
-  /** Returns whether the key is refused from now on. */
+  /** Returns whether the key is suspected from now on. */
   private boolean merge(Report report, long nowNanos) {
-    Evidence evidence = evidenceFor(report.key());
-    boolean refusedBefore = evidence.isRefused(nowNanos);
-    List<Integer> laterCrashes = report.crashes().stream().map(Crash::upstream).toList();
-    boolean changed =
-        report.answerAgeNanos() >= 0
-            && evidence.addAnswer(nowNanos - report.answerAgeNanos(), laterCrashes);
-    for (Crash crash : report.crashes()) {
-      boolean known = evidence.crashNanosByUpstream.containsKey(crash.upstream());
-      // A crash from before an answer that this node knows shows that the sender does not know it.
-      changed |= !known;
-      if (!known && crash.ageNanos() >= 0) {
-        evidence.addCrash(crash.upstream(), nowNanos - crash.ageNanos());
-      }
-    }
-    if (changed) {
-      evidence.changedNanos = nowNanos;
-    }
-    return !refusedBefore && evidence.isRefused(nowNanos);
+    CrashEvidence evidence = evidenceFor(report.key());
+    boolean suspectedBefore = evidence.isSuspected(nowNanos);
+    evidence.merge(report, nowNanos);
+    return !suspectedBefore && evidence.isSuspected(nowNanos);
   }
 
-  private Evidence evidenceFor(long key) {
-    Evidence known = evidenceByKey.remove(key);
-    Evidence evidence = known == null ? new Evidence() : known;
+  private CrashEvidence evidenceFor(long key) {
+    CrashEvidence known = evidenceByKey.remove(key);
+    CrashEvidence evidence = known == null ? new CrashEvidence(answerNanosByKey.get(key)) : known;
     evidenceByKey.put(key, evidence);
-    Long answerNanos = answerNanosByKey.get(key);
-    if (known == null && answerNanos != null) {
-      evidence.answered = true;
-      evidence.answerNanos = answerNanos;
-    }
     return evidence;
   }
 
@@ -231,60 +166,112 @@
     for (Long key : keys) {
       answerNanosByKey.remove(key);
       answerNanosByKey.put(key, nowNanos);
-      Evidence evidence = evidenceByKey.get(key);
-      if (evidence != null && evidence.addAnswer(nowNanos, List.of())) {
-        evidence.changedNanos = nowNanos;
+      CrashEvidence evidence = evidenceByKey.get(key);
+      if (evidence != null) {
+        evidence.answered(nowNanos);
       }
     }
   }
 
   /**
-   * Returns for how long a request must be refused.
+   * Decides whether a request may be sent. A request that probes keys must be announced with {@link
+   * #probeSent} when it is admitted.
    *
    * @param keys the keys of the request
    * @param nowNanos the current time
-   * @return the remaining time in nanoseconds; 0 if the request is accepted
+   * @return the decision
    */
-  public long refusalNanos(Collection<Long> keys, long nowNanos) {
-    long longest = 0;
+  public Verdict judge(Collection<Long> keys, long nowNanos) {
+    long refusalNanos = 0;
+    long probeNanos = 0;
+    ImmutableList.Builder<Long> probed = ImmutableList.builder();
     for (long key : keys) {
-      Evidence evidence = evidenceByKey.get(key);
-      if (evidence != null && evidence.isRefused(nowNanos)) {
-        longest = Math.max(longest, evidence.refusalNanos(nowNanos));
+      if (!suspicion(key, nowNanos).refuses()) {
+        continue;
+      }
+      if (keys.containsAll(rivals(key, nowNanos))) {
+        long keyNanos = evidenceByKey.get(key).refusalNanos(nowNanos);
+        refusalNanos = Math.max(refusalNanos, keyNanos);
+      } else {
+        probeNanos = Math.max(probeNanos, probeNanos(key, nowNanos));
+        probed.add(key);
       }
     }
-    return longest;
+    return new Verdict(Math.max(refusalNanos, probeNanos), probed.build());
   }
 
   /**
-   * Returns the number of refused keys.
+   * Records that a request is sent to find out whether keys of it crash upstreams. For some time,
+   * no other request is sent for the same reason.
+   *
+   * @param keys the probed keys
+   * @param nowNanos the current time
+   */
+  public void probeSent(Collection<Long> keys, long nowNanos) {
+    keys.forEach(key -> probeUntilNanosByKey.put(key, nowNanos + PROBE_NANOS));
+  }
+
+  private long probeNanos(long key, long nowNanos) {
+    Long until = probeUntilNanosByKey.get(key);
+    return until == null ? 0 : Math.max(0, until - nowNanos);
+  }
+
+  /**
+   * Returns how much a key is suspected to crash upstreams.
+   *
+   * @param key the key
+   * @param nowNanos the current time
+   * @return the suspicion
+   */
+  public Suspicion suspicion(long key, long nowNanos) {
+    CrashEvidence evidence = evidenceByKey.get(key);
+    if (evidence == null || !evidence.isSuspected(nowNanos)) {
+      return Suspicion.NONE;
+    }
+    if (suspects(nowNanos).anyMatch(other -> other.getValue().explains(evidence))) {
+      return Suspicion.EXPLAINED;
+    }
+    return rivals(key, nowNanos).isEmpty() ? Suspicion.CERTAIN : Suspicion.UNDECIDED;
+  }
+
+  /** Returns the other keys that explain the same crashes as well as a key. */
+  private ImmutableList<Long> rivals(long key, long nowNanos) {
+    CrashEvidence evidence = evidenceByKey.get(key);
+    return suspects(nowNanos)
+        .filter(other -> other.getKey() != key && other.getValue().rivals(evidence))
+        .map(Map.Entry::getKey)
+        .collect(ImmutableList.toImmutableList());
+  }
+
+  private Stream<Map.Entry<Long, CrashEvidence>> suspects(long nowNanos) {
+    return evidenceByKey.entrySet().stream()
+        .filter(entry -> entry.getValue().isSuspected(nowNanos));
+  }
+
+  /**
+   * Returns the number of keys because of which requests are refused.
    *
    * @param nowNanos the current time
    * @return the number of keys
    */
   public int refusedCount(long nowNanos) {
-    return (int) evidenceByKey.values().stream().filter(one -> one.isRefused(nowNanos)).count();
+    return (int)
+        suspects(nowNanos).filter(entry -> suspicion(entry.getKey(), nowNanos).refuses()).count();
   }
 
   /**
-   * Returns what to pass on to other nodes: all refused keys, for nodes that have just started, and
-   * what has changed lately.
+   * Returns what to pass on to other nodes: all suspected keys, for nodes that have just started,
+   * and what has changed lately.
    *
    * @param nowNanos the current time
    * @return the reports, those with most crashes first
    */
   public ImmutableList<Report> reports(long nowNanos) {
     return evidenceByKey.entrySet().stream()
-        .filter(entry -> isReported(entry.getValue(), nowNanos))
+        .filter(entry -> entry.getValue().isReported(nowNanos))
         .map(entry -> entry.getValue().report(entry.getKey(), nowNanos))
         .sorted(Comparator.comparingInt((Report report) -> report.crashes().size()).reversed())
         .limit(MAX_REPORTED)
         .collect(ImmutableList.toImmutableList());
   }
-
-  private static boolean isReported(Evidence evidence, long nowNanos) {
-    boolean changedLately =
-        evidence.changedNanos != 0 && nowNanos - evidence.changedNanos < REPORT_NANOS;
-    return changedLately || evidence.isRefused(nowNanos);
-  }
 }
--- a/org.cranberrystand/src/main/java/org/cranberrystand/event/LogEvent.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/event/LogEvent.java
@@ -38,7 +38,9 @@
   STREAM_MISMATCH(3003, Severity.WARNING, "stream event does not belong to the answer"),
   /** Upstreams were added or removed, or started to leave. */
   UPSTREAMS_CHANGED(3011, Severity.INFO, "upstreams changed"),
-  /** Content that crashed upstreams is rejected for some time. */
+  /**
+   * Content is suspected to crash upstreams; it is rejected for some time unless other explains.
+   */
   CONTENT_QUARANTINED(3012, Severity.WARNING, "content quarantined"),
   /** An order to serve a model was sent to an engine. */
   ENGINE_ORDERED(4001, Severity.INFO, "engine ordered"),
@@ -123,7 +125,9 @@
   /** A call of the store failed; another call shows whether the store is lost. */
   STORE_CALL_FAILED(5049, Severity.INFO, "call of the store failed"),
   /** The store may have been away for so long that registrations of live upstreams expired. */
-  REGISTRATIONS_UNCERTAIN(5050, Severity.WARNING, "registrations may have expired");
+  REGISTRATIONS_UNCERTAIN(5050, Severity.WARNING, "registrations may have expired"),
+  /** A request was sent to find out which of its content crashes upstreams. */
+  CONTENT_PROBED(5051, Severity.INFO, "suspected content probed");
 
   private final int number;
   private final Severity severity;
--- a/org.cranberrystand/src/test/java/org/cranberrystand/dispatch/CrashRegisterTest.java
+++ b/org.cranberrystand/src/test/java/org/cranberrystand/dispatch/CrashRegisterTest.java
@@ -5,6 +5,7 @@
 import static org.testng.Assert.assertTrue;
 
 import com.google.common.collect.ImmutableList;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -28,7 +29,11 @@
   }
 
   private static boolean isRefused(CrashRegister target, long key, long nowNanos) {
-    return target.refusalNanos(ImmutableList.of(key), nowNanos) > 0;
+    return isRefused(target, ImmutableList.of(key), nowNanos);
+  }
+
+  private static boolean isRefused(CrashRegister target, List<Long> keys, long nowNanos) {
+    return target.judge(keys, nowNanos).refusalNanos() > 0;
   }
 
   /** Guards against a request that crashes upstreams one after another through different nodes. */
@@ -126,4 +131,103 @@
 
     assertTrue(isRefused(register, KEY, 300 * SECOND));
   }
+
+  private static void crashTogether(CrashRegister target, List<Long> keys, int firstUpstream) {
+    for (int i = 0; i < 3; i++) {
+      target.crashed(keys, "u" + (firstUpstream + i), i * SECOND, i * SECOND);
+    }
+  }
+
+  /**
+   * Guards against refusing what sound requests share with the requests that crash, for want of an
+   * answer between the crashes: earlier answers show that it is sound.
+   */
+  @Test
+  public void keyThatWasAnsweredBeforeTheCrashesIsNotBlamed() {
+    register.answered(ImmutableList.of(COMMON_KEY), 0);
+    for (int i = 1; i <= 3; i++) {
+      register.crashed(ImmutableList.of(COMMON_KEY, KEY), "u" + i, i * SECOND, i * SECOND);
+    }
+
+    assertEquals(register.suspicion(COMMON_KEY, 4 * SECOND), Suspicion.EXPLAINED);
+    assertFalse(isRefused(register, ImmutableList.of(COMMON_KEY, 44L), 4 * SECOND));
+    assertTrue(isRefused(register, ImmutableList.of(COMMON_KEY, KEY), 4 * SECOND));
+  }
+
+  /** Guards against a node that blames a sound key because only others received answers to it. */
+  @Test
+  public void answersBeforeTheCrashesAtOtherNodesCount() {
+    peer.answered(ImmutableList.of(COMMON_KEY), 0);
+    CrashRegister third = new CrashRegister();
+    crashTogether(register, ImmutableList.of(COMMON_KEY, KEY), 0);
+    long now = 3 * SECOND;
+    peer.reported(register.reports(now), now);
+    third.reported(peer.reports(now), now);
+    register.reported(third.reports(now), now);
+
+    assertEquals(register.suspicion(COMMON_KEY, now), Suspicion.EXPLAINED);
+    assertEquals(register.suspicion(KEY, now), Suspicion.CERTAIN);
+  }
+
+  /**
+   * Guards against a suspicion that no answer can clear, because every request that could get one
+   * is refused.
+   */
+  @Test
+  public void oneRequestAtATimeFindsOutWhichOfTwoKeysCrashes() {
+    crashTogether(register, ImmutableList.of(COMMON_KEY, KEY), 0);
+    List<Long> sound = ImmutableList.of(COMMON_KEY, 44L);
+    long now = 3 * SECOND;
+    assertTrue(isRefused(register, ImmutableList.of(COMMON_KEY, KEY, 45L), now));
+    CrashRegister.Verdict verdict = register.judge(sound, now);
+    assertTrue(verdict.isProbe());
+    assertEquals(verdict.probedKeys(), ImmutableList.of(COMMON_KEY));
+
+    register.probeSent(verdict.probedKeys(), now);
+    assertTrue(isRefused(register, sound, now + SECOND / 2));
+    register.answered(ImmutableList.of(COMMON_KEY), now + SECOND / 2);
+
+    assertFalse(isRefused(register, sound, now + SECOND / 2));
+    assertEquals(register.suspicion(KEY, now + SECOND / 2), Suspicion.CERTAIN);
+  }
+
+  /** Guards against letting the next request through after a probe has crashed its upstream. */
+  @Test
+  public void crashOfAProbeConvictsItsKeyAndAcquitsTheOther() {
+    crashTogether(register, ImmutableList.of(COMMON_KEY, KEY), 0);
+    crash(register, KEY, "u9", 4 * SECOND);
+
+    assertEquals(register.suspicion(KEY, 5 * SECOND), Suspicion.CERTAIN);
+    assertEquals(register.suspicion(COMMON_KEY, 5 * SECOND), Suspicion.EXPLAINED);
+  }
+
+  /** Guards against refusing the parts of a request that is itself sent again and again. */
+  @Test
+  public void partsOfARepeatedRequestAreProbed() {
+    crashTogether(register, ImmutableList.of(1L, KEY, COMMON_KEY), 0);
+
+    assertTrue(isRefused(register, ImmutableList.of(1L, KEY, COMMON_KEY), 3 * SECOND));
+    assertTrue(register.judge(ImmutableList.of(2L, KEY, COMMON_KEY), 3 * SECOND).isProbe());
+  }
+
+  /** Guards against a probe that is never repeated because its request was cancelled. */
+  @Test
+  public void probeWithoutOutcomeIsRepeated() {
+    crashTogether(register, ImmutableList.of(COMMON_KEY, KEY), 0);
+    register.probeSent(ImmutableList.of(COMMON_KEY), 3 * SECOND);
+
+    assertTrue(isRefused(register, COMMON_KEY, 4 * SECOND - 1));
+    assertFalse(isRefused(register, COMMON_KEY, 4 * SECOND));
+  }
+
+  /** Guards against a sound key that is refused once its crashes are older than those kept. */
+  @Test
+  public void keyStaysExplainedWhenTheOtherHasMoreCrashesThanAreKept() {
+    crashTogether(register, ImmutableList.of(COMMON_KEY, KEY), 0);
+    for (int i = 3; i < 14; i++) {
+      crash(register, KEY, "u" + i, i * SECOND);
+    }
+
+    assertEquals(register.suspicion(COMMON_KEY, 14 * SECOND), Suspicion.EXPLAINED);
+  }
 }
