Keep the number of store calls while the store has no changes

Watches of 2 s in both roles would have cost a fleet of 8 nodes 4 calls a second in place of 1.1.

The first reader's watch ends before the store looks absent, also after a pause.

Tests: PublishedFollowerTest.readerThatTakesOverStartsAShortWatch and watchAfterAPauseEndsBeforeTheStoreLooksAbsent.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/PublishedFollower.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/PublishedFollower.java
@@ -30,11 +30,8 @@
    */
   private static final long CHECK_DELAY_MILLIS = 20;
 
-  /**
-   * The longest watch, as a fraction of the heartbeat interval. A store without changes must answer
-   * before its silence looks like an absence in which registrations expire.
-   */
-  private static final double MAX_WATCH_INTERVALS = 5.0 / 3;
+  /** Time allowed for the answer to a watch that ends before the store looks absent. */
+  private static final int ANSWER_MARGIN_MILLIS = 150;
 
   private static final long MIN_RETRY_DELAY_MILLIS = 100;
   private static final long MAX_RETRY_DELAY_MILLIS = 1_000;
@@ -71,7 +68,8 @@
   private PublishedState state = PublishedState.EMPTY;
   private boolean hasList;
   private final SourceContact contact;
-  private final int maxWatchMillis;
+  private int watchNumber;
+  private int waitingWatchMillis;
   private boolean storeUnavailable;
   private int failedCallCount;
   private StoreRole role = StoreRole.LEADING;
@@ -94,7 +92,6 @@
       long seed) {
     this.contact =
         new SourceContact(TimeUnit.MILLISECONDS.toNanos(heartbeatMillis), System.nanoTime());
-    this.maxWatchMillis = (int) (MAX_WATCH_INTERVALS * heartbeatMillis);
     this.loop = loop;
     this.store = store;
     this.listener = listener;
@@ -139,14 +136,18 @@
     log.write(
         LogEvent.STORE_READING_CHANGED,
         "passive=" + isPassive() + " role=" + role + " version=" + version());
-    if (!isPassive() && watchSuspended) {
+    if (isPassive()) {
+      return;
+    }
+    // A reader that takes over may be in a watch that is too long for its new role.
+    if (watchSuspended || waitingWatchMillis > watchMillis()) {
       readNext();
     }
   }
 
-  /** Records that other nodes report that they read the store for this one. */
+  /** Records that a node which reads the store in preference to this one reports that it works. */
   void storeReadByOthers() {
-    if (isPassive()) {
+    if (!role.readsFirst()) {
       recordContact();
     }
   }
@@ -215,16 +216,38 @@
       return;
     }
     if (hasList) {
+      int number = ++watchNumber;
+      waitingWatchMillis = watchMillis();
       store
-          .watch(version(), failedCallCount > 0 ? RECOVERY_WATCH_MILLIS : watchMillis())
-          .whenComplete(onLoop(this::handleWatch));
+          .watch(version(), waitingWatchMillis)
+          .whenComplete(
+              onLoop(
+                  (result, failure) -> {
+                    if (number == watchNumber) {
+                      waitingWatchMillis = 0;
+                      handleWatch(result, failure);
+                    }
+                  }));
     } else {
       store.list().whenComplete(onLoop(this::handleList));
     }
   }
 
+  /**
+   * Returns how long the next watch waits. The watch of the first reader ends before the silence of
+   * a store without changes looks like an absence.
+   */
   private int watchMillis() {
-    return Math.min(role.watchMillis(), maxWatchMillis);
+    if (failedCallCount > 0) {
+      return RECOVERY_WATCH_MILLIS;
+    }
+    if (!role.readsFirst()) {
+      return role.watchMillis();
+    }
+    long harmlessMillis =
+        TimeUnit.NANOSECONDS.toMillis(contact.harmlessNanos(System.nanoTime()))
+            - ANSWER_MARGIN_MILLIS;
+    return (int) Math.max(RECOVERY_WATCH_MILLIS, Math.min(role.watchMillis(), harmlessMillis));
   }
 
   private <T> BiConsumer<T, Throwable> onLoop(BiConsumer<T, Throwable> action) {
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/StoreRole.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/StoreRole.java
@@ -5,20 +5,19 @@
 /** How a node reads the store, by the nodes of its cell that read it before this one. */
 enum StoreRole {
   /**
-   * Reads the store with the least delay. Watches are short, because a dead connection is detected
-   * only at the end of a watch, and because a store that answers seldom looks like one that is
-   * away.
+   * Reads the store with the least delay. Its watches are short, because a dead connection is
+   * detected only at the end of a watch.
    */
-  LEADING(2_000, 250),
+  LEADING(2_250, 250),
 
   /**
    * Reads the store in addition to the leading reader, so that changes still arrive if that one
-   * loses the store.
+   * loses the store. The leading reader covers the failures that a long watch notices late.
    */
-  SUPPLEMENTARY(2_000, 500),
+  SUPPLEMENTARY(10_000, 500),
 
   /** Receives changes from other nodes. Used only for a first list or while the store is lost. */
-  PASSIVE(2_000, 500);
+  PASSIVE(2_250, 500);
 
   private final int watchMillis;
   private final int pauseMillis;
@@ -36,6 +35,11 @@
     return peers.storeReadersAhead(nowNanos) == 0 ? LEADING : SUPPLEMENTARY;
   }
 
+  /** Whether no other node reads the store in preference to this one. */
+  boolean readsFirst() {
+    return this == LEADING;
+  }
+
   /** How long a watch waits for a change, in milliseconds. */
   int watchMillis() {
     return watchMillis;
--- a/org.cranberrystand.daemon/src/test/java/org/cranberrystand/daemon/gateway/PublishedFollowerTest.java
+++ b/org.cranberrystand.daemon/src/test/java/org/cranberrystand/daemon/gateway/PublishedFollowerTest.java
@@ -190,6 +190,37 @@
     }
   }
 
+  /**
+   * Guards against a reader that takes over from a lost one and notices a change, or the loss of
+   * the store, only at the end of its long watch.
+   */
+  @Test
+  public void readerThatTakesOverStartsAShortWatch() throws Exception {
+    onLoop(() -> follower.setRole(StoreRole.SUPPLEMENTARY));
+    readFirstState(0, 7);
+    ScriptedStore.Watch longWatch = store.nextWatch();
+    assertEquals(longWatch.waitMillis(), StoreRole.SUPPLEMENTARY.watchMillis());
+    onLoop(() -> follower.setRole(StoreRole.LEADING));
+
+    ScriptedStore.Watch shortWatch = store.nextWatch();
+    assertTrue(shortWatch.waitMillis() < 2 * HEARTBEAT_MILLIS);
+    longWatch.answer().completeExceptionally(new IOException("connection closed"));
+    shortWatch.answer().complete(change(8));
+    assertEquals(listener.next(), "changed 0.8");
+    store.nextWatch();
+    assertEquals(store.watches.poll(100, TimeUnit.MILLISECONDS), null);
+  }
+
+  /** Guards against taking a store without changes for one that is away. */
+  @Test
+  public void watchAfterAPauseEndsBeforeTheStoreLooksAbsent() throws Exception {
+    readFirstState(0, 7);
+    long pauseMillis = StoreRole.LEADING.pauseMillis();
+    int waitMillis = store.nextWatch().waitMillis();
+    assertTrue(waitMillis + pauseMillis < 2 * HEARTBEAT_MILLIS, "waits " + waitMillis);
+    assertTrue(waitMillis > HEARTBEAT_MILLIS, "waits " + waitMillis);
+  }
+
   private static PublishedVersion version(long era, long revision) {
     return new PublishedVersion(era, revision);
   }
--- a/org.cranberrystand/src/main/java/org/cranberrystand/upstream/SourceContact.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/upstream/SourceContact.java
@@ -61,4 +61,14 @@
   public long silentNanos(long nowNanos) {
     return nowNanos - lastSignNanos;
   }
+
+  /**
+   * Returns for how long the source may still be silent before registrations may have expired.
+   *
+   * @param nowNanos the current time, in nanoseconds
+   * @return the remaining time, in nanoseconds; negative if it is over
+   */
+  public long harmlessNanos(long nowNanos) {
+    return harmlessNanos - silentNanos(nowNanos);
+  }
 }
--- a/org.cranberrystand/src/test/java/org/cranberrystand/upstream/SourceContactTest.java
+++ b/org.cranberrystand/src/test/java/org/cranberrystand/upstream/SourceContactTest.java
@@ -31,5 +31,6 @@
     assertTrue(contact.confirmed(2 * HEARTBEAT));
     assertFalse(contact.mayHaveExpired(2 * HEARTBEAT));
     assertEquals(contact.silentNanos(3 * HEARTBEAT), HEARTBEAT);
+    assertEquals(contact.harmlessNanos(3 * HEARTBEAT), HEARTBEAT);
   }
 }
