Find out where streams began after all nodes were killed

Cause: where a stream began was known to nodes only, in memory. After a kill of all of them nothing else was asked.

Evidence: the refusals say unknown-stream in every try, with no placement before and no answer to the questions between nodes.

Ruled out: lost questions (later tries fail too) and refusals of the upstreams (no placement).

Change: a node asks the upstreams of the pool which requests they run, and reads the changes that the store retains. A run of the request proves its version; else the stream goes on if the pool had one version only for as long as a stream can be old, and the route one pool. New setting store.history_s; events 5052 to 5054.

The history is complete for a known time, so a single version in it leaves no other origin.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Admission.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Admission.java
@@ -80,7 +80,7 @@
 
   int activeRequestCount() {
     relays.values().removeIf(RequestRelay::isDone);
-    return relays.size() + context.streams().pendingCount();
+    return relays.size() + context.streams().pendingCount() + context.versions().pendingCount();
   }
 
   /** Admits or rejects a completely received request of a caller. */
@@ -148,22 +148,58 @@
         .find(
             caller.resumedStream(),
             origin -> {
-              if (resumed.disconnected) {
-                return;
-              }
-              if (origin.isPresent() && route.usesPool(origin.get().pool())) {
-                admit(exchange, caller, route, team, origin);
-              } else {
-                rejectNotRun(
-                    exchange,
-                    caller,
-                    NotRunReason.UNKNOWN_STREAM,
-                    UNKNOWN_STREAM_RETRY_MILLIS,
-                    " stream=" + caller.resumedStream() + " origin=" + origin);
+              if (origin.isPresent()) {
+                resume(exchange, caller, route, team, resumed, origin, "known");
+              } else if (!resumed.disconnected) {
+                inferOrigin(exchange, caller, route, team, resumed);
               }
             });
   }
 
+  private void inferOrigin(
+      CallerExchange exchange,
+      CallerHeaders caller,
+      Route route,
+      Optional<TeamPolicy> team,
+      ResumedRequest resumed) {
+    context
+        .versions()
+        .find(
+            caller.resumedStream(),
+            route,
+            host(exchange.request()),
+            path(exchange.request()),
+            result -> {
+              result.origin().ifPresent(context.streams()::inferred);
+              String basis = result.basis().toString();
+              resume(exchange, caller, route, team, resumed, result.origin(), basis);
+            });
+  }
+
+  /** Admits a request that resumes a stream, if it is known where the stream began. */
+  private void resume(
+      CallerExchange exchange,
+      CallerHeaders caller,
+      Route route,
+      Optional<TeamPolicy> team,
+      ResumedRequest resumed,
+      Optional<StreamOrigins.Origin> origin,
+      String basis) {
+    if (resumed.disconnected) {
+      return;
+    }
+    if (origin.isPresent() && route.usesPool(origin.get().pool())) {
+      admit(exchange, caller, route, team, origin);
+    } else {
+      rejectNotRun(
+          exchange,
+          caller,
+          NotRunReason.UNKNOWN_STREAM,
+          UNKNOWN_STREAM_RETRY_MILLIS,
+          " stream=" + caller.resumedStream() + " basis=" + basis + " origin=" + origin);
+    }
+  }
+
   /** Watches the caller's connection until it is known where the stream began. */
   private static final class ResumedRequest implements CallerExchange.Listener {
     private boolean disconnected;
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/FleetState.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/FleetState.java
@@ -17,11 +17,13 @@
 import org.cranberrystand.dispatch.CallDispatcher;
 import org.cranberrystand.dispatch.ColdUpstreams;
 import org.cranberrystand.event.LogEvent;
+import org.cranberrystand.routing.RouteHistory;
 import org.cranberrystand.routing.RoutingTable;
 import org.cranberrystand.routing.ServicePool;
 import org.cranberrystand.upstream.DrainTracker;
 import org.cranberrystand.upstream.RegisteredUpstream;
 import org.cranberrystand.upstream.UpstreamRegistry;
+import org.cranberrystand.upstream.VersionHistory;
 import org.cranberrystand.util.MonotonicClock;
 
 /**
@@ -39,6 +41,8 @@
   private final GatewayMetrics metrics;
   private final EventLog log;
   private final UpstreamRegistry registry = new UpstreamRegistry(MonotonicClock.system());
+  private final VersionHistory versions = new VersionHistory(System.nanoTime());
+  private final RouteHistory routes = new RouteHistory();
   private final Map<String, ImmutableList<String>> ignoredFields = new HashMap<>();
   private final AtomicReference<RoutingTable> routing = new AtomicReference<>();
   private final AtomicReference<PublishedState> published =
@@ -77,6 +81,16 @@
     return failureDomains.getOrDefault(upstream, "");
   }
 
+  /** Returns which software versions served the pools. */
+  VersionHistory versions() {
+    return versions;
+  }
+
+  /** Returns the pools to which recent declarations sent requests. */
+  RouteHistory routes() {
+    return routes;
+  }
+
   /** Returns the published state, which other nodes may fetch. */
   PublishedState published() {
     return published.get();
@@ -90,11 +104,13 @@
   @Override
   public void stateReplaced(PublishedState state) {
     published.set(state);
+    versions.restart(System.nanoTime());
     List<RegisteredUpstream> listed = new ArrayList<>();
     Set<String> evacuations = new HashSet<>();
     state.values().values().forEach(value -> apply(value, listed, evacuations));
     registry.replaceEvacuations(evacuations, System.nanoTime());
     registry.replaceAll(listed, System.nanoTime());
+    listed.forEach(upstream -> versions.registered(upstream, System.nanoTime()));
     applyUpstreams("list");
   }
 
@@ -110,10 +126,14 @@
       } else if (!id.isEmpty()) {
         ignoredFields.remove(change.key());
         registry.removed(id, System.nanoTime());
+        versions.removed(id, System.nanoTime());
       } else {
         registry.evacuationEnded(decoder.evacuatedDomain(change.key()));
       }
-      registered.forEach(registry::registered);
+      for (RegisteredUpstream upstream : registered) {
+        registry.registered(upstream);
+        versions.registered(upstream, System.nanoTime());
+      }
       registered.clear();
       evacuations.forEach(registry::evacuationStarted);
       evacuations.clear();
@@ -134,6 +154,10 @@
     } else if (decoded instanceof PublishedDecoder.Evacuation evacuation) {
       evacuations.add(evacuation.domain());
     } else if (decoded instanceof PublishedDecoder.Ignored ignored && !ignored.reason().isEmpty()) {
+      String id = decoder.upstreamId(value.key());
+      if (!id.isEmpty()) {
+        versions.unusable(id, System.nanoTime());
+      }
       log.write(
           LogEvent.VALUE_IGNORED,
           "key=" + value.key() + " revision=" + value.revision() + " cause=" + ignored.reason());
@@ -160,6 +184,7 @@
     RoutingTable current = routing.get();
     if (current == null || table.version() > current.version()) {
       routing.set(table);
+      routes.declared(table, System.nanoTime());
       cold.declared(Maps.transformValues(table.pools(), ServicePool::coldStart));
       log.write(
           LogEvent.ROUTING_IN_FORCE,
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Gateway.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Gateway.java
@@ -94,6 +94,7 @@
   private final RateLimiter limiter;
   private final BrittleUpstreams brittle;
   private final StreamLookup streams;
+  private final StreamVersions versions;
   private final PeerTable peers;
   private final FleetState fleet;
   private final CallerServer callers;
@@ -148,29 +149,39 @@
     this.brittle = new BrittleUpstreams(dispatcher, peers, fleet, log);
     this.reports = createReports();
     this.streams = new StreamLookup(new StreamQuestions());
+    this.versions =
+        new StreamVersions(loop, fleet, ports.decoder(), settings.store().historyMillis(), log);
     this.shutdown =
         new GatewayShutdown(
             loop, callers, admission, settings.limits().shutdownMillis(), reports::sendNodeReport);
-    admission.setContext(
-        new RelayContext(
-            loop,
-            ports.headers(),
-            client,
-            dispatcher,
-            quotas,
-            retries,
-            new Hedging(
-                new HedgePolicy(settings.limits().hedgeShare()),
-                () -> peers.hasFleetView(System.nanoTime())),
-            crashes,
-            new UpstreamSignals(fleet, dispatcher, limiter, brittle, log),
-            forwarding,
-            streams,
-            fleet::routing,
-            shutdown::isRefusingRequests,
-            lag,
-            log,
-            metrics));
+    admission.setContext(createContext(ports.headers(), client));
+  }
+
+  private RelayContext createContext(HeaderCodec headers, UpstreamClient client) {
+    return new RelayContext(
+        loop,
+        headers,
+        client,
+        dispatcher,
+        quotas,
+        retries,
+        createHedging(),
+        crashes,
+        new UpstreamSignals(fleet, dispatcher, limiter, brittle, log),
+        forwarding,
+        streams,
+        versions,
+        fleet::routing,
+        shutdown::isRefusingRequests,
+        lag,
+        log,
+        metrics);
+  }
+
+  private Hedging createHedging() {
+    return new Hedging(
+        new HedgePolicy(settings.limits().hedgeShare()),
+        () -> peers.hasFleetView(System.nanoTime()));
   }
 
   private CallDispatcher createDispatcher() {
@@ -312,9 +323,11 @@
         listen.metrics(),
         new HttpEndpoint(METRICS_PATH, query -> HttpEndpoint.ofText(metrics.scrape())));
     fetch = new HttpFetch(servers.group());
-    store = ports.store().open(fetch, settings.store(), log);
+    store = ports.store().open(fetch, settings.store().address(), log);
     follower =
-        new PublishedFollower(loop, store, fleet, log, settings.heartbeatMillis(), incarnation);
+        new PublishedFollower(
+            loop, store, fleet, log, settings.store().heartbeatMillis(), incarnation);
+    versions.setClients(store, ports.runs().open(fetch));
     reports.open(host());
     StoreRole expectedRole = hasOtherSeeds() ? StoreRole.SUPPLEMENTARY : StoreRole.LEADING;
     loop.execute(() -> follower.start(expectedRole));
@@ -356,6 +369,7 @@
       dispatcher.tick(now);
       followStandstill(now);
       streams.tick(now);
+      versions.tick(now);
       reach.tick(now);
       if (ticks % TICKS_PER_REFRESH == 0) {
         refresh(now);
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RelayContext.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RelayContext.java
@@ -22,6 +22,7 @@
  * @param signals applies what upstreams say of themselves in responses
  * @param forwarding sends requests through nodes that reach a pool which this one does not
  * @param streams knows at which software version streams began
+ * @param versions finds out at which software version a stream began that no node knows
  * @param routing supplies the current declaration; null before the first one
  * @param refusingRequests supplies whether new requests are refused because of a shutdown
  * @param lag measures the lag of the event loop
@@ -40,6 +41,7 @@
     UpstreamSignals signals,
     PeerForwarding forwarding,
     StreamLookup streams,
+    StreamVersions versions,
     Supplier<RoutingTable> routing,
     Supplier<Boolean> refusingRequests,
     LoopLag lag,
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/StreamLookup.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/StreamLookup.java
@@ -41,6 +41,11 @@
     origins.began(stream, upstream, System.nanoTime());
   }
 
+  /** Records the origin of a stream that was inferred. */
+  void inferred(Origin origin) {
+    origins.reported(origin, System.nanoTime());
+  }
+
   /**
    * Finds the origin of a stream.
    *
--- a/org.cranberrystand.wire/src/main/java/org/cranberrystand/wire/settings/GatewaySettings.java
+++ b/org.cranberrystand.wire/src/main/java/org/cranberrystand/wire/settings/GatewaySettings.java
@@ -18,7 +18,6 @@
  * @param listen the listeners
  * @param seeds the peer listeners of some other nodes, used to join the fleet
  * @param store the store that publishes the routing configuration and the upstreams
- * @param heartbeatMillis the interval in which upstreams renew their registrations in the store
  * @param limits the limits set by the operators
  */
 public record GatewaySettings(
@@ -28,8 +27,7 @@
     boolean startsWithFleet,
     Listen listen,
     ImmutableList<HostAndPort> seeds,
-    HostAndPort store,
-    long heartbeatMillis,
+    Store store,
     Limits limits) {
 
   /**
@@ -50,6 +48,15 @@
       int reportPort,
       HostAndPort metrics) {}
 
+  /**
+   * The store of published values.
+   *
+   * @param address the address of its interface
+   * @param heartbeatMillis the interval in which upstreams renew their registrations there
+   * @param historyMillis how long it retains changes unless it discards them sooner; 0 if unknown
+   */
+  public record Store(HostAndPort address, long heartbeatMillis, long historyMillis) {}
+
   /**
    * Limits set by the operators.
    *
--- a/org.cranberrystand.wire/src/main/java/org/cranberrystand/wire/settings/GatewaySettingsParser.java
+++ b/org.cranberrystand.wire/src/main/java/org/cranberrystand/wire/settings/GatewaySettingsParser.java
@@ -19,6 +19,7 @@
   private static final long DEFAULT_HEARTBEAT_MILLIS = 1_200;
   private static final long MIN_HEARTBEAT_MILLIS = 100;
   private static final long MAX_HEARTBEAT_MILLIS = 600_000;
+  private static final long MAX_HISTORY_SECONDS = 31_536_000;
   private static final long DEFAULT_SHUTDOWN_MILLIS = 8_000;
   private static final long MAX_EVACUATE_MILLIS = 3_600_000;
   private static final double NO_COLD_UPSTREAMS = -1;
@@ -60,25 +61,22 @@
     ImmutableList<HostAndPort> seeds =
         SettingsAddresses.parseAll(root, "seeds", root.getStringSet("seeds"));
     TomlReader storeTable = root.getTable("store");
-    HostAndPort store = SettingsAddresses.readRequired(storeTable, "address");
-    long heartbeatMillis =
-        storeTable.getLong(
-            "heartbeat_ms", DEFAULT_HEARTBEAT_MILLIS, MIN_HEARTBEAT_MILLIS, MAX_HEARTBEAT_MILLIS);
+    GatewaySettings.Store store =
+        new GatewaySettings.Store(
+            SettingsAddresses.readRequired(storeTable, "address"),
+            storeTable.getLong(
+                "heartbeat_ms",
+                DEFAULT_HEARTBEAT_MILLIS,
+                MIN_HEARTBEAT_MILLIS,
+                MAX_HEARTBEAT_MILLIS),
+            1000 * storeTable.getLong("history_s", 0, 0, MAX_HISTORY_SECONDS));
     storeTable.rejectUnknownKeys();
     GatewaySettings.Limits limits = readLimits(root.getTable("limits"));
     root.rejectUnknownKeys();
     return findings.toChecked(
         () ->
             new GatewaySettings(
-                node,
-                failureDomain,
-                cores,
-                startsWithFleet,
-                listen,
-                seeds,
-                store,
-                heartbeatMillis,
-                limits));
+                node, failureDomain, cores, startsWithFleet, listen, seeds, store, limits));
   }
 
   private static double readCores(TomlReader table) {
--- a/org.cranberrystand.wire/src/test/java/org/cranberrystand/wire/settings/GatewaySettingsParserTest.java
+++ b/org.cranberrystand.wire/src/test/java/org/cranberrystand/wire/settings/GatewaySettingsParserTest.java
@@ -68,10 +68,12 @@
   public void heartbeatIsOptionalAndMustBeUsable() throws IOException {
     String text = Files.readString(TRAINING_SETTINGS);
     assertEquals(
-        GatewaySettingsParser.parse("node.toml", text).orElseThrow().heartbeatMillis(), 1_200);
+        GatewaySettingsParser.parse("node.toml", text).orElseThrow().store().heartbeatMillis(),
+        1_200);
     String other = text.replace("[store]", "[store]\nheartbeat_ms = 600");
     assertEquals(
-        GatewaySettingsParser.parse("node.toml", other).orElseThrow().heartbeatMillis(), 600);
+        GatewaySettingsParser.parse("node.toml", other).orElseThrow().store().heartbeatMillis(),
+        600);
     List<String> keys =
         findings(text.replace("[store]", "[store]\nheartbeat_ms = 0")).stream()
             .map(Finding::key)
@@ -79,6 +81,18 @@
     assertEquals(keys, List.of("store.heartbeat_ms"));
   }
 
+  /** Guards against taking the history of a store for longer than it says. */
+  @Test
+  public void historyIsUnknownUnlessStated() throws IOException {
+    String text = Files.readString(TRAINING_SETTINGS);
+    assertEquals(
+        GatewaySettingsParser.parse("node.toml", text).orElseThrow().store().historyMillis(), 0);
+    String stated = text.replace("[store]", "[store]\nhistory_s = 20");
+    assertEquals(
+        GatewaySettingsParser.parse("node.toml", stated).orElseThrow().store().historyMillis(),
+        20_000);
+  }
+
   /** Guards against defects that are reported only one at a time, or without their line. */
   @Test
   public void allDefectsAreReportedWithTheirLine() throws IOException {
--- a/org.cranberrystand/src/main/java/org/cranberrystand/event/LogEvent.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/event/LogEvent.java
@@ -127,7 +127,13 @@
   /** The store may have been away for so long that registrations of live upstreams expired. */
   REGISTRATIONS_UNCERTAIN(5050, Severity.WARNING, "registrations may have expired"),
   /** A request was sent to find out which of its content crashes upstreams. */
-  CONTENT_PROBED(5051, Severity.INFO, "suspected content probed");
+  CONTENT_PROBED(5051, Severity.INFO, "suspected content probed"),
+  /** It was found out, or not, where a stream began that no node knows. */
+  STREAM_INFERRED(5052, Severity.INFO, "origin of a stream inferred"),
+  /** The changes that the store retains were read, or could not be. */
+  STORE_HISTORY_READ(5053, Severity.INFO, "history of the store read"),
+  /** An upstream did not say which requests it runs. */
+  UPSTREAM_RUNS_UNKNOWN(5054, Severity.INFO, "requests of an upstream are unknown");
 
   private final int number;
   private final Severity severity;
--- a/org.cranberrystand/src/main/java/org/cranberrystand/routing/Route.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/routing/Route.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableList;
 import java.util.Objects;
+import java.util.Optional;
 
 /**
  * A route: matches requests by host and path prefix, and defines how they are served. Immutable.
@@ -68,6 +69,20 @@
     return pools;
   }
 
+  /**
+   * Returns the pool to which all requests go.
+   *
+   * @return the name of the pool; empty if requests may go to several pools or to none
+   */
+  public Optional<String> solePool() {
+    ImmutableList<String> used =
+        pools.stream()
+            .filter(one -> one.weight() > 0)
+            .map(WeightedPool::pool)
+            .collect(ImmutableList.toImmutableList());
+    return used.size() == 1 ? Optional.of(used.get(0)) : Optional.empty();
+  }
+
   /**
    * Returns whether requests may go to a pool.
    *
--- a/org.cranberrystand/src/main/java/org/cranberrystand/routing/RoutingTable.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/routing/RoutingTable.java
@@ -34,6 +34,15 @@
     this.limits = builder.limits;
   }
 
+  private RoutingTable(RoutingTable table) {
+    this.version = table.version;
+    this.routesByHost = table.routesByHost;
+    this.pools = ImmutableMap.of();
+    this.teams = ImmutableList.of();
+    this.teamsByKey = ImmutableMap.of();
+    this.limits = table.limits;
+  }
+
   /**
    * Creates a builder.
    *
@@ -70,12 +79,29 @@
    * @return the route and the team, or the reason why the request cannot be served
    */
   public RouteMatch find(String host, String path, String key) {
-    for (Route route : routesByHost.get(host.toLowerCase(Locale.ROOT))) {
-      if (path.startsWith(route.prefix())) {
-        return authorize(route, key);
-      }
-    }
-    return new RouteMatch.NoRoute();
+    return route(host, path).map(route -> authorize(route, key)).orElseGet(RouteMatch.NoRoute::new);
+  }
+
+  /**
+   * Finds the route of a request, whether its caller is authorized or not.
+   *
+   * @param host the host without port; case does not matter
+   * @param path the path without query
+   * @return the route with the longest prefix that begins the path; empty if there is none
+   */
+  public Optional<Route> route(String host, String path) {
+    return routesByHost.get(host.toLowerCase(Locale.ROOT)).stream()
+        .filter(route -> path.startsWith(route.prefix()))
+        .findFirst();
+  }
+
+  /**
+   * Returns a table with the same routes that needs less memory.
+   *
+   * @return a table without teams and pools, in which only {@link #route} is of use
+   */
+  public RoutingTable withoutTeams() {
+    return new RoutingTable(this);
   }
 
   private RouteMatch authorize(Route route, String key) {
