Keep an error of the next upstream out of a stream that has begun

Cause: two ways to the caller did not ask whether the response in progress was the one whose head the caller has. A 400 was forwarded whole, and a body of more than 256 KB in parts, each time the response had been started by another attempt.

Ruled out: heads in the stream. Responses are parsed, so no head is forwarded as text; the test looks for a second status line.

Change: RequestRelay remembers the response whose head the caller has. Only its body is forwarded; a stream is continued by events only. Everything else fails the attempt, and the stream is cut unless another upstream continues it. A large answer with an error status on a streaming route is now forwarded whole, where it was cut at its end before.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RequestRelay.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RequestRelay.java
@@ -37,7 +37,7 @@
   private final CallerExchange exchange;
   private final CallerHeaders caller;
   private final Route route;
-  private final Optional<TeamPolicy> team;
+  private final QuotaCharge quota;
   private final RequestForwarding forwarding;
   private final RequestContent content;
   private final RelayAttempts attempts;
@@ -49,7 +49,6 @@
 
   private CallSpec spec;
   private int attemptsWithoutRun;
-  private boolean quotaCharged;
 
   /** Whether the current attempt, or one that may have run, is at another node. */
   private boolean atNode;
@@ -57,6 +56,10 @@
   private long refusalPauseMillis;
   private boolean done;
   private boolean responseStarted;
+
+  /** The response of which the caller has the head; null before that. */
+  private ResponseAssembler startedResponse;
+
   private long firstResponseNanos;
   private long lastByteNanos;
   private String lastEventId;
@@ -72,9 +75,8 @@
     this.exchange = exchange;
     this.caller = caller;
     this.route = route;
-    this.team = team;
+    this.quota = new QuotaCharge(context.quotas(), team, caller.quotaTokens());
     this.spec = spec;
-    this.quotaCharged = team.isPresent();
     this.forwarding = new RequestForwarding(context, exchange, caller);
     this.attempts = new RelayAttempts(context, exchange, caller, route, team, spec);
     this.deadlineTimer = new DeadlineTimer(context.loop(), spec.deadlineNanos(), new Deadline());
@@ -114,7 +116,7 @@
 
   private void sendToNode(RegisteredUpstream node) {
     // The other node charges the request.
-    refundQuota();
+    quota.refund();
     atNode = true;
     log.forwarded(node, attempts.runCount());
     attempts.sendToNode(node, forwarding.client(), forwarder);
@@ -206,20 +208,13 @@
         return;
       }
     }
-    refundQuota();
+    quota.refund();
     log.refused(reason, context.dispatcher().waitingCount(), retryAfterMillis);
     end("refused-" + reason.label(), reason.status());
     ErrorResponses.write(
         exchange, HttpResponseStatus.valueOf(reason.status()), reason.label(), retryAfterMillis);
   }
 
-  private void refundQuota() {
-    if (quotaCharged) {
-      quotaCharged = false;
-      context.quotas().refund(team.orElseThrow(), caller.quotaTokens());
-    }
-  }
-
   private void fail(HttpResponseStatus status, String detail) {
     if (done) {
       return;
@@ -252,7 +247,7 @@
     }
     endAttempt(CallEnding.CANCELLED);
     if (attempts.runCount() == 0) {
-      refundQuota();
+      quota.refund();
     }
     end(CALLER_GONE, -1);
   }
@@ -439,11 +434,17 @@
     private void startResponse(ResponseAssembler received) {
       if (!responseStarted) {
         responseStarted = true;
+        startedResponse = received;
         hedge.cancel();
         exchange.startResponse(received.status(), received.callerHeaders(context.headerCodec()));
       }
     }
 
+    /** Once the caller has the head of a response, only the body of the same one may follow. */
+    private boolean mayForward(ResponseAssembler received) {
+      return responseStarted ? received == startedResponse : received.isForwardable();
+    }
+
     @Override
     public void bodyPartReceived(ResponseAssembler received, ByteBuf part) {
       if (received != attempt().response()) {
@@ -451,7 +452,7 @@
         part.release();
         return;
       }
-      if (!responseStarted && !received.isForwardable()) {
+      if (!mayForward(received)) {
         part.release();
         endAttempt(CallEnding.FAILED);
         if (!hedge.takeOver()) {
@@ -482,11 +483,10 @@
     @Override
     public void responseCompleted(ResponseAssembler received, ByteBuf body) {
       attempt().ended();
-      boolean resumedStream = responseStarted && route.kind().isStreaming();
       boolean serverError = received.status().codeClass() == HttpStatusClass.SERVER_ERROR;
       if (received.isNotRun()) {
         handleNotRun(received, body);
-      } else if (resumedStream || !received.isForwardable()) {
+      } else if (!mayForward(received)) {
         body.release();
         retryOrFail("no valid answer", CallEnding.FAILED);
       } else if (serverError && hedge.isInProgress()) {
@@ -517,7 +517,7 @@
         refusedByNode(received.status());
         return;
       }
-      if (received.status().code() == HttpResponseStatus.BAD_REQUEST.code()) {
+      if (!responseStarted && received.status().equals(HttpResponseStatus.BAD_REQUEST)) {
         forwardWhole(received, body);
         return;
       }
