--- a/org.cranberrystand/src/test/java/org/cranberrystand/upstream/UpstreamRegistryTest.java
+++ b/org.cranberrystand/src/test/java/org/cranberrystand/upstream/UpstreamRegistryTest.java
@@ -179,6 +179,35 @@
     }
   }
 
+  /** Guards against dropping an upstream that a second restoration made register once more. */
+  @Test
+  public void secondRestorationWithinTheGracePeriodStartsItAgain() {
+    registry.sourceRestored(10 * SECOND);
+    registry.replaceAll(List.of(upstream("b", false)), 10 * SECOND);
+    registry.sourceRestored(12 * SECOND);
+    registry.replaceAll(List.of(upstream("b", false)), 12 * SECOND);
+
+    assertFalse(registry.expire(14 * SECOND));
+    registry.registered(upstream("a", false));
+    assertFalse(registry.expire(20 * SECOND));
+    assertEquals(Set.copyOf(usable()), Set.of("a", "b"));
+  }
+
+  /** Guards against an upstream that a copy lacks and that stays while watches are cut. */
+  @Test
+  public void shortAbsencesAfterARestorationDoNotKeepWhatTheCopyLacks() {
+    registry.sourceRestored(10 * SECOND);
+    registry.replaceAll(List.of(upstream("b", false)), 10 * SECOND);
+    for (int i = 0; i < 20; i++) {
+      long lostNanos = 10 * SECOND + i * SECOND / 10;
+      registry.sourceLost(lostNanos);
+      registry.sourceRegained(lostNanos + SECOND / 100);
+    }
+
+    assertTrue(registry.expire(12_400_000_000L));
+    assertEquals(usable(), List.of("b"));
+  }
+
   /** Guards against ignoring the announcement of an upstream whose registration lags behind. */
   @Test
   public void announcementHoldsForItsIncarnationOnly() {
