Ask upstreams for their requests when a node starts

Change: a node that does not start with the whole fleet asks the upstreams of the pools whose streams can be resumed, once, when it first knows them. A stream whose run is known goes on at once, without the question to other nodes (0.2 s). An upstream that does not answer is waited for 0.25 s, not 0.4 s.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Admission.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Admission.java
@@ -13,6 +13,7 @@
 import org.cranberrystand.dispatch.CallSpec;
 import org.cranberrystand.dispatch.DispatchOutput;
 import org.cranberrystand.dispatch.PlacementChoice;
+import org.cranberrystand.dispatch.StreamInference;
 import org.cranberrystand.dispatch.StreamOrigins;
 import org.cranberrystand.event.LogEvent;
 import org.cranberrystand.outcome.NotRunReason;
@@ -142,6 +143,11 @@
       return;
     }
     ResumedRequest resumed = new ResumedRequest();
+    Optional<StreamOrigins.Origin> run = context.versions().provenByRun(caller.resumedStream());
+    if (run.isPresent()) {
+      resume(exchange, caller, route, team, resumed, run, StreamInference.Basis.RUN.toString());
+      return;
+    }
     exchange.setListener(resumed);
     context
         .streams()
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Gateway.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Gateway.java
@@ -108,6 +108,7 @@
   private PublishedFollower follower;
   private boolean fetchingState;
   private boolean placementHeld;
+  private boolean upstreamsAsked;
   private long lastFetchNanos = System.nanoTime() - MIN_FETCH_INTERVAL_NANOS;
   private long upToDateNanos;
   private int ticks;
@@ -417,11 +418,22 @@
     metrics.setColdUpstreams(limiter.coldCount());
     metrics.setQuarantined(crashes.refusedCount());
     offer.set(buildOffer(now));
+    askUpstreamsOnce();
     follower.setRole(StoreRole.of(peers, now));
     follower.storeReadByOthers();
     fetchStateIfBehind(now);
   }
 
+  /** Asks upstreams for the streams that began before this node started, if any can have. */
+  private void askUpstreamsOnce() {
+    if (!upstreamsAsked && fleet.routing() != null) {
+      upstreamsAsked = true;
+      if (!settings.startsWithFleet()) {
+        versions.askAll();
+      }
+    }
+  }
+
   private AddressOffer buildOffer(long now) {
     ImmutableList.Builder<NodeInfo> nodes = ImmutableList.builder();
     if (isReady()) {
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/StreamVersions.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/StreamVersions.java
@@ -31,7 +31,7 @@
   private static final long REMOVAL_LAG_MILLIS = 2_500;
 
   /** Upstreams answer within a few milliseconds; those that do not are not waited for. */
-  private static final long RUNS_TIMEOUT_MILLIS = 400;
+  private static final long RUNS_TIMEOUT_MILLIS = 250;
 
   /** The lists of upstreams are up to seconds old, so asking more often brings nothing. */
   private static final long RUNS_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(1);
@@ -82,6 +82,20 @@
     upstreamRuns = runsClient;
   }
 
+  /**
+   * Asks the upstreams of all pools whose streams callers may resume. To be called when the node
+   * first knows them: requests that began before it started end soon, and callers name them later.
+   */
+  void askAll() {
+    fleet.routing().resumablePools().forEach(pool -> askUpstreams(pool).isDone());
+  }
+
+  /** Returns where a stream began if a run of its request is known already, and only one. */
+  Optional<StreamOrigins.Origin> provenByRun(String stream) {
+    ImmutableList<StreamOrigins.Origin> origins = runs.origins(stream);
+    return origins.size() == 1 ? Optional.of(origins.get(0)) : Optional.empty();
+  }
+
   /** Returns the number of streams whose origin is being found out. */
   int pendingCount() {
     return pendingCount;
@@ -243,10 +257,17 @@
             .completeOnTimeout(null, RUNS_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
     runsInProgress.put(pool, finished);
     CompletionStage<Void> end = finished;
-    end.whenComplete((done, failure) -> loop.execute(() -> runsInProgress.remove(pool)));
+    end.whenComplete((done, failure) -> loop.execute(() -> upstreamsAsked(pool, upstreams.size())));
     return finished;
   }
 
+  private void upstreamsAsked(String pool, int count) {
+    runsInProgress.remove(pool);
+    log.write(
+        LogEvent.UPSTREAM_RUNS_READ,
+        "pool=" + pool + " upstreams=" + count + " requests=" + runs.size());
+  }
+
   private CompletableFuture<Void> askUpstream(RegisteredUpstream upstream) {
     CompletionStage<UpstreamRuns.Report> answer = upstreamRuns.fetch(upstream);
     return answer
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/StreamRuns.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/StreamRuns.java
@@ -54,6 +54,15 @@
     return entry == null ? ImmutableList.of() : entry.origins().asList();
   }
 
+  /**
+   * Returns the number of requests of which runs are known.
+   *
+   * @return the number of requests
+   */
+  public int size() {
+    return entries.size();
+  }
+
   /**
    * Removes entries of streams that have ended by now.
    *
--- a/org.cranberrystand/src/main/java/org/cranberrystand/event/LogEvent.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/event/LogEvent.java
@@ -133,7 +133,9 @@
   /** The changes that the store retains were read, or could not be. */
   STORE_HISTORY_READ(5053, Severity.INFO, "history of the store read"),
   /** An upstream did not say which requests it runs. */
-  UPSTREAM_RUNS_UNKNOWN(5054, Severity.INFO, "requests of an upstream are unknown");
+  UPSTREAM_RUNS_UNKNOWN(5054, Severity.INFO, "requests of an upstream are unknown"),
+  /** The upstreams of a pool were asked which requests they run. */
+  UPSTREAM_RUNS_READ(5055, Severity.INFO, "requests of upstreams read");
 
   private final int number;
   private final Severity severity;
--- a/org.cranberrystand/src/main/java/org/cranberrystand/routing/RoutingTable.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/routing/RoutingTable.java
@@ -138,6 +138,19 @@
         .collect(ImmutableSet.toImmutableSet());
   }
 
+  /**
+   * Returns the names of the pools to which routes send streams that callers may resume.
+   *
+   * @return the names of the pools
+   */
+  public ImmutableSet<String> resumablePools() {
+    return routesByHost.values().stream()
+        .filter(Route::isResumable)
+        .flatMap(route -> route.pools().stream())
+        .map(WeightedPool::pool)
+        .collect(ImmutableSet.toImmutableSet());
+  }
+
   /** Builder of {@link RoutingTable}. */
   public static final class Builder {
     private final long version;
