Notice within 2.2 s that the connection of a watch is dead

Cause: a watch without an answer was given up only 1 s after its end, 3.5 s in all. A node that heard of a newer version from another one waited for 0.5 s more, though its watch should have had the change at once.

Evidence: the late requests end 2.9 to 3.2 s after the silence at the first gateway and 3.3 to 3.7 s at the others, the sums of these times.

Ruled out: late acknowledgement or a slow store (new connections answer at once).

Change: an answer that is overdue by 0.2 s is checked by a call on a new connection; the first reader's watch takes 2 s, so this happens before the store counts as absent. A node whose watch waits while another node has a newer version for 0.15 s takes the state from there and renews its watch.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Gateway.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Gateway.java
@@ -60,6 +60,12 @@
    */
   private static final long STORE_LAG_NANOS = 500_000_000L;
 
+  /**
+   * How long a change may take to arrive while a watch waits for it. After that, the connection of
+   * the watch is probably dead.
+   */
+  private static final long WATCH_LAG_NANOS = 150_000_000L;
+
   /**
    * A node that stood still for less than this fraction of the deadline of an evacuation learns of
    * it in time.
@@ -465,9 +471,14 @@
     if (fetchingState || now - lastFetchNanos < MIN_FETCH_INTERVAL_NANOS) {
       return;
     }
-    if (!follower.isPassive() && now - upToDateNanos < STORE_LAG_NANOS) {
+    boolean isWatching = !follower.isPassive() && follower.isWatchWaiting();
+    long lagNanos = isWatching ? WATCH_LAG_NANOS : STORE_LAG_NANOS;
+    if (!follower.isPassive() && now - upToDateNanos < lagNanos) {
       return;
     }
+    if (isWatching) {
+      follower.renewWatch("node " + newestReport.sender().node() + " has a newer version");
+    }
     fetchingState = true;
     lastFetchNanos = now;
     URI uri =
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/PublishedFollower.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/PublishedFollower.java
@@ -30,8 +30,14 @@
    */
   private static final long CHECK_DELAY_MILLIS = 20;
 
-  /** Time allowed for the answer to a watch that ends before the store looks absent. */
-  private static final int ANSWER_MARGIN_MILLIS = 150;
+  /**
+   * How long the answer to a watch may be overdue before another call checks the store. A
+   * connection that went silent shows only by this.
+   */
+  private static final int OVERDUE_MILLIS = 200;
+
+  /** Time allowed for this call, before the store looks absent. */
+  private static final int CHECK_MILLIS = 150;
 
   private static final long MIN_RETRY_DELAY_MILLIS = 100;
   private static final long MAX_RETRY_DELAY_MILLIS = 1_000;
@@ -218,6 +224,9 @@
     if (hasList) {
       int number = ++watchNumber;
       waitingWatchMillis = watchMillis();
+      if (failedCallCount == 0) {
+        checkAfter(number, waitingWatchMillis + OVERDUE_MILLIS);
+      }
       store
           .watch(version(), waitingWatchMillis)
           .whenComplete(
@@ -233,6 +242,31 @@
     }
   }
 
+  /** Gives a watch up that is not answered in time, unless another one has followed it. */
+  private void checkAfter(int number, long delayMillis) {
+    loop.schedule(
+            () -> {
+              if (!closed && number == watchNumber && isWatchWaiting()) {
+                renewWatch("no answer " + OVERDUE_MILLIS + " ms after its end");
+              }
+            },
+            delayMillis,
+            TimeUnit.MILLISECONDS)
+        .isDone();
+  }
+
+  /** Returns whether a watch is waiting, so that a change arrives without a pause. */
+  boolean isWatchWaiting() {
+    return waitingWatchMillis > 0;
+  }
+
+  /** Gives the waiting watch up, whose connection seems to be dead, and checks the store. */
+  void renewWatch(String cause) {
+    watchNumber++;
+    waitingWatchMillis = 0;
+    recordFailure("watch", new IOException(cause));
+  }
+
   /**
    * Returns how long the next watch waits. The watch of the first reader ends before the silence of
    * a store without changes looks like an absence.
@@ -246,7 +280,8 @@
     }
     long harmlessMillis =
         TimeUnit.NANOSECONDS.toMillis(contact.harmlessNanos(System.nanoTime()))
-            - ANSWER_MARGIN_MILLIS;
+            - OVERDUE_MILLIS
+            - CHECK_MILLIS;
     return (int) Math.max(RECOVERY_WATCH_MILLIS, Math.min(role.watchMillis(), harmlessMillis));
   }
 
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/StoreRole.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/StoreRole.java
@@ -8,7 +8,7 @@
    * Reads the store with the least delay. Its watches are short, because a dead connection is
    * detected only at the end of a watch.
    */
-  LEADING(2_250, 250),
+  LEADING(2_000, 250),
 
   /**
    * Reads the store in addition to the leading reader, so that changes still arrive if that one
@@ -17,7 +17,7 @@
   SUPPLEMENTARY(10_000, 500),
 
   /** Receives changes from other nodes. Used only for a first list or while the store is lost. */
-  PASSIVE(2_250, 500);
+  PASSIVE(2_000, 500);
 
   private final int watchMillis;
   private final int pauseMillis;
