Extend a grace period by the part of an outage that lies in it

Cause: nodes heard from the first readers that the store was back, which began the grace period of expired registrations, and got an answer of their own 0.6 s later. That extended the grace period by the whole outage, 5.2 s, in place of 0.6 s.

Test: gracePeriodThatBeganInAnOutageIsExtendedByTheRestOfItOnly fails without the change.

--- a/org.cranberrystand/src/main/java/org/cranberrystand/upstream/EvacuatedDomains.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/upstream/EvacuatedDomains.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.LongUnaryOperator;
 
 /**
  * The failure domains that operators have evacuated.
@@ -49,8 +50,8 @@
   }
 
   /** Extends the grace period of missing evacuations, which cannot be repeated in an outage. */
-  void extendGrace(long awayNanos) {
-    missingUntilNanos.replaceAll((domain, until) -> until + awayNanos);
+  void extendGrace(LongUnaryOperator extension) {
+    missingUntilNanos.replaceAll((domain, until) -> extension.applyAsLong(until));
   }
 
   /** Starts the grace period of missing evacuations again. */
--- a/org.cranberrystand/src/main/java/org/cranberrystand/upstream/UpstreamRegistry.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/upstream/UpstreamRegistry.java
@@ -232,12 +232,18 @@
       return;
     }
     sourceLost = false;
-    long awayNanos = nowNanos - lostAtNanos;
-    if (lostAtNanos < graceUntilNanos) {
-      graceUntilNanos += awayNanos;
+    graceUntilNanos = extended(graceUntilNanos, nowNanos);
+    missingUntilNanos.replaceAll((id, until) -> extended(until, nowNanos));
+    evacuated.extendGrace(until -> extended(until, nowNanos));
+  }
+
+  /** Returns the end of a grace period, later by the part of it in which the source was away. */
+  private long extended(long untilNanos, long nowNanos) {
+    if (untilNanos <= lostAtNanos) {
+      return untilNanos;
     }
-    missingUntilNanos.replaceAll((id, until) -> until + awayNanos);
-    evacuated.extendGrace(awayNanos);
+    long startNanos = untilNanos - REREGISTRATION_GRACE_NANOS;
+    return untilNanos + nowNanos - Math.max(lostAtNanos, startNanos);
   }
 
   /**
--- a/org.cranberrystand/src/test/java/org/cranberrystand/upstream/UpstreamRegistryTest.java
+++ b/org.cranberrystand/src/test/java/org/cranberrystand/upstream/UpstreamRegistryTest.java
@@ -69,6 +69,23 @@
     assertEquals(usable(), List.of("a", "b"));
   }
 
+  /**
+   * Guards against a grace period that lasts for as long as the outage before it, at a node that
+   * heard of the end of the outage from others: an upstream that left later got requests.
+   */
+  @Test
+  public void gracePeriodThatBeganInAnOutageIsExtendedByTheRestOfItOnly() {
+    registry.sourceLost(10 * SECOND);
+    registry.registrationsMayHaveExpired(15 * SECOND);
+    registry.sourceRegained(16 * SECOND);
+    registry.removed("b", 18 * SECOND);
+    registry.removed("a", 18_200_000_000L);
+
+    assertEquals(usable(), List.of("b"));
+    assertTrue(registry.expire(18_200_000_000L));
+    assertEquals(usable(), List.of());
+  }
+
   /**
    * Guards against requests to an upstream that was leaving before the store became unavailable.
    */
