Continue streams only at the process that registered

Cause: the version of an attempt was that of the registration, also after another process had taken its place.

Evidence: only streams that were continued at the restarted upstream are mixed; the placements there name the old version (5001).

Ruled out: wrong origins (streams that began at sound upstreams and went on there are whole).

Change: before a stream is continued at an upstream, its process is asked when it started. Another start than the registered one, or no answer where a connection could not be opened since the registration was read, sends the stream elsewhere. Streams that begin at such an upstream are neither continued nor recorded.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Admission.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Admission.java
@@ -69,6 +69,7 @@
   private final SplittableRandom random;
   private final Map<Long, RequestRelay> relays = new HashMap<>();
   private RelayContext context;
+  private ContinuedPlacements continuedPlacements;
   private long lastCallKey;
 
   Admission(long seed) {
@@ -77,6 +78,8 @@
 
   void setContext(RelayContext value) {
     context = value;
+    continuedPlacements =
+        new ContinuedPlacements(value.loop(), value.dispatcher(), value.verifier());
   }
 
   int activeRequestCount() {
@@ -270,6 +273,7 @@
     relay.start();
     if (lastCallKey % SWEEP_INTERVAL_REQUESTS == 0) {
       relays.values().removeIf(RequestRelay::isDone);
+      continuedPlacements.retain(relays.keySet());
     }
   }
 
@@ -365,7 +369,12 @@
 
   @Override
   public void send(CallSpec call, RegisteredUpstream upstream, PlacementChoice choice) {
-    relays.get(call.key()).send(upstream, choice);
+    RequestRelay relay = relays.get(call.key());
+    if (call.isContinued()) {
+      continuedPlacements.send(relay, call, upstream, choice);
+    } else {
+      relay.send(upstream, choice);
+    }
   }
 
   @Override
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/CallerHeaders.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/CallerHeaders.java
@@ -40,4 +40,9 @@
   public int expectedOutputTokens() {
     return outputTokensHint > 0 ? outputTokensHint : maxOutputTokens;
   }
+
+  /** Returns whether the request, if it is for a stream, begins one that may be resumed. */
+  boolean beginsStream() {
+    return lastEventId == null && requestId != null;
+  }
 }
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/FleetState.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/FleetState.java
@@ -38,6 +38,7 @@
   private final CallDispatcher dispatcher;
   private final ColdUpstreams cold;
   private final UpstreamClient client;
+  private final UpstreamVerifier verifier;
   private final GatewayMetrics metrics;
   private final EventLog log;
   private final UpstreamRegistry registry = new UpstreamRegistry(MonotonicClock.system());
@@ -59,8 +60,10 @@
       CallDispatcher dispatcher,
       ColdUpstreams cold,
       UpstreamClient client,
+      UpstreamVerifier verifier,
       GatewayMetrics metrics,
       EventLog log) {
+    this.verifier = verifier;
     this.decoder = decoder;
     this.dispatcher = dispatcher;
     this.cold = cold;
@@ -133,6 +136,7 @@
       for (RegisteredUpstream upstream : registered) {
         registry.registered(upstream);
         versions.registered(upstream, System.nanoTime());
+        verifier.registered(upstream);
       }
       registered.clear();
       evacuations.forEach(registry::evacuationStarted);
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Gateway.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Gateway.java
@@ -36,6 +36,7 @@
 import org.cranberrystand.routing.CallerLimits;
 import org.cranberrystand.routing.RoutingTable;
 import org.cranberrystand.routing.ServicePool;
+import org.cranberrystand.upstream.RegisteredUpstream;
 import org.cranberrystand.wire.settings.GatewaySettings;
 
 /**
@@ -101,6 +102,7 @@
   private final BrittleUpstreams brittle;
   private final StreamLookup streams;
   private final StreamVersions versions;
+  private final UpstreamVerifier verifier;
   private final PeerTable peers;
   private final FleetState fleet;
   private final CallerServer callers;
@@ -130,18 +132,14 @@
     quotas.setUsageListener(dispatcher::usedElsewhere);
     this.retries =
         RetryAllowance.ofFleet(settings.limits().retryRatio(), settings.limits().retrySlack());
+    this.verifier = new UpstreamVerifier(loop, log);
     UpstreamClient client =
         new UpstreamClient(
-            loop,
-            ports.headers(),
-            this::maxIdleConnections,
-            (upstream, connected) ->
-                dispatcher.connectEnded(upstream, connected, System.nanoTime()),
-            log);
+            loop, ports.headers(), this::maxIdleConnections, this::connectEnded, log);
     this.crashes = new CrashDetector(loop, client, log);
     crashes.setRefusalListener(admission::refuseQuarantined);
     ColdUpstreams cold = new ColdUpstreams(settings.limits().coldTolerance());
-    this.fleet = new FleetState(ports.decoder(), dispatcher, cold, client, metrics, log);
+    this.fleet = new FleetState(ports.decoder(), dispatcher, cold, client, verifier, metrics, log);
     this.reach =
         new ReachMonitor(dispatcher, client, fleet, metrics, log, admission::forwardWaiting);
     this.callers = new CallerServer(loop, this::callerLimits, admission::handleRequest);
@@ -178,6 +176,7 @@
         forwarding,
         streams,
         versions,
+        verifier,
         fleet::routing,
         shutdown::isRefusingRequests,
         lag,
@@ -185,6 +184,13 @@
         metrics);
   }
 
+  private void connectEnded(RegisteredUpstream upstream, boolean connected) {
+    dispatcher.connectEnded(upstream, connected, System.nanoTime());
+    if (!connected) {
+      verifier.doubt(upstream);
+    }
+  }
+
   private Hedging createHedging() {
     return new Hedging(
         new HedgePolicy(settings.limits().hedgeShare()),
@@ -334,7 +340,9 @@
     follower =
         new PublishedFollower(
             loop, store, fleet, log, settings.store().heartbeatMillis(), incarnation);
-    versions.setClients(store, ports.runs().open(fetch));
+    UpstreamRuns runs = ports.runs().open(fetch);
+    versions.setClients(store, runs);
+    verifier.setClient(runs);
     reports.open(host());
     StoreRole expectedRole = hasOtherSeeds() ? StoreRole.SUPPLEMENTARY : StoreRole.LEADING;
     loop.execute(() -> follower.start(expectedRole));
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RelayContext.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RelayContext.java
@@ -23,6 +23,7 @@
  * @param forwarding sends requests through nodes that reach a pool which this one does not
  * @param streams knows at which software version streams began
  * @param versions finds out at which software version a stream began that no node knows
+ * @param verifier finds out whether upstreams are the processes that registered
  * @param routing supplies the current declaration; null before the first one
  * @param refusingRequests supplies whether new requests are refused because of a shutdown
  * @param lag measures the lag of the event loop
@@ -42,6 +43,7 @@
     PeerForwarding forwarding,
     StreamLookup streams,
     StreamVersions versions,
+    UpstreamVerifier verifier,
     Supplier<RoutingTable> routing,
     Supplier<Boolean> refusingRequests,
     LoopLag lag,
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RequestRelay.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RequestRelay.java
@@ -56,10 +56,7 @@
   private long refusalPauseMillis;
   private boolean done;
   private boolean responseStarted;
-
-  /** The response of which the caller has the head; null before that. */
   private ResponseAssembler startedResponse;
-
   private long firstResponseNanos;
   private long lastByteNanos;
   private String lastEventId;
@@ -425,9 +422,11 @@
 
     /** Binds the stream to the software version of the upstream that sent its first event. */
     private void bindToVersion() {
-      spec = spec.continuedAt(attempt().upstream().softwareVersion());
-      if (route.isResumable() && caller.lastEventId() == null && caller.requestId() != null) {
-        context.streams().began(caller.requestId(), attempt().upstream());
+      RegisteredUpstream upstream = attempt().upstream();
+      boolean isKnown = !context.verifier().isDoubted(upstream);
+      spec = spec.continuedAt(isKnown ? upstream.softwareVersion() : CallSpec.UNKNOWN_VERSION);
+      if (isKnown && route.isResumable() && caller.beginsStream()) {
+        context.streams().began(caller.requestId(), upstream);
       }
     }
 
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CallSpec.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CallSpec.java
@@ -9,6 +9,9 @@
  * <p>Immutable. Points in time are nanoseconds of the node's monotonic clock.
  */
 public final class CallSpec {
+  /** The version of a stream that began at an upstream whose version is not certain. */
+  public static final String UNKNOWN_VERSION = "\0unknown";
+
   private final long key;
   private final String pool;
   private final String softwareVersion;
@@ -73,7 +76,16 @@
    * @return false if the request continues a stream that another software version began
    */
   public boolean accepts(RegisteredUpstream upstream) {
-    return softwareVersion == null || softwareVersion.equals(upstream.softwareVersion());
+    return !isContinued() || softwareVersion.equals(upstream.softwareVersion());
+  }
+
+  /**
+   * Returns whether this request continues a stream.
+   *
+   * @return true if only one software version may serve it
+   */
+  public boolean isContinued() {
+    return softwareVersion != null;
   }
 
   /**
--- a/org.cranberrystand/src/main/java/org/cranberrystand/event/LogEvent.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/event/LogEvent.java
@@ -135,7 +135,9 @@
   /** An upstream did not say which requests it runs. */
   UPSTREAM_RUNS_UNKNOWN(5054, Severity.INFO, "requests of an upstream are unknown"),
   /** The upstreams of a pool were asked which requests they run. */
-  UPSTREAM_RUNS_READ(5055, Severity.INFO, "requests of upstreams read");
+  UPSTREAM_RUNS_READ(5055, Severity.INFO, "requests of upstreams read"),
+  /** Another process than the registered one answers at the address of an upstream. */
+  UPSTREAM_REPLACED(5056, Severity.WARNING, "upstream replaced by another process");
 
   private final int number;
   private final Severity severity;
