--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/UpstreamVerifier.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/UpstreamVerifier.java
@@ -2,7 +2,6 @@
 
 import io.netty.channel.EventLoop;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
@@ -11,6 +10,7 @@
 import org.cranberrystand.daemon.internal.EventLog;
 import org.cranberrystand.event.LogEvent;
 import org.cranberrystand.upstream.RegisteredUpstream;
+import org.cranberrystand.util.BoundedMap;
 
 /**
  * Finds out whether the process at the address of an upstream is the one that registered.
@@ -32,15 +32,7 @@
   private final EventLoop loop;
   private final EventLog log;
   private final Map<String, CompletionStage<Boolean>> inProgress = new HashMap<>();
-  private final Map<String, Long> doubtedNanosByIncarnation =
-      new LinkedHashMap<>() {
-        private static final long serialVersionUID = 1;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<String, Long> eldest) {
-          return size() > MAX_DOUBTED;
-        }
-      };
+  private final Map<String, Long> doubtedNanosByIncarnation = new BoundedMap<>(MAX_DOUBTED);
   private UpstreamRuns upstreamRuns;
 
   UpstreamVerifier(EventLoop loop, EventLog log) {
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CrashRegister.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CrashRegister.java
@@ -3,10 +3,10 @@
 import com.google.common.collect.ImmutableList;
 import java.util.Collection;
 import java.util.Comparator;
-import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
+import org.cranberrystand.util.BoundedMap;
 
 /**
  * Finds out which content crashes upstreams, from what the requests had in common that upstreams
@@ -82,22 +82,6 @@
     }
   }
 
-  /** A map that evicts the entry that was put first once it has more than a number of entries. */
-  private static final class BoundedMap<V> extends LinkedHashMap<Long, V> {
-    private static final long serialVersionUID = 1;
-
-    private final int maxEntries;
-
-    private BoundedMap(int maxEntries) {
-      this.maxEntries = maxEntries;
-    }
-
-    @Override
-    protected boolean removeEldestEntry(Map.Entry<Long, V> eldest) {
-      return size() > maxEntries;
-    }
-  }
-
   private final Map<Long, CrashEvidence> evidenceByKey = new BoundedMap<>(MAX_ENTRIES);
 
   /** Kept for all keys, since another node may report a crash from before the answer. */
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/StreamOrigins.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/StreamOrigins.java
@@ -3,10 +3,10 @@
 import com.google.common.collect.ImmutableList;
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
 import org.cranberrystand.upstream.RegisteredUpstream;
+import org.cranberrystand.util.BoundedMap;
 
 /**
  * The pool and software version at which streams began, by the identifier of the request that
@@ -39,15 +39,7 @@
 
   private record Entry(Origin origin, long recordedNanos) {}
 
-  private final Map<String, Entry> entries =
-      new LinkedHashMap<>() {
-        private static final long serialVersionUID = 1;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<String, Entry> eldest) {
-          return size() > MAX_ENTRIES;
-        }
-      };
+  private final Map<String, Entry> entries = new BoundedMap<>(MAX_ENTRIES);
   private final Deque<Entry> begunHere = new ArrayDeque<>();
 
   /**
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/StreamRuns.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/StreamRuns.java
@@ -2,8 +2,8 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
-import java.util.LinkedHashMap;
 import java.util.Map;
+import org.cranberrystand.util.BoundedMap;
 
 /**
  * The upstreams that said that they run, or ran a moment ago, the request that began a stream.
@@ -18,15 +18,7 @@
 
   private record Entry(ImmutableSet<StreamOrigins.Origin> origins, long recordedNanos) {}
 
-  private final Map<String, Entry> entries =
-      new LinkedHashMap<>() {
-        private static final long serialVersionUID = 1;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<String, Entry> eldest) {
-          return size() > MAX_ENTRIES;
-        }
-      };
+  private final Map<String, Entry> entries = new BoundedMap<>(MAX_ENTRIES);
 
   /**
    * Records that an upstream made events for a request.
--- a/org.cranberrystand/src/main/java/org/cranberrystand/schedule/PoisonContentRegistry.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/schedule/PoisonContentRegistry.java
@@ -2,8 +2,8 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
-import java.util.LinkedHashMap;
 import java.util.Map;
+import org.cranberrystand.util.BoundedMap;
 
 /**
  * Tracks request contents that may crash upstreams.
@@ -30,15 +30,7 @@
 
   private record Entry(Status status, boolean reportedByPeer, long untilNanos) {}
 
-  private final Map<String, Entry> entries =
-      new LinkedHashMap<>() {
-        private static final long serialVersionUID = 1;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<String, Entry> eldest) {
-          return size() > MAX_ENTRIES;
-        }
-      };
+  private final Map<String, Entry> entries = new BoundedMap<>(MAX_ENTRIES);
 
   /**
    * Returns the status of a content.
