--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RelayAttempt.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RelayAttempt.java
@@ -12,6 +12,7 @@
   private final ResponseAssembler response;
   private final long sentNanos = System.nanoTime();
   private UpstreamExchange exchange;
+  private boolean inProgress;
   private boolean responded;
   private boolean hasEvents;
 
@@ -53,33 +54,38 @@
 
   void sent(UpstreamExchange startedExchange) {
     exchange = startedExchange;
+    inProgress = true;
   }
 
   /** Returns whether the attempt was sent and has not ended. */
   boolean isInProgress() {
-    return exchange != null;
+    return inProgress;
   }
 
   /** Records that the upstream has ended its response, or the connection. */
   void ended() {
-    exchange = null;
+    inProgress = false;
   }
 
   /** Ends the attempt and closes its connection. */
   void cancel() {
-    UpstreamExchange cancelled = exchange;
-    exchange = null;
-    if (cancelled != null) {
-      cancelled.cancel();
+    if (inProgress) {
+      inProgress = false;
+      exchange.cancel();
     }
   }
 
   void setReading(boolean reading) {
-    if (exchange != null) {
+    if (inProgress) {
       exchange.setReading(reading);
     }
   }
 
+  /** Returns the name of the connection in the log; {@code none} before one is open. */
+  String connectionName() {
+    return exchange == null ? "none" : exchange.connectionName();
+  }
+
   /** Records the head of the response, or the first event of a stream. */
   void setResponded() {
     responded = true;
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RelayLog.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RelayLog.java
@@ -107,7 +107,7 @@
   void ended(
       String outcome,
       int status,
-      RegisteredUpstream upstream,
+      RelayAttempt attempt,
       int runCount,
       long firstResponseNanos,
       String hedgeFields) {
@@ -119,7 +119,9 @@
             + " status="
             + status
             + " upstream="
-            + (upstream == null ? "none" : upstream.id())
+            + (attempt == null ? "none" : attempt.upstream().id())
+            + " connection="
+            + (attempt == null ? "none" : attempt.connectionName())
             + " runs="
             + runCount
             + " first_ms="
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RequestRelay.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RequestRelay.java
@@ -231,7 +231,7 @@
     String hedgeFields = hedge.requestEnded(outcome);
     attempts.releaseResponse();
     log.ended(
-        outcome, status, attempts.upstream(), attempts.runCount(), firstResponseNanos, hedgeFields);
+        outcome, status, attempt(), attempts.runCount(), firstResponseNanos, hedgeFields);
     context
         .metrics()
         .recordEnded(route, outcome, spec.arrivalNanos(), firstResponseNanos, System.nanoTime());
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/UpstreamClient.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/UpstreamClient.java
@@ -217,8 +217,8 @@
               }
 
               @Override
-              public void protocolViolation(String detail) {
-                log.write(LogEvent.ANSWER_MISMATCH, "upstream=" + id + " cause=" + detail);
+              public void responseMismatched(String detail) {
+                log.write(LogEvent.ANSWER_MISMATCH, "upstream=" + id + " " + detail);
               }
             },
             channel);
@@ -314,5 +314,10 @@
         connection.setReading(request, reading);
       }
     }
+
+    @Override
+    public String connectionName() {
+      return connection == null ? "none" : connection.name();
+    }
   }
 }
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/UpstreamConnection.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/UpstreamConnection.java
@@ -47,7 +47,8 @@
 
     void connectionClosed(UpstreamConnection connection);
 
-    void protocolViolation(String detail);
+    /** A response arrived that is not the one to the pending request, if there is one. */
+    void responseMismatched(String detail);
 
     /** Finds out whether the upstream still accepts connections. */
     void checkAlive(Consumer<Boolean> result);
@@ -131,6 +132,11 @@
         && (nowNanos - idleSinceNanos) / 1_000_000 < idleTimeoutMillis - IDLE_MARGIN_MILLIS;
   }
 
+  /** Returns the name of the connection in the log. */
+  String name() {
+    return channel.id().asShortText();
+  }
+
   void close() {
     channel.close();
   }
@@ -152,7 +158,12 @@
 
   private void handleUnsolicitedData() {
     if (!untrusted) {
-      owner.protocolViolation("data on an idle connection");
+      owner.responseMismatched(
+          "connection="
+              + name()
+              + " carried="
+              + requestCount
+              + " cause=data on an idle connection");
     }
     untrusted = true;
     channel.close();
@@ -182,7 +193,8 @@
       return;
     }
     if (isMismatched(current, headers)) {
-      skipMismatched(current, headers);
+      logMismatch(current, response, headers);
+      skipMismatched(current);
       return;
     }
     current.headReceived = true;
@@ -200,17 +212,32 @@
     return !Objects.equals(headers.requestId(), current.requestId);
   }
 
-  private void skipMismatched(PendingRequest current, ResponseHeaders headers) {
+  private void skipMismatched(PendingRequest current) {
     untrusted = true;
     current.skippingResponse = true;
     current.mismatchedResponses++;
-    owner.protocolViolation(
-        "response to another request expected=" + current.requestId + " got=" + headers);
     if (current.mismatchedResponses > MAX_MISMATCHED_RESPONSES) {
       violated(current, new IOException("too many responses to other requests"));
     }
   }
 
+  private void logMismatch(
+      PendingRequest current, HttpResponse response, ResponseHeaders headers) {
+    owner.responseMismatched(
+        "connection="
+            + name()
+            + " carried="
+            + requestCount
+            + " request="
+            + current.requestId
+            + " status="
+            + response.status().code()
+            + " cause=response to another request expected="
+            + current.requestId
+            + " got="
+            + headers);
+  }
+
   private void readContent(HttpContent content) {
     PendingRequest current = active;
     boolean last = content instanceof LastHttpContent;
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/UpstreamExchange.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/UpstreamExchange.java
@@ -10,4 +10,7 @@
 
   /** Sets whether the response is read; false applies backpressure to the upstream. */
   void setReading(boolean reading);
+
+  /** Returns the name of the connection in the log; {@code none} before one is open. */
+  String connectionName();
 }
