Fail a request whose answer can't be told apart, instead of waiting for a better one

A connection took each answer without the identifier of its pending request for one to another request, skipped it and delivered the next. If the answer of the request itself has no identifier, an empty one, two, or one that the connection never carried, that skips a failure, and a late second answer of a stuttering upstream is delivered in its place.

A connection remembers the requests that it carried (CarriedRequests). Only an answer to one of these is skipped: its own answer was complete, so this one is extra. A connection carries each identifier once, so that a late answer can't be taken for that to a second send.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RequestRelay.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RequestRelay.java
@@ -230,8 +230,7 @@
     silenceTimer.cancel();
     String hedgeFields = hedge.requestEnded(outcome);
     attempts.releaseResponse();
-    log.ended(
-        outcome, status, attempt(), attempts.runCount(), firstResponseNanos, hedgeFields);
+    log.ended(outcome, status, attempt(), attempts.runCount(), firstResponseNanos, hedgeFields);
     context
         .metrics()
         .recordEnded(route, outcome, spec.arrivalNanos(), firstResponseNanos, System.nanoTime());
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/ResponseHeaders.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/ResponseHeaders.java
@@ -9,7 +9,8 @@
 /**
  * The parsed headers of an upstream's response.
  *
- * @param requestId the identifier of the attempt that the response belongs to; null if missing
+ * @param requestId the identifier of the attempt that the response belongs to; null if it states
+ *     none or several
  * @param sealed whether the response carries the upstream's seal
  * @param notRun whether the upstream states that it did not run the request
  * @param leaving whether the upstream states that it is leaving
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/UpstreamClient.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/UpstreamClient.java
@@ -116,8 +116,8 @@
    * @param request the complete request line and headers
    * @param body the request body; released
    * @param requestId the identifier that the response must repeat
-   * @param sentBefore whether a request with the same identifier was sent to the upstream before; a
-   *     new connection is used then, since a second response to the first one may arrive on the old
+   * @param sentBefore whether this request was sent to the upstream before; a new connection is
+   *     used then, since a second response to the first one may arrive on the old
    * @param listener receives the response
    * @return the exchange, to cancel it or to pause reading
    */
@@ -129,7 +129,7 @@
       boolean sentBefore,
       ResponseListener listener) {
     Exchange exchange = new Exchange();
-    UpstreamConnection reused = sentBefore ? null : takeIdle(upstream.id());
+    UpstreamConnection reused = sentBefore ? null : takeIdle(upstream.id(), requestId);
     if (reused != null) {
       exchange.start(reused, reused.send(request, body, requestId, listener));
       return exchange;
@@ -253,12 +253,13 @@
     }
   }
 
-  private UpstreamConnection takeIdle(String id) {
+  /** Takes a connection that has not carried a request with the same identifier. */
+  private UpstreamConnection takeIdle(String id, String requestId) {
     Deque<UpstreamConnection> connections = idleConnections.get(id);
     long now = System.nanoTime();
     while (connections != null && !connections.isEmpty()) {
       UpstreamConnection connection = connections.pollFirst();
-      if (connection.isUsable(now)) {
+      if (connection.isUsable(now) && !connection.hasCarried(requestId)) {
         return connection;
       }
       connection.close();
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/UpstreamConnection.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/UpstreamConnection.java
@@ -14,7 +14,6 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
-import java.util.Objects;
 import java.util.function.Consumer;
 
 /**
@@ -22,7 +21,9 @@
  *
  * <p>The connection is reused only if every response on it belonged to the pending request, was
  * framed by a length or by chunks, and was complete. A response that ends with the connection is
- * complete if the upstream still accepts connections. Used only on the event loop.
+ * complete if the upstream still accepts connections. Only a response to a request that the
+ * connection carried before is skipped; one whose request is unknown may be the response to the
+ * pending request and fails it. Used only on the event loop.
  */
 // A failed write or close closes the channel, and channelInactive handles that.
 @SuppressWarnings("FutureReturnValueIgnored")
@@ -57,8 +58,8 @@
   private final HeaderCodec headerCodec;
   private final Owner owner;
   private final Channel channel;
+  private final CarriedRequests carried = new CarriedRequests();
   private PendingRequest active;
-  private int requestCount;
   private boolean releasePending;
   private boolean untrusted;
   private boolean connectionReset;
@@ -95,7 +96,7 @@
   PendingRequest send(
       HttpRequest request, ByteBuf body, String requestId, ResponseListener listener) {
     PendingRequest started = new PendingRequest(requestId, listener);
-    requestCount++;
+    carried.add(requestId);
     active = started;
     channel.write(request);
     channel
@@ -132,6 +133,11 @@
         && (nowNanos - idleSinceNanos) / 1_000_000 < idleTimeoutMillis - IDLE_MARGIN_MILLIS;
   }
 
+  /** Returns whether the connection has carried a request with the same identifier. */
+  boolean hasCarried(String requestId) {
+    return carried.contains(requestId);
+  }
+
   /** Returns the name of the connection in the log. */
   String name() {
     return channel.id().asShortText();
@@ -162,7 +168,7 @@
           "connection="
               + name()
               + " carried="
-              + requestCount
+              + carried.count()
               + " cause=data on an idle connection");
     }
     untrusted = true;
@@ -185,18 +191,22 @@
       return;
     }
     ResponseHeaders headers = headerCodec.readResponse(response);
-    if (headers.requestId() == null && headers.notRun() && requestCount > 1) {
-      // It may be a second response to an earlier request, so this one may have run. Its other
-      // headers still describe the upstream.
-      current.listener.headReceived(headers, response);
-      violated(current, new IOException("refusal without identifier on a reused connection"));
+    ResponseOwner responseOwner = carried.ownerOf(headers);
+    if (responseOwner == ResponseOwner.PENDING) {
+      accept(current, response, headers);
       return;
     }
-    if (isMismatched(current, headers)) {
-      logMismatch(current, response, headers);
-      skipMismatched(current);
-      return;
+    logMismatch(current, responseOwner, response, headers);
+    if (responseOwner == ResponseOwner.EARLIER) {
+      skip(current);
+    } else {
+      // Its other headers still describe the upstream.
+      current.listener.headReceived(headers, response);
+      violated(current, new IOException("response whose request is unknown"));
     }
+  }
+
+  private void accept(PendingRequest current, HttpResponse response, ResponseHeaders headers) {
     current.headReceived = true;
     current.lengthDeclared =
         HttpUtil.isTransferEncodingChunked(response) || HttpUtil.isContentLengthSet(response);
@@ -205,14 +215,7 @@
     current.listener.headReceived(headers, response);
   }
 
-  private static boolean isMismatched(PendingRequest current, ResponseHeaders headers) {
-    if (headers.requestId() == null) {
-      return !headers.notRun();
-    }
-    return !Objects.equals(headers.requestId(), current.requestId);
-  }
-
-  private void skipMismatched(PendingRequest current) {
+  private void skip(PendingRequest current) {
     untrusted = true;
     current.skippingResponse = true;
     current.mismatchedResponses++;
@@ -222,14 +225,19 @@
   }
 
   private void logMismatch(
-      PendingRequest current, HttpResponse response, ResponseHeaders headers) {
+      PendingRequest current,
+      ResponseOwner responseOwner,
+      HttpResponse response,
+      ResponseHeaders headers) {
     owner.responseMismatched(
         "connection="
             + name()
             + " carried="
-            + requestCount
+            + carried.count()
             + " request="
             + current.requestId
+            + " owner="
+            + responseOwner
             + " status="
             + response.status().code()
             + " cause=response to another request expected="
--- /dev/null
+++ b/org.cranberrystand.daemon/src/test/java/org/cranberrystand/daemon/gateway/UpstreamConnectionTest.java
@@ -0,0 +1,194 @@
+package org.cranberrystand.daemon.gateway;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.HttpVersion;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import org.testng.annotations.Test;
+
+/** Which responses a connection takes for that to its pending request. */
+public final class UpstreamConnectionTest {
+  private static final int BODY_BYTES = 400;
+
+  private final List<String> mismatches = new ArrayList<>();
+  private final List<String> delivered = new ArrayList<>();
+  private boolean idle;
+
+  /** Records what would be delivered to the caller. */
+  private final class Receiver implements ResponseAssembler.Receiver {
+    private boolean done;
+
+    @Override
+    public boolean isDone() {
+      return done;
+    }
+
+    @Override
+    public void headReceived(ResponseHeaders headers) {}
+
+    @Override
+    public void bytesReceived() {}
+
+    @Override
+    public void connectFailed(Throwable cause) {
+      throw new AssertionError(cause);
+    }
+
+    @Override
+    public void eventsReceived(
+        ResponseAssembler response, ByteBuf events, int count, String lastEventId) {
+      delivered.add(events.toString(StandardCharsets.US_ASCII));
+    }
+
+    @Override
+    public void eventTooLong() {
+      end("failed");
+    }
+
+    @Override
+    public void bodyPartReceived(ResponseAssembler response, ByteBuf part) {
+      delivered.add(part.toString(StandardCharsets.US_ASCII));
+    }
+
+    @Override
+    public void streamEnded(ResponseAssembler response, boolean insideEvent) {
+      end(insideEvent ? "failed" : "ended");
+    }
+
+    @Override
+    public void responseCompleted(ResponseAssembler response, ByteBuf body) {
+      end(response.status().code() + " " + body.toString(StandardCharsets.US_ASCII));
+    }
+
+    @Override
+    public void connectionBroken(Throwable cause, boolean endedByUpstream) {
+      end("failed");
+    }
+
+    private void end(String outcome) {
+      done = true;
+      delivered.add(outcome);
+    }
+  }
+
+  private final class Owner implements UpstreamConnection.Owner {
+    @Override
+    public void connectionIdle(UpstreamConnection connection) {
+      idle = true;
+    }
+
+    @Override
+    public void connectionClosed(UpstreamConnection connection) {}
+
+    @Override
+    public void responseMismatched(String detail) {
+      mismatches.add(detail);
+    }
+
+    @Override
+    public void checkAlive(Consumer<Boolean> result) {
+      result.accept(true);
+    }
+  }
+
+  /** A connection and the bytes that its upstream sends. */
+  private final class Link {
+    private final EmbeddedChannel channel = new EmbeddedChannel(new HttpResponseDecoder());
+    private final UpstreamConnection connection =
+        new UpstreamConnection(new FakeHeaderCodec(), new Owner(), channel);
+
+    Link() {
+      channel.pipeline().addLast(connection);
+    }
+
+    void send(String requestId, boolean streaming) {
+      connection.send(
+          new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/"),
+          Unpooled.buffer(),
+          requestId,
+          new ResponseAssembler(
+              new Receiver(), streaming));
+    }
+
+    void receive(String bytes) {
+      if (channel.isActive()) {
+        channel.writeInbound(Unpooled.copiedBuffer(bytes, StandardCharsets.US_ASCII));
+      }
+    }
+  }
+
+  private void reset() {
+    mismatches.clear();
+    delivered.clear();
+    idle = false;
+  }
+
+  private static String response(int status, String headerLines, String body) {
+    return "HTTP/1.1 %d Status\r\n%sContent-Length: %d\r\n\r\n%s"
+        .formatted(status, headerLines, body.length(), body);
+  }
+
+  private static String sealed(int status, String id) {
+    return response(
+        status,
+        "id: " + id + "\r\nseal: " + status + "\r\n",
+        (status + " ").repeat(BODY_BYTES / 4));
+  }
+
+  /** Guards against waiting for a better response than one whose request is unknown. */
+  @Test
+  public void responseWithoutKnownRequestFailsThePendingOne() {
+    for (String identity : List.of("", "id: never-sent\r\n", "id: own\r\nid: never-sent\r\n")) {
+      reset();
+      Link link = new Link();
+      link.send("own", false);
+      link.receive(response(500, identity + "seal: s\r\n", "failure"));
+      link.receive(sealed(200, "own"));
+
+      assertEquals(delivered, List.of("failed"), identity);
+      assertEquals(mismatches.size(), 1, identity);
+      assertTrue(mismatches.get(0).contains(" carried=1 request=own owner=UNKNOWN status=500 "));
+    }
+  }
+
+  /** Guards against losing a response because a late one to an earlier request comes first. */
+  @Test
+  public void lateResponseToAnEarlierRequestIsSkipped() {
+    reset();
+    Link link = new Link();
+    link.send("earlier", false);
+    link.receive(sealed(500, "earlier"));
+    delivered.clear();
+    link.send("own", false);
+    link.receive(sealed(500, "earlier"));
+    link.receive(response(200, "id: own\r\nseal: s\r\n", "own"));
+
+    assertEquals(delivered, List.of("200 own"));
+    assertTrue(mismatches.get(0).contains(" carried=2 request=own owner=EARLIER status=500 "));
+    assertFalse(link.channel.isActive());
+  }
+
+  /** Guards against a refusal of an earlier request that is taken for one of the pending one. */
+  @Test
+  public void refusalWithoutIdentifierCountsOnlyForTheFirstRequest() {
+    reset();
+    Link link = new Link();
+    link.send("first", false);
+    link.receive(response(503, "not-run: 1\r\n", ""));
+    link.send("second", false);
+    link.receive(response(503, "not-run: 1\r\n", ""));
+
+    assertEquals(delivered, List.of("503 ", "failed"));
+  }
+}
