Recognize answers that run together because one was cut short

No event was logged.

Evidence: UpstreamConnectionTest cuts an answer after each of its bytes but the last 40, in front of a second one. Now the request fails in each case. A second answer after one without a length, and in a stream, was delivered as part of it.

A head that contains the start of another one, or names another protocol than HTTP, is malformed. A body or event that contains the head of an answer with an identifier, or ends within a head, is of two answers. A body may speak of HTTP otherwise (test). A cut within the last bytes of a body, fewer than a status line and a header line, is not noticed.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RelayAttempts.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RelayAttempts.java
@@ -18,6 +18,7 @@
   private final CallerExchange exchange;
   private final String requestId;
   private final OutgoingRequests outgoing;
+  private final EmbeddedResponse embeddedResponse;
   private final boolean streaming;
   private final long deadlineNanos;
   private final Set<String> triedUpstreams = new HashSet<>();
@@ -45,6 +46,7 @@
     this.exchange = exchange;
     this.requestId = caller.requestId();
     this.outgoing = new OutgoingRequests(context.headerCodec(), exchange, caller, team);
+    this.embeddedResponse = new EmbeddedResponse(context.headerCodec());
     this.streaming = route.kind().isStreaming();
     this.deadlineNanos = spec.deadlineNanos();
     this.runCount = ForwardedRequest.read(exchange.request().headers()).runs();
@@ -127,7 +129,7 @@
   }
 
   private ResponseAssembler newResponse(ResponseAssembler.Receiver receiver) {
-    return new ResponseAssembler(receiver, streaming);
+    return new ResponseAssembler(receiver, streaming, embeddedResponse);
   }
 
   private RelayAttempt begin(RelayAttempt attempt, HttpRequest request) {
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RequestHedge.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RequestHedge.java
@@ -249,9 +249,9 @@
   }
 
   @Override
-  public void eventTooLong() {
+  public void bodyInvalid(String cause) {
     if (promoted) {
-      receiver.eventTooLong();
+      receiver.bodyInvalid(cause);
     } else {
       end(CallEnding.FAILED, FAILED);
     }
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RequestRelay.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RequestRelay.java
@@ -410,8 +410,8 @@
     }
 
     @Override
-    public void eventTooLong() {
-      breakOff("event without end");
+    public void bodyInvalid(String cause) {
+      breakOff(cause);
     }
 
     private void breakOff(String cause) {
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/ResponseAssembler.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/ResponseAssembler.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
+import java.io.IOException;
 
 /**
  * Assembles the response of one attempt: streams event by event, and other responses as a whole if
@@ -36,8 +37,8 @@
     /** Complete events of a stream arrived. */
     void eventsReceived(ResponseAssembler response, ByteBuf events, int count, String lastEventId);
 
-    /** A stream contains an event without end. */
-    void eventTooLong();
+    /** What arrived is no valid part of a response; the rest of it is not wanted. */
+    void bodyInvalid(String cause);
 
     /** A part of a response arrived that is too large to be buffered. */
     void bodyPartReceived(ResponseAssembler response, ByteBuf part);
@@ -52,8 +53,11 @@
     void connectionBroken(Throwable cause, boolean endedByUpstream);
   }
 
+  private static final String RUNS_TOGETHER = "response runs into another one";
+
   private final Receiver receiver;
   private final boolean streaming;
+  private final EmbeddedResponse embeddedResponse;
   private HttpResponse response;
   private ResponseHeaders headers;
   private EventSplitter eventSplitter;
@@ -62,9 +66,17 @@
   /** When the upstream last made progress; parts of an event of a stream are none. */
   private long progressNanos = System.nanoTime();
 
-  ResponseAssembler(Receiver receiver, boolean streaming) {
+  /**
+   * Creates an assembler.
+   *
+   * @param receiver receives the response
+   * @param streaming whether a success is a stream of events
+   * @param embeddedResponse recognizes responses that run together
+   */
+  ResponseAssembler(Receiver receiver, boolean streaming, EmbeddedResponse embeddedResponse) {
     this.receiver = receiver;
     this.streaming = streaming;
+    this.embeddedResponse = embeddedResponse;
   }
 
   /** Returns how long the upstream has made no progress. */
@@ -150,21 +162,30 @@
     }
     receiver.bytesReceived();
     if (eventSplitter != null) {
-      ByteBuf events = eventSplitter.add(content);
-      if (events.isReadable()) {
-        progressNanos = System.nanoTime();
-        receiver.eventsReceived(
-            this, events, eventSplitter.takeEventCount(), eventSplitter.lastEventId());
-      }
-      if (eventSplitter.isEventTooLong() && !receiver.isDone()) {
-        receiver.eventTooLong();
-      }
+      addToStream(content);
     } else {
       progressNanos = System.nanoTime();
       addToBody(content);
     }
   }
 
+  private void addToStream(ByteBuf content) {
+    ByteBuf events = eventSplitter.add(content);
+    if (embeddedResponse.isInBody(events)) {
+      events.release();
+      receiver.bodyInvalid(RUNS_TOGETHER);
+      return;
+    }
+    if (events.isReadable()) {
+      progressNanos = System.nanoTime();
+      receiver.eventsReceived(
+          this, events, eventSplitter.takeEventCount(), eventSplitter.lastEventId());
+    }
+    if (eventSplitter.isEventTooLong() && !receiver.isDone()) {
+      receiver.bodyInvalid("event without end");
+    }
+  }
+
   private void addToBody(ByteBuf content) {
     if (bufferedBody.readableBytes() + content.readableBytes() <= MAX_BUFFERED_BYTES) {
       bufferedBody.writeBytes(content);
@@ -177,25 +198,38 @@
     if (bufferedBody.isReadable()) {
       ByteBuf first = bufferedBody.copy();
       bufferedBody.clear();
-      receiver.bodyPartReceived(this, first);
+      forwardPart(first);
     }
     if (!receiver.isDone()) {
-      receiver.bodyPartReceived(this, content.copy());
+      forwardPart(content.copy());
+    }
+  }
+
+  private void forwardPart(ByteBuf part) {
+    if (embeddedResponse.isInBody(part)) {
+      part.release();
+      receiver.bodyInvalid(RUNS_TOGETHER);
+    } else {
+      receiver.bodyPartReceived(this, part);
     }
   }
 
   @Override
-  public void responseCompleted() {
+  public boolean responseCompleted() {
     if (receiver.isDone()) {
-      return;
+      return true;
     }
     if (eventSplitter != null) {
       receiver.streamEnded(this, eventSplitter.hasPartialEvent());
+    } else if (embeddedResponse.isInBody(bufferedBody)) {
+      receiver.connectionBroken(new IOException(RUNS_TOGETHER), false);
+      return false;
     } else {
       ByteBuf body = bufferedBody;
       bufferedBody = null;
       receiver.responseCompleted(this, body);
     }
+    return true;
   }
 
   @Override
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/UpstreamConnection.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/UpstreamConnection.java
@@ -190,6 +190,10 @@
       }
       return;
     }
+    if (EmbeddedResponse.isInHead(response)) {
+      violated(current, new IOException("head of a response runs into another one"));
+      return;
+    }
     ResponseHeaders headers = headerCodec.readResponse(response);
     ResponseOwner responseOwner = carried.ownerOf(headers);
     if (responseOwner == ResponseOwner.PENDING) {
@@ -297,13 +301,13 @@
     channel.config().setAutoRead(true);
     boolean reusable =
         current.requestWritten && current.lengthDeclared && current.keepAlive && !untrusted;
-    if (reusable) {
+    if (current.listener.responseCompleted() && reusable) {
       // Wait for the end of this read: unsolicited data may follow the response.
       releasePending = true;
     } else {
+      untrusted = true;
       channel.close();
     }
-    current.listener.responseCompleted();
   }
 
   @Override
--- a/org.cranberrystand.daemon/src/test/java/org/cranberrystand/daemon/gateway/UpstreamConnectionTest.java
+++ b/org.cranberrystand.daemon/src/test/java/org/cranberrystand/daemon/gateway/UpstreamConnectionTest.java
@@ -15,10 +15,14 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** Which responses a connection takes for that to its pending request. */
 public final class UpstreamConnectionTest {
+  /** Longer than a status line and a header line, which the end of a body may hold unnoticed. */
+  private static final int UNNOTICED_BYTES = 40;
+
   private static final int BODY_BYTES = 400;
 
   private final List<String> mismatches = new ArrayList<>();
@@ -52,7 +56,7 @@
     }
 
     @Override
-    public void eventTooLong() {
+    public void bodyInvalid(String cause) {
       end("failed");
     }
 
@@ -118,7 +122,7 @@
           Unpooled.buffer(),
           requestId,
           new ResponseAssembler(
-              new Receiver(), streaming));
+              new Receiver(), streaming, new EmbeddedResponse(new FakeHeaderCodec())));
     }
 
     void receive(String bytes) {
@@ -146,6 +150,66 @@
         (status + " ").repeat(BODY_BYTES / 4));
   }
 
+  @DataProvider
+  public Object[][] pairs() {
+    return new Object[][] {
+      {sealed(500, "own"), sealed(200, "own")},
+      {sealed(200, "own"), sealed(500, "own")},
+      {sealed(200, "own"), sealed(200, "earlier")},
+    };
+  }
+
+  /**
+   * Guards against a response that was cut anywhere and is completed by the next one: status, seal
+   * and body would be of two responses.
+   */
+  @Test(dataProvider = "pairs")
+  public void responsesThatRunTogetherAreNotDelivered(String cutResponse, String nextResponse) {
+    for (int cut = 1; cut < cutResponse.length() - UNNOTICED_BYTES; cut++) {
+      reset();
+      Link link = new Link();
+      link.send("earlier", false);
+      link.receive(sealed(200, "earlier"));
+      delivered.clear();
+      link.send("own", false);
+      link.receive(cutResponse.substring(0, cut));
+      link.receive(nextResponse);
+
+      assertEquals(delivered, List.of("failed"), "cut after " + cut + " bytes");
+      assertFalse(link.channel.isActive(), "cut after " + cut + " bytes");
+    }
+  }
+
+  /** Guards against the head of a second response within an event of a stream. */
+  @Test
+  public void secondResponseIsNoPartOfAStream() {
+    reset();
+    Link link = new Link();
+    link.send("own", true);
+    link.receive("HTTP/1.1 200 OK\r\nid: own\r\nseal: s\r\n\r\nid: 1\ndata: x\n\nid: 2\nda");
+    link.receive(sealed(500, "own"));
+
+    assertEquals(delivered, List.of("id: 1\ndata: x\n\n", "failed"));
+  }
+
+  /** Guards against failing responses whose body speaks of HTTP. */
+  @Test
+  public void bodyMayNameAStatusLine() {
+    for (String body :
+        List.of(
+            "{\"line\":\"HTTP/1.1 200 OK\"}",
+            "HTTP/1.1 500 X",
+            "HTTP/1.1 200 OK\r\nServer: x\r\n\r\nexample")) {
+      reset();
+      Link link = new Link();
+      link.send("own", false);
+      link.receive(response(200, "id: own\r\nseal: s\r\n", body));
+
+      assertEquals(delivered, List.of("200 " + body));
+      assertTrue(idle);
+    }
+  }
+
   /** Guards against waiting for a better response than one whose request is unknown. */
   @Test
   public void responseWithoutKnownRequestFailsThePendingOne() {
