Close connections on which bytes follow an answer that make up no message

Bytes after a complete answer were noticed only when they made up a line. Others stayed in the decoder while the connection was kept, and the next answer on it was read as their rest: its request failed through no fault of its own.

UpstreamConnectionTest.connectionWithBytesAfterAResponseIsNotUsedAgain failed before (the connection was kept). The connection asks the decoder for unread bytes at the end of each read.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/UpstreamClient.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/UpstreamClient.java
@@ -15,7 +15,6 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestEncoder;
-import io.netty.handler.codec.http.HttpResponseDecoder;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -47,10 +46,6 @@
    */
   private static final int ACCEPTED_CONFIRMATION_MILLIS = 20;
 
-  private static final int MAX_LINE_BYTES = 8_192;
-  private static final int MAX_HEADER_BYTES = 32_768;
-  private static final int MAX_CHUNK_BYTES = 16_384;
-
   /** Receives whether connections could be opened. */
   interface ConnectListener {
     void connectEnded(RegisteredUpstream upstream, boolean connected);
@@ -102,9 +97,7 @@
                     channel
                         .pipeline()
                         .addLast(new HttpRequestEncoder())
-                        .addLast(
-                            new HttpResponseDecoder(
-                                MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES));
+                        .addLast(new UpstreamResponseDecoder());
                   }
                 });
   }
@@ -221,6 +214,7 @@
                 log.write(LogEvent.ANSWER_MISMATCH, "upstream=" + id + " " + detail);
               }
             },
+            channel.pipeline().get(UpstreamResponseDecoder.class),
             channel);
     channel.pipeline().addLast(connection);
     openConnections.add(id);
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/UpstreamConnection.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/UpstreamConnection.java
@@ -57,6 +57,7 @@
 
   private final HeaderCodec headerCodec;
   private final Owner owner;
+  private final UpstreamResponseDecoder decoder;
   private final Channel channel;
   private final CarriedRequests carried = new CarriedRequests();
   private PendingRequest active;
@@ -67,9 +68,19 @@
   private long idleTimeoutMillis = DEFAULT_IDLE_TIMEOUT_MILLIS;
   private long idleSinceNanos = System.nanoTime();
 
-  UpstreamConnection(HeaderCodec headerCodec, Owner owner, Channel channel) {
+  /**
+   * Creates a connection that has carried no request.
+   *
+   * @param headerCodec reads the headers of responses
+   * @param owner receives changes of the state of the connection
+   * @param decoder the decoder in the pipeline of the channel
+   * @param channel the channel
+   */
+  UpstreamConnection(
+      HeaderCodec headerCodec, Owner owner, UpstreamResponseDecoder decoder, Channel channel) {
     this.headerCodec = headerCodec;
     this.owner = owner;
+    this.decoder = decoder;
     this.channel = channel;
   }
 
@@ -312,6 +323,9 @@
 
   @Override
   public void channelReadComplete(ChannelHandlerContext ctx) {
+    if (active == null && decoder.hasUnreadBytes()) {
+      handleUnsolicitedData();
+    }
     if (releasePending) {
       releasePending = false;
       if (!untrusted && channel.isActive()) {
--- a/org.cranberrystand.daemon/src/test/java/org/cranberrystand/daemon/gateway/UpstreamConnectionTest.java
+++ b/org.cranberrystand.daemon/src/test/java/org/cranberrystand/daemon/gateway/UpstreamConnectionTest.java
@@ -9,7 +9,6 @@
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpVersion;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -108,9 +107,10 @@
 
   /** A connection and the bytes that its upstream sends. */
   private final class Link {
-    private final EmbeddedChannel channel = new EmbeddedChannel(new HttpResponseDecoder());
+    private final UpstreamResponseDecoder decoder = new UpstreamResponseDecoder();
+    private final EmbeddedChannel channel = new EmbeddedChannel(decoder);
     private final UpstreamConnection connection =
-        new UpstreamConnection(new FakeHeaderCodec(), new Owner(), channel);
+        new UpstreamConnection(new FakeHeaderCodec(), new Owner(), decoder, channel);
 
     Link() {
       channel.pipeline().addLast(connection);
@@ -243,6 +243,20 @@
     assertFalse(link.channel.isActive());
   }
 
+  /** Guards against failing the next request because of bytes after a complete response. */
+  @Test
+  public void connectionWithBytesAfterAResponseIsNotUsedAgain() {
+    for (String extra : List.of("x", "HTTP", "garbage\r\n", sealed(200, "own"))) {
+      reset();
+      Link link = new Link();
+      link.send("own", false);
+      link.receive(response(200, "id: own\r\nseal: s\r\n", "own") + extra);
+
+      assertEquals(delivered, List.of("200 own"), extra);
+      assertFalse(idle || link.channel.isActive(), extra);
+    }
+  }
+
   /** Guards against a refusal of an earlier request that is taken for one of the pending one. */
   @Test
   public void refusalWithoutIdentifierCountsOnlyForTheFirstRequest() {
