Show that half a head or body of an answer is delivered on no path

Another operator reported 200s with an empty or short body after an upstream had stopped within the head of its answer.

--- a/org.cranberrystand.daemon/src/test/java/org/cranberrystand/daemon/gateway/UpstreamConnectionTest.java
+++ b/org.cranberrystand.daemon/src/test/java/org/cranberrystand/daemon/gateway/UpstreamConnectionTest.java
@@ -257,6 +257,44 @@
     }
   }
 
+  @DataProvider
+  public Object[][] framings() {
+    String head = "HTTP/1.1 200 OK\r\nid: own\r\nseal: s\r\n";
+    String events = "id: 1\ndata: x\n\nid: 2\ndata: x\n\n";
+    return new Object[][] {
+      {head + "Content-Length: 5\r\n\r\n", "whole", false},
+      {head + "Transfer-Encoding: chunked\r\n\r\n", "5\r\nwhole\r\n0\r\n\r\n", false},
+      {head + "\r\n", "", false},
+      {head + "Content-Length: 30\r\n\r\n", events, true},
+      {head + "Transfer-Encoding: chunked\r\n\r\n", "1e\r\n" + events + "\r\n0\r\n\r\n", true},
+      {head + "\r\n", "", true},
+    };
+  }
+
+  /** Guards against a success whose head or declared body is cut and that looks complete. */
+  @Test(dataProvider = "framings")
+  public void cutResponseIsNotComplete(String head, String body, boolean streaming) {
+    String whole = head + body;
+    for (boolean keptConnection : new boolean[] {false, true}) {
+      for (int cut = 0; cut < whole.length(); cut++) {
+        reset();
+        Link link = new Link();
+        if (keptConnection) {
+          link.send("earlier", false);
+          link.receive(sealed(200, "earlier"));
+          delivered.clear();
+        }
+        link.send("own", streaming);
+        link.receive(whole.substring(0, cut));
+        link.channel.close().syncUninterruptibly();
+
+        String place = "cut after " + cut + " bytes of " + whole;
+        assertEquals(delivered.get(delivered.size() - 1), "failed", place);
+        assertTrue(cut > head.length() || delivered.size() == 1, place);
+      }
+    }
+  }
+
   /** Guards against a refusal of an earlier request that is taken for one of the pending one. */
   @Test
   public void refusalWithoutIdentifierCountsOnlyForTheFirstRequest() {
