Deliver the refusal of a request without identifier on any connection

Callers without an identifier got 502 for the 400 of the upstream, on kept connections: since an answer without identifier belongs to nothing there. Such a request now gets a new connection. RepeatedResponseTest.refusalOfARequestWithoutIdentifierIsDelivered failed before (502) and passes; the other tests of the class pass before and after: an identified failure followed by an identified success, direct and forwarded.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/UpstreamClient.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/UpstreamClient.java
@@ -108,7 +108,8 @@
    * @param upstream the upstream
    * @param request the complete request line and headers
    * @param body the request body; released
-   * @param requestId the identifier that the response must repeat
+   * @param requestId the identifier that the response must repeat; if it is null, a new connection
+   *     is used, since only there a response without one can belong to no other request
    * @param sentBefore whether this request was sent to the upstream before; a new connection is
    *     used then, since a second response to the first one may arrive on the old
    * @param listener receives the response
@@ -122,7 +123,8 @@
       boolean sentBefore,
       ResponseListener listener) {
     Exchange exchange = new Exchange();
-    UpstreamConnection reused = sentBefore ? null : takeIdle(upstream.id(), requestId);
+    boolean needsNewConnection = sentBefore || requestId == null;
+    UpstreamConnection reused = needsNewConnection ? null : takeIdle(upstream.id(), requestId);
     if (reused != null) {
       exchange.start(reused, reused.send(request, body, requestId, listener));
       return exchange;
