Fail a request if a skipped response runs into the next one

Only the size of what is skipped was checked. A status line in it now fails the pending request, without a promise. UpstreamConnectionTest.failureIsNotLostInASkippedResponse: 200 before, failed now.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/EmbeddedResponse.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/EmbeddedResponse.java
@@ -20,6 +20,10 @@
  */
 final class EmbeddedResponse {
   private static final String PROTOCOL_NAME = "HTTP";
+
+  /** Longer heads are malformed. */
+  private static final int MAX_HEAD_BYTES = 40_960;
+
   private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] [1-5][0-9]{2}\\b");
 
   /** A status line, the complete header lines after it, and the end of the head or of the text. */
@@ -50,7 +54,8 @@
             .anyMatch(EmbeddedResponse::containsStatusLine);
   }
 
-  private static boolean containsStatusLine(String text) {
+  /** Returns whether a text contains the start of a head. */
+  static boolean containsStatusLine(String text) {
     return STATUS_LINE.matcher(text).find();
   }
 
@@ -59,18 +64,45 @@
    * ends within a head.
    */
   boolean isInBody(ByteBuf body) {
+    return containsHead(body, true);
+  }
+
+  /** Returns whether a body, or a part of one, contains the head of the response to a request. */
+  boolean isWholeInBody(ByteBuf body) {
+    return containsHead(body, false);
+  }
+
+  private boolean containsHead(ByteBuf body, boolean unfinished) {
     if (ByteBufUtil.indexOf(PROTOCOL, body) < 0) {
       return false;
     }
     Matcher head = HEAD.matcher(body.toString(StandardCharsets.ISO_8859_1));
     while (head.find()) {
-      if (head.group("end") == null || isResponseToRequest(head.group("lines"))) {
+      boolean whole = head.group("end") != null;
+      if (whole ? isResponseToRequest(head.group("lines")) : unfinished) {
         return true;
       }
     }
     return false;
   }
 
+  /**
+   * Returns the index at which a head may begin whose end has not arrived; the writer index of the
+   * body if there is none.
+   */
+  int unfinishedHeadIndex(ByteBuf body) {
+    int start = Math.max(body.readerIndex(), body.writerIndex() - MAX_HEAD_BYTES);
+    String text = body.toString(start, body.writerIndex() - start, StandardCharsets.ISO_8859_1);
+    Matcher head = HEAD.matcher(text);
+    for (int i = text.indexOf('H'); i >= 0; i = text.indexOf('H', i + 1)) {
+      boolean matches = head.region(i, text.length()).lookingAt();
+      if (matches ? head.group("end") == null : head.hitEnd()) {
+        return start + i;
+      }
+    }
+    return body.writerIndex();
+  }
+
   private boolean isResponseToRequest(String headerLines) {
     HttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
     for (String line : Splitter.on("\r\n").omitEmptyStrings().split(headerLines)) {
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/UpstreamConnection.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/UpstreamConnection.java
@@ -14,6 +14,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.util.function.Consumer;
 
 /**
@@ -36,6 +37,9 @@
   /** Late responses to other requests, which are skipped, may be as long as any. */
   private static final int MAX_SKIPPED_BYTES = 1 << 20;
 
+  /** The length of a status line up to its status. */
+  private static final int STATUS_LINE_CHARS = "HTTP/1.1 200".length();
+
   /** Idle connections are not used in this time before the upstream is expected to close them. */
   private static final long IDLE_MARGIN_MILLIS = 1_000;
 
@@ -97,6 +101,9 @@
     private int interimResponses;
     private int skippedBytes;
 
+    /** The end of what was skipped, in which a status line may begin. */
+    private String skippedEnd = "";
+
     private PendingRequest(String requestId, ResponseListener listener) {
       this.requestId = requestId;
       this.listener = listener;
@@ -270,7 +277,11 @@
     } else if (current.skippingResponse) {
       current.skippingResponse = !last;
       current.skippedBytes += content.content().readableBytes();
-      if (current.skippedBytes > MAX_SKIPPED_BYTES) {
+      String text = current.skippedEnd + content.content().toString(StandardCharsets.ISO_8859_1);
+      current.skippedEnd = text.substring(Math.max(0, text.length() - STATUS_LINE_CHARS));
+      if (EmbeddedResponse.containsStatusLine(text)) {
+        violated(current, new IOException("response to another request runs into the next one"));
+      } else if (current.skippedBytes > MAX_SKIPPED_BYTES) {
         violated(current, new IOException("response to another request is too long"));
       }
     } else if (!current.headReceived) {
--- a/org.cranberrystand.daemon/src/test/java/org/cranberrystand/daemon/gateway/UpstreamConnectionTest.java
+++ b/org.cranberrystand.daemon/src/test/java/org/cranberrystand/daemon/gateway/UpstreamConnectionTest.java
@@ -24,12 +24,20 @@
 
   private static final int BODY_BYTES = 400;
 
+  /** More than is buffered before the caller receives it. */
+  private static final int LARGE_BODY_BYTES = 300_000;
+
+  private static final int FILL_BYTES = (256 << 10) - 100;
+
   private final List<String> mismatches = new ArrayList<>();
   private final List<String> delivered = new ArrayList<>();
   private boolean idle;
 
+  /** Results that are still awaited of checks whether the upstream is alive; null for none. */
+  private List<Consumer<Boolean>> pendingChecks;
+
   /** Records what would be delivered to the caller. */
-  private final class Receiver implements ResponseAssembler.Receiver {
+  private class Receiver implements ResponseAssembler.Receiver {
     private boolean done;
 
     @Override
@@ -101,7 +109,11 @@
 
     @Override
     public void checkAlive(Consumer<Boolean> result) {
-      result.accept(true);
+      if (pendingChecks == null) {
+        result.accept(true);
+      } else {
+        pendingChecks.add(result);
+      }
     }
   }
 
@@ -112,17 +124,24 @@
     private final UpstreamConnection connection =
         new UpstreamConnection(new FakeHeaderCodec(), new Owner(), decoder, channel);
 
+    private UpstreamConnection.PendingRequest pending;
+
     Link() {
       channel.pipeline().addLast(connection);
     }
 
     void send(String requestId, boolean streaming) {
-      connection.send(
-          new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/"),
-          Unpooled.buffer(),
-          requestId,
-          new ResponseAssembler(
-              new Receiver(), streaming, new EmbeddedResponse(new FakeHeaderCodec())));
+      send(requestId, new Receiver(), streaming);
+    }
+
+    void send(String requestId, Receiver receiver, boolean streaming) {
+      pending =
+          connection.send(
+              new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/"),
+              Unpooled.buffer(),
+              requestId,
+              new ResponseAssembler(
+                  receiver, streaming, new EmbeddedResponse(new FakeHeaderCodec())));
     }
 
     void receive(String bytes) {
@@ -307,4 +326,27 @@
 
     assertEquals(delivered, List.of("503 ", "failed"));
   }
+
+  /**
+   * Guards against losing a failure in the rest of a skipped response that was cut short, and
+   * delivering the success after it.
+   */
+  @Test
+  public void failureIsNotLostInASkippedResponse() {
+    String failure = sealed(500, "own");
+    for (String rest : List.of("", "\r\n")) {
+      reset();
+      Link link = new Link();
+      link.send("earlier", false);
+      link.receive(sealed(200, "earlier"));
+      delivered.clear();
+      link.send("own", false);
+      String late = response(200, "id: earlier\r\nseal: 200\r\n", "x".repeat(failure.length()));
+      link.receive(late.substring(0, late.length() - failure.length()));
+      link.receive(failure + rest);
+      link.receive(sealed(200, "own"));
+
+      assertEquals(delivered, List.of("failed"));
+    }
+  }
 }
