Check the parts of a large body together

Bodies over 256 KB were checked part by part: a head across two parts was delivered, a quoted head cut by a part failed a right response, and after an invalid part another part was passed on. The end of a part that may be within a head is now kept for the next check. headAcrossTwoPartsOfALargeBodyIsNoticed, largeBodyMayQuoteAHeadAcrossParts and nothingFollowsAnInvalidPartOfALargeBody failed before.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/ResponseAssembler.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/ResponseAssembler.java
@@ -195,23 +195,16 @@
   }
 
   private void forwardLargeBody(ByteBuf content) {
-    if (bufferedBody.isReadable()) {
-      ByteBuf first = bufferedBody.copy();
-      bufferedBody.clear();
-      forwardPart(first);
-    }
-    if (!receiver.isDone()) {
-      forwardPart(content.copy());
-    }
-  }
-
-  private void forwardPart(ByteBuf part) {
-    if (embeddedResponse.isInBody(part)) {
-      part.release();
+    bufferedBody.writeBytes(content);
+    if (embeddedResponse.isWholeInBody(bufferedBody)) {
       receiver.bodyInvalid(RUNS_TOGETHER);
-    } else {
-      receiver.bodyPartReceived(this, part);
+      return;
     }
+    // A head at the end is checked again together with the bytes that follow it.
+    int end = embeddedResponse.unfinishedHeadIndex(bufferedBody);
+    ByteBuf part = bufferedBody.copy(bufferedBody.readerIndex(), end - bufferedBody.readerIndex());
+    bufferedBody.readerIndex(end).discardReadBytes();
+    receiver.bodyPartReceived(this, part);
   }
 
   @Override
--- a/org.cranberrystand.daemon/src/test/java/org/cranberrystand/daemon/gateway/UpstreamConnectionTest.java
+++ b/org.cranberrystand.daemon/src/test/java/org/cranberrystand/daemon/gateway/UpstreamConnectionTest.java
@@ -349,4 +349,74 @@
       assertEquals(delivered, List.of("failed"));
     }
   }
+
+  /** Guards against a head that is noticed only if one part of a large body holds it. */
+  @Test
+  public void headAcrossTwoPartsOfALargeBodyIsNoticed() {
+    String failure = sealed(500, "own");
+    for (int split = 1; split < failure.length() - BODY_BYTES; split++) {
+      reset();
+      Link link = new Link();
+      link.send("own", false);
+      link.receive(largeResponse(2 * LARGE_BODY_BYTES, ""));
+      link.receive(failure.substring(0, split));
+      link.receive(failure.substring(split));
+
+      assertEquals(delivered.get(delivered.size() - 1), "failed", "split after " + split);
+    }
+  }
+
+  /** Guards against failing a large body because a part of it ends within a quoted head. */
+  @Test
+  public void largeBodyMayQuoteAHeadAcrossParts() {
+    String quoted = "HTTP/1.1 200 OK\r\nServer: x\r\nDate: y\r\n\r\n";
+    String rest = "x".repeat(LARGE_BODY_BYTES);
+    for (int split = 1; split < quoted.length(); split++) {
+      reset();
+      Link link = new Link();
+      link.send("own", false);
+      link.receive(largeResponse(FILL_BYTES + quoted.length() + rest.length(), ""));
+      link.receive(quoted.substring(0, split));
+      link.receive(quoted.substring(split) + rest);
+
+      assertEquals(
+          String.join("", delivered).replace("200 x", "x"),
+          "x".repeat(FILL_BYTES) + quoted + rest,
+          "split after " + split);
+    }
+  }
+
+  /** Returns a response of which little less has arrived than is buffered. */
+  private static String largeResponse(int length, String start) {
+    return "HTTP/1.1 200 OK\r\nid: own\r\nseal: s\r\nContent-Length: "
+        + length
+        + "\r\n\r\n"
+        + start
+        + "x".repeat(FILL_BYTES - start.length());
+  }
+
+  /** Guards against passing on the rest of a body that was found invalid. */
+  @Test
+  public void nothingFollowsAnInvalidPartOfALargeBody() {
+    List<String> calls = new ArrayList<>();
+    Link link = new Link();
+    Receiver receiver =
+        new Receiver() {
+          @Override
+          public void bodyInvalid(String cause) {
+            calls.add("invalid");
+            link.connection.cancel(link.pending);
+          }
+
+          @Override
+          public void bodyPartReceived(ResponseAssembler response, ByteBuf part) {
+            calls.add("part");
+          }
+        };
+    link.send("own", receiver, false);
+    link.receive(largeResponse(2 * LARGE_BODY_BYTES, sealed(500, "own")));
+    link.receive("x".repeat(LARGE_BODY_BYTES - FILL_BYTES));
+
+    assertEquals(calls, List.of("invalid"));
+  }
 }
