Complete responses without a body at their head

A 204 or 304 without a length was held while the upstream was probed, and a second response in that time replaced it (304, then 200: the 200 was delivered). responseWithoutBodyIsNotReplacedByTheNextOne failed before. RFC 9112, section 6.3.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/UpstreamConnection.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/UpstreamConnection.java
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -231,12 +232,20 @@
   private void accept(PendingRequest current, HttpResponse response, ResponseHeaders headers) {
     current.headReceived = true;
     current.lengthDeclared =
-        HttpUtil.isTransferEncodingChunked(response) || HttpUtil.isContentLengthSet(response);
+        HttpUtil.isTransferEncodingChunked(response)
+            || HttpUtil.isContentLengthSet(response)
+            || isWithoutBody(response.status());
     current.keepAlive = HttpUtil.isKeepAlive(response);
     readIdleTimeout(response);
     current.listener.headReceived(headers, response);
   }
 
+  /** Returns whether responses with a status end with their head (RFC 9112, section 6.3). */
+  private static boolean isWithoutBody(HttpResponseStatus status) {
+    return status.equals(HttpResponseStatus.NO_CONTENT)
+        || status.equals(HttpResponseStatus.NOT_MODIFIED);
+  }
+
   private void skip(PendingRequest current) {
     untrusted = true;
     current.skippingResponse = true;
--- a/org.cranberrystand.daemon/src/test/java/org/cranberrystand/daemon/gateway/UpstreamConnectionTest.java
+++ b/org.cranberrystand.daemon/src/test/java/org/cranberrystand/daemon/gateway/UpstreamConnectionTest.java
@@ -350,6 +350,22 @@
     }
   }
 
+  /** Guards against a second response that replaces one without a body while its end is checked. */
+  @Test
+  public void responseWithoutBodyIsNotReplacedByTheNextOne() {
+    reset();
+    pendingChecks = new ArrayList<>();
+    Link link = new Link();
+    link.send("own", false);
+    link.receive("HTTP/1.1 304 Status\r\nid: own\r\nseal: s\r\n\r\n");
+    link.receive(sealed(200, "own"));
+    pendingChecks.forEach(check -> check.accept(true));
+    pendingChecks = null;
+
+    assertEquals(delivered, List.of("304 "));
+    assertFalse(idle && link.channel.isActive());
+  }
+
   /** Guards against a head that is noticed only if one part of a large body holds it. */
   @Test
   public void headAcrossTwoPartsOfALargeBodyIsNoticed() {
