Deliver answers to HEAD requests at the end of their head

Callers of HEAD got a 504 after the deadline: the connection waited for the body that the length in the head describes. The decoder knows the method of the pending request, and which statuses have no body.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/UpstreamConnection.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/UpstreamConnection.java
@@ -9,7 +9,6 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -116,6 +115,7 @@
       HttpRequest request, ByteBuf body, String requestId, ResponseListener listener) {
     PendingRequest started = new PendingRequest(requestId, listener);
     carried.add(requestId);
+    decoder.setMethod(request.method());
     active = started;
     channel.write(request);
     channel
@@ -234,18 +234,12 @@
     current.lengthDeclared =
         HttpUtil.isTransferEncodingChunked(response)
             || HttpUtil.isContentLengthSet(response)
-            || isWithoutBody(response.status());
+            || decoder.isContentAlwaysEmpty(response);
     current.keepAlive = HttpUtil.isKeepAlive(response);
     readIdleTimeout(response);
     current.listener.headReceived(headers, response);
   }
 
-  /** Returns whether responses with a status end with their head (RFC 9112, section 6.3). */
-  private static boolean isWithoutBody(HttpResponseStatus status) {
-    return status.equals(HttpResponseStatus.NO_CONTENT)
-        || status.equals(HttpResponseStatus.NOT_MODIFIED);
-  }
-
   private void skip(PendingRequest current) {
     untrusted = true;
     current.skippingResponse = true;
--- a/org.cranberrystand.daemon/src/test/java/org/cranberrystand/daemon/gateway/UpstreamConnectionTest.java
+++ b/org.cranberrystand.daemon/src/test/java/org/cranberrystand/daemon/gateway/UpstreamConnectionTest.java
@@ -131,10 +131,18 @@
       send(requestId, new Receiver(), streaming);
     }
 
+    void sendHead(String requestId) {
+      send(HttpMethod.HEAD, requestId, new Receiver(), false);
+    }
+
     void send(String requestId, Receiver receiver, boolean streaming) {
+      send(HttpMethod.GET, requestId, receiver, streaming);
+    }
+
+    private void send(HttpMethod method, String requestId, Receiver receiver, boolean streaming) {
       pending =
           connection.send(
-              new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/"),
+              new DefaultHttpRequest(HttpVersion.HTTP_1_1, method, "/"),
               Unpooled.buffer(),
               requestId,
               new ResponseAssembler(
@@ -376,6 +384,21 @@
     assertFalse(idle && link.channel.isActive());
   }
 
+  /** Guards against waiting for the body that the response to a HEAD request describes. */
+  @Test
+  public void responseToHeadEndsWithItsHead() {
+    reset();
+    Link link = new Link();
+    link.sendHead("own");
+    link.receive("HTTP/1.1 200 Status\r\nid: own\r\nseal: s\r\nContent-Length: 800\r\n\r\n");
+    assertEquals(delivered, List.of("200 "));
+    assertTrue(idle);
+
+    link.send("next", false);
+    link.receive(response(200, "id: next\r\nseal: s\r\n", "next"));
+    assertEquals(delivered, List.of("200 ", "200 next"));
+  }
+
   /** Guards against a head that is noticed only if one part of a large body holds it. */
   @Test
   public void headAcrossTwoPartsOfALargeBodyIsNoticed() {
