Fail a request whose upstream switches the protocol

A 101 turns the decoder to raw bytes, in which the answer is never found: the caller waited until its deadline. Nodes ask for no upgrade, so the request fails at once.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/UpstreamConnection.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/UpstreamConnection.java
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -201,6 +202,10 @@
           current, new IOException("malformed HTTP response", response.decoderResult().cause()));
       return;
     }
+    if (response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
+      violated(current, new IOException("upgrade of the protocol that was not asked for"));
+      return;
+    }
     if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
       current.skippingResponse = true;
       current.interimResponses++;
--- a/org.cranberrystand.daemon/src/test/java/org/cranberrystand/daemon/gateway/UpstreamConnectionTest.java
+++ b/org.cranberrystand.daemon/src/test/java/org/cranberrystand/daemon/gateway/UpstreamConnectionTest.java
@@ -399,6 +399,18 @@
     assertEquals(delivered, List.of("200 ", "200 next"));
   }
 
+  /** Guards against waiting for a response after an upstream has left the protocol. */
+  @Test
+  public void upgradeFailsTheRequest() {
+    reset();
+    Link link = new Link();
+    link.send("own", false);
+    link.receive("HTTP/1.1 101 Status\r\nUpgrade: other\r\nConnection: upgrade\r\n\r\nx");
+
+    assertEquals(delivered, List.of("failed"));
+    assertFalse(link.channel.isActive());
+  }
+
   /** Guards against a head that is noticed only if one part of a large body holds it. */
   @Test
   public void headAcrossTwoPartsOfALargeBodyIsNoticed() {
