Send nothing to an upstream whose entry has become unusable

What callers saw: requests went on to a runner after another writer had put an unusable entry under its key.

Cause: FleetState applied a value that names no upstream to the history of versions and to the log, not to the registry, so the registration of before stayed in force until the key was removed or a complete list was read. Both the watch and the state fetched from other nodes were affected.

Ruled out: a complete list leaves the entry out of the registrations, so it counted as removed there (within the grace period after an outage, it was kept for another 2.2 s).

The registry forgets such an upstream at once, also in the grace period, because the entry is there and not expired. A sound entry under the key is used again.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/FleetState.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/FleetState.java
@@ -160,6 +160,7 @@
     } else if (decoded instanceof PublishedDecoder.Ignored ignored && !ignored.reason().isEmpty()) {
       String id = decoder.upstreamId(value.key());
       if (!id.isEmpty()) {
+        registry.unusable(id, System.nanoTime());
         versions.unusable(id, System.nanoTime());
       }
       log.write(
--- a/org.cranberrystand/src/main/java/org/cranberrystand/upstream/UpstreamRegistry.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/upstream/UpstreamRegistry.java
@@ -136,6 +136,20 @@
     }
   }
 
+  /**
+   * Records that the entry of an upstream names no upstream any more. Unlike a removal, this is
+   * never an expired registration.
+   *
+   * @param id the identifier of the upstream
+   * @param nowNanos the current time
+   */
+  public void unusable(String id, long nowNanos) {
+    RegisteredUpstream upstream = entries.get(id);
+    if (upstream != null) {
+      forget(upstream, nowNanos);
+    }
+  }
+
   /**
    * Replaces all registrations with a full list from the source.
    *
--- a/org.cranberrystand/src/test/java/org/cranberrystand/upstream/UpstreamRegistryTest.java
+++ b/org.cranberrystand/src/test/java/org/cranberrystand/upstream/UpstreamRegistryTest.java
@@ -45,6 +45,21 @@
     assertEquals(usable(), List.of("b"));
   }
 
+  /** Guards against an upstream that is kept as expired although its entry names none any more. */
+  @Test
+  public void upstreamWithAnOddEntryIsNotKeptForTheGracePeriod() {
+    registry.registrationsMayHaveExpired(10 * SECOND);
+    registry.removed("b", 10 * SECOND);
+    registry.unusable("a", 10 * SECOND);
+    registry.unusable("b", 10 * SECOND);
+
+    assertEquals(usable(), List.of());
+    assertFalse(registry.expire(13 * SECOND));
+
+    registry.registered(upstream("a", false));
+    assertEquals(usable(), List.of("a"));
+  }
+
   /**
    * Guards against losing all upstreams when their entries expire during an outage of the store.
    */
