Report a connection that fails at once after the request is known as sent

What callers saw: a lookup got 504 after its whole time of 1.5 s, although another runner was free. Its upstream had an address that no socket takes.

Cause: Netty completes the future of a connect before it returns if the address cannot be resolved. UpstreamClient then reported the failure while RelayAttempts was still sending, so the attempt was not there yet: RequestRelay threw a NullPointerException, and nothing ended the request or freed its slot. On the way there, HttpFetch threw for a URI without host instead of returning a failed stage, in the middle of the listener that reports the failure. The class is an outcome that comes before its receiver is ready, and an exception where callers handle stages.

Ruled out: a refused connection, port 0, 0.0.0.0, a broadcast and a multicast address, which fail later on the event loop; requests went elsewhere.

The outcome is now always delivered after connect returned, on the event loop. That also holds for a socket that cannot be created, which is not tested.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/HttpFetch.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/HttpFetch.java
@@ -69,6 +69,10 @@
    */
   public CompletionStage<Response> get(URI uri, Duration timeout) {
     CompletableFuture<Response> result = new CompletableFuture<>();
+    if (uri.getHost() == null) {
+      result.completeExceptionally(new IOException("URI names no host: " + uri));
+      return result;
+    }
     new Bootstrap()
         .group(group)
         .channel(NioSocketChannel.class)
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/UpstreamClient.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/UpstreamClient.java
@@ -128,16 +128,19 @@
       return exchange;
     }
     ChannelFuture connect = bootstrap.connect(socketAddress(upstream));
-    connect.addListener(
-        future -> {
-          connectListener.connectEnded(upstream, future.isSuccess());
-          if (exchange.cancelled) {
+    whenEnded(
+        connect,
+        () -> {
+          connectListener.connectEnded(upstream, connect.isSuccess());
+          if (!connect.isSuccess()) {
             body.release();
-            connect.channel().close();
-          } else if (!future.isSuccess()) {
+            if (!exchange.cancelled) {
+              exchange.cancelled = true;
+              listener.connectFailed(connect.cause());
+            }
+          } else if (exchange.cancelled) {
             body.release();
-            exchange.cancelled = true;
-            listener.connectFailed(future.cause());
+            connect.channel().close();
           } else {
             UpstreamConnection opened = open(upstream, connect.channel());
             exchange.start(opened, opened.send(request, body, requestId, listener));
@@ -154,10 +157,11 @@
   /** Finds out whether a connection can be opened that stays open, and keeps it. */
   private void probe(RegisteredUpstream upstream, Consumer<Boolean> result) {
     ChannelFuture connect = bootstrap.connect(socketAddress(upstream));
-    connect.addListener(
-        future -> {
-          connectListener.connectEnded(upstream, future.isSuccess());
-          if (future.isSuccess()) {
+    whenEnded(
+        connect,
+        () -> {
+          connectListener.connectEnded(upstream, connect.isSuccess());
+          if (connect.isSuccess()) {
             confirm(upstream, open(upstream, connect.channel()), result);
           } else {
             result.accept(false);
@@ -165,6 +169,15 @@
         });
   }
 
+  /** Calls an action on the event loop after the end of a connect, never before this returns. */
+  private void whenEnded(ChannelFuture connect, Runnable action) {
+    if (connect.isDone()) {
+      loop.execute(action);
+    } else {
+      connect.addListener(future -> action.run());
+    }
+  }
+
   private void confirm(
       RegisteredUpstream upstream, UpstreamConnection connection, Consumer<Boolean> result) {
     probedConnections.put(upstream.id(), connection);
--- a/org.cranberrystand.daemon/src/test/java/org/cranberrystand/daemon/gateway/UpstreamClientTest.java
+++ b/org.cranberrystand.daemon/src/test/java/org/cranberrystand/daemon/gateway/UpstreamClientTest.java
@@ -2,12 +2,17 @@
 
 import static org.testng.Assert.assertEquals;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.handler.codec.http.HttpResponse;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.cranberrystand.daemon.internal.EventLog;
 import org.cranberrystand.upstream.RegisteredUpstream;
@@ -20,6 +25,36 @@
   private static final String ID = "u";
   private static final int READ_TIMEOUT_MILLIS = 2_000;
 
+  private static final EventLog LOG = new EventLog("n1");
+
+  /** Records that the connection could not be opened. */
+  private record FailureListener(BlockingQueue<String> calls) implements ResponseListener {
+    @Override
+    public void connectFailed(Throwable cause) {
+      calls.add("connect failed");
+    }
+
+    @Override
+    public void headReceived(ResponseHeaders headers, HttpResponse response) {
+      throw new AssertionError("not connected");
+    }
+
+    @Override
+    public void contentReceived(ByteBuf content) {
+      throw new AssertionError("not connected");
+    }
+
+    @Override
+    public boolean responseCompleted() {
+      throw new AssertionError("not connected");
+    }
+
+    @Override
+    public void connectionBroken(Throwable cause, boolean endedByUpstream) {
+      throw new AssertionError("not connected");
+    }
+  }
+
   private NioEventLoopGroup group;
   private EventLoop loop;
   private ServerSocket server;
@@ -47,7 +82,7 @@
             null, // No response is read.
             pool -> 1,
             (upstream, connected) -> loop.execute(() -> client.closeIdle(ID)),
-            new EventLog("n1"));
+            LOG);
     String address = "127.0.0.1:" + server.getLocalPort();
     RegisteredUpstream upstream =
         new RegisteredUpstream(ID, "llm", address, "d", "v1", 4, 1, 0, false);
@@ -59,4 +94,25 @@
       assertEquals(socket.getInputStream().read(), -1);
     }
   }
+
+  /** Guards against a request that is lost because its failure comes before it is known as sent. */
+  @Test
+  public void connectionThatFailsAtOnceIsReportedBeforeTheRequestIsSent() throws Exception {
+    BlockingQueue<String> calls = new LinkedBlockingQueue<>();
+    client = new UpstreamClient(loop, null, pool -> 1, (upstream, connected) -> {}, LOG);
+    // A name that is longer than any host has is not looked up.
+    String address = "x".repeat(300) + ":80";
+    RegisteredUpstream upstream =
+        new RegisteredUpstream(ID, "llm", address, "d", "v1", 4, 1, 0, false);
+
+    loop.execute(
+        () -> {
+          client.send(
+              upstream, null, Unpooled.EMPTY_BUFFER, "a1", false, new FailureListener(calls));
+          calls.add("sent");
+        });
+
+    assertEquals(calls.poll(READ_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS), "sent");
+    assertEquals(calls.poll(READ_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS), "connect failed");
+  }
 }
