Keep following the store after a state that cannot be applied

What callers saw: nothing that we could draw. The report says that machines stopped following the list after one odd entry.

Cause of the class: the next read of the store was started after the state had been applied, in the same task of the event loop. Any exception on the way, of a decoder, the registry or a request that was placed because of a change, ended the reading for as long as the process lived, with no event in the log.

Evidence: PublishedFollowerTest.storeIsNoLongerReadAfterAStateThatCannotBe- Applied failed for an exception and for a StackOverflowError.

The failure of a listener is logged as TASK_FAILED, and the next read follows, also after state that another node sent.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/PublishedFollower.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/PublishedFollower.java
@@ -212,7 +212,16 @@
       replaceState(update.applyTo(state), "peer");
     } else {
       state = update.applyTo(state);
-      listener.valuesChanged(state, update.values());
+      apply(() -> listener.valuesChanged(state, update.values()));
+    }
+  }
+
+  /** Has the listener apply the state. Its failure must not end the reading of later changes. */
+  private void apply(Runnable notification) {
+    try {
+      notification.run();
+    } catch (RuntimeException | StackOverflowError e) {
+      log.write(LogEvent.TASK_FAILED, "task=apply_published_state version=" + version(), e);
     }
   }
 
@@ -318,7 +327,7 @@
       listener.storeRestored();
     }
     state = replacement;
-    listener.stateReplaced(state);
+    apply(() -> listener.stateReplaced(state));
   }
 
   /** Returns whether the store sent an answer before it was restored from a copy. */
@@ -379,7 +388,7 @@
     }
     state = state.withChanges(changes.version(), changes.values());
     if (!changes.values().isEmpty()) {
-      listener.valuesChanged(state, changes.values());
+      apply(() -> listener.valuesChanged(state, changes.values()));
     }
   }
 
--- a/org.cranberrystand.daemon/src/test/java/org/cranberrystand/daemon/gateway/PublishedFollowerTest.java
+++ b/org.cranberrystand.daemon/src/test/java/org/cranberrystand/daemon/gateway/PublishedFollowerTest.java
@@ -1,6 +1,7 @@
 package org.cranberrystand.daemon.gateway;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotNull;
 import static org.testng.Assert.assertTrue;
 
 import com.google.common.collect.ImmutableList;
@@ -16,6 +17,7 @@
 import org.cranberrystand.membership.PublishedVersion;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 public final class PublishedFollowerTest {
@@ -62,6 +64,7 @@
   /** Records the calls in order. */
   private static final class RecordedCalls implements PublishedFollower.Listener {
     private final BlockingQueue<String> calls = new LinkedBlockingQueue<>();
+    private volatile Runnable application = () -> {};
 
     @Override
     public void storeRestored() {
@@ -71,11 +74,13 @@
     @Override
     public void stateReplaced(PublishedState state) {
       calls.add("replaced " + state.version());
+      application.run();
     }
 
     @Override
     public void valuesChanged(PublishedState state, Iterable<PublishedValue> changes) {
       calls.add("changed " + state.version());
+      application.run();
     }
 
     @Override
@@ -118,6 +123,48 @@
     loop.shutdownGracefully(0, 0, TimeUnit.SECONDS).syncUninterruptibly();
   }
 
+  private static void throwException() {
+    throw new IllegalStateException("odd value");
+  }
+
+  private static void throwError() {
+    throw new StackOverflowError();
+  }
+
+  @DataProvider
+  public Object[][] failures() {
+    Runnable exception = PublishedFollowerTest::throwException;
+    Runnable error = PublishedFollowerTest::throwError;
+    return new Object[][] {{exception}, {error}};
+  }
+
+  /** Guards against a value that ends the following of the store when it cannot be applied. */
+  @Test(dataProvider = "failures")
+  public void storeIsNoLongerReadAfterAStateThatCannotBeApplied(Runnable failure) throws Exception {
+    listener.application = failure;
+    loop.execute(() -> follower.start(StoreRole.LEADING));
+    store.nextList().complete(new PublishedState(version(0, 7), ImmutableMap.of()));
+    assertEquals(listener.next(), "replaced 0.7");
+
+    ImmutableList<PublishedValue> odd = ImmutableList.of(new PublishedValue("k", 8, "v"));
+    nextWatch().answer().complete(new PublishedStore.Changes(version(0, 8), odd));
+    assertEquals(listener.next(), "changed 0.8");
+
+    PublishedUpdate update = new PublishedUpdate(version(0, 9), true, ImmutableList.of());
+    loop.submit(() -> follower.applyPeerUpdate(update)).get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+    assertEquals(listener.next(), "replaced 0.9");
+
+    listener.application = () -> {};
+    nextWatch().answer().complete(new PublishedStore.Changes(version(0, 10), odd));
+    assertEquals(listener.next(), "changed 0.10");
+  }
+
+  private ScriptedStore.Watch nextWatch() throws InterruptedException {
+    ScriptedStore.Watch watch = store.nextWatch();
+    assertNotNull(watch, "no further watch");
+    return watch;
+  }
+
   /**
    * Guards against noticing the recovery of the store only at the end of a long watch. Removals
    * were treated as expired registrations until then, and an upstream that had left got requests
