Log an unusable value once until it changes

What operators saw: a line of the log for each heartbeat of an odd entry, and for each complete list.

Cause: only the ignored fields of values that are used were logged once; values that are ignored as a whole were not.

Evidence: OddEntryTest.oddEntryIsLoggedEachTimeItIsRead found a line for each of three writes of an entry that stayed the same but for its Sequence.

Both go through one map of causes by key now, which keeps the keys of the published state only.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/FleetState.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/FleetState.java
@@ -44,7 +44,10 @@
   private final UpstreamRegistry registry = new UpstreamRegistry(MonotonicClock.system());
   private final VersionHistory versions = new VersionHistory(System.nanoTime());
   private final RouteHistory routes = new RouteHistory();
-  private final Map<String, ImmutableList<String>> ignoredFields = new HashMap<>();
+
+  /** Why a value or some of its fields are ignored, by key, as it was logged last. */
+  private final Map<String, String> ignoredCauses = new HashMap<>();
+
   private final AtomicReference<RoutingTable> routing = new AtomicReference<>();
   private final AtomicReference<PublishedState> published =
       new AtomicReference<>(PublishedState.EMPTY);
@@ -108,6 +111,7 @@
   public void stateReplaced(PublishedState state) {
     published.set(state);
     versions.restart(System.nanoTime());
+    ignoredCauses.keySet().retainAll(state.values().keySet());
     List<RegisteredUpstream> listed = new ArrayList<>();
     Set<String> evacuations = new HashSet<>();
     state.values().values().forEach(value -> apply(value, listed, evacuations));
@@ -124,10 +128,12 @@
     Set<String> evacuations = new HashSet<>();
     for (PublishedValue change : changes) {
       String id = decoder.upstreamId(change.key());
+      if (change.isDeleted()) {
+        ignoredCauses.remove(change.key());
+      }
       if (!change.isDeleted()) {
         apply(change, registered, evacuations);
       } else if (!id.isEmpty()) {
-        ignoredFields.remove(change.key());
         registry.removed(id, System.nanoTime());
         versions.removed(id, System.nanoTime());
       } else {
@@ -163,25 +169,24 @@
         registry.unusable(id, System.nanoTime());
         versions.unusable(id, System.nanoTime());
       }
-      log.write(
-          LogEvent.VALUE_IGNORED,
-          "key=" + value.key() + " revision=" + value.revision() + " cause=" + ignored.reason());
+      logIgnored(value, ignored.reason());
     }
   }
 
-  /** Logs values that cannot be used, once until they change. */
   private void logIgnoredFields(PublishedValue value, ImmutableList<String> fields) {
     if (fields.isEmpty()) {
-      ignoredFields.remove(value.key());
-    } else if (!fields.equals(ignoredFields.put(value.key(), fields))) {
+      ignoredCauses.remove(value.key());
+    } else {
+      logIgnored(value, "fields cannot be used: " + String.join(", ", fields));
+    }
+  }
+
+  /** Logs why a value is ignored, once until it is sound, removed or ignored for another cause. */
+  private void logIgnored(PublishedValue value, String cause) {
+    if (!cause.equals(ignoredCauses.put(value.key(), cause))) {
       log.write(
           LogEvent.VALUE_IGNORED,
-          "key="
-              + value.key()
-              + " revision="
-              + value.revision()
-              + " cause=fields cannot be used: "
-              + String.join(", ", fields));
+          "key=" + value.key() + " revision=" + value.revision() + " cause=" + cause);
     }
   }
 
