Count what an odd entry hides in the history of the store as unknown

What callers could see: after all nodes were killed, a stream that goes on at a runner of another version than the one it began at.

Cause: the first retained change of an entry tells whether an earlier version may be missing from the history. An unusable value took that place, so the sound one after it was not examined.

Evidence: RetainedChangesTest.oddEntryHidesThatAnEarlierVersionIsUnknown failed.

Ruled out: an unusable entry that is only rewritten or removed; it leaves the past known, so that a stream is not refused because of it.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RetainedChanges.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RetainedChanges.java
@@ -11,8 +11,12 @@
   private final ImmutableList<RegisteredUpstream> upstreams;
   private final ImmutableList<RoutingTable> declarations;
   private final boolean unknownRegistration;
+
+  /** Identifiers of which it is known whether there was a registration before the first change. */
   private final Set<String> ids = new HashSet<>();
 
+  private final Set<String> unusableIds = new HashSet<>();
+
   /**
    * Decodes changes.
    *
@@ -27,18 +31,21 @@
     for (PublishedValue change : changes) {
       String id = decoder.upstreamId(change.key());
       if (change.isDeleted()) {
-        unknown |= !id.isEmpty() && !ids.contains(id);
+        unknown |= !id.isEmpty() && !ids.contains(id) && !unusableIds.contains(id);
         continue;
       }
-      boolean isFirst = !id.isEmpty() && ids.add(id);
       PublishedDecoder.Decoded decoded = decoder.decode(change);
       if (decoded instanceof PublishedDecoder.Registration registration) {
         RegisteredUpstream upstream = registration.upstream();
         registered.add(upstream);
+        boolean isFirst = ids.add(id);
         // A process that has started since may have replaced one of another version.
         unknown |= isFirst && !change.isCreation() && upstream.startedAtMillis() >= sinceMillis;
       } else if (decoded instanceof PublishedDecoder.Declaration declaration) {
         declared.add(declaration.table());
+      } else if (!id.isEmpty()) {
+        // Before it, there may have been a registration that is not retained.
+        (change.isCreation() ? ids : unusableIds).add(id);
       }
     }
     this.upstreams = registered.build();
