--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/HttpFetch.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/HttpFetch.java
@@ -61,13 +61,25 @@
   }
 
   /**
-   * Sends a GET request.
+   * Sends a GET request for a resource of at most 32 MiB.
    *
    * @param uri the URI of the resource, with host and port
    * @param timeout the read timeout
    * @return a stage with the response; completes exceptionally if there is none
    */
   public CompletionStage<Response> get(URI uri, Duration timeout) {
+    return get(uri, timeout, MAX_BODY_BYTES);
+  }
+
+  /**
+   * Sends a GET request.
+   *
+   * @param uri the URI of the resource, with host and port
+   * @param timeout the read timeout
+   * @param maxBodyBytes the length of the body beyond which the request fails, in bytes
+   * @return a stage with the response; completes exceptionally if there is none
+   */
+  public CompletionStage<Response> get(URI uri, Duration timeout, int maxBodyBytes) {
     CompletableFuture<Response> result = new CompletableFuture<>();
     if (uri.getHost() == null) {
       result.completeExceptionally(new IOException("URI names no host: " + uri));
@@ -85,7 +97,7 @@
                     .pipeline()
                     .addLast(new ReadTimeoutHandler(timeout.toMillis(), TimeUnit.MILLISECONDS))
                     .addLast(new HttpClientCodec())
-                    .addLast(new HttpObjectAggregator(MAX_BODY_BYTES))
+                    .addLast(new HttpObjectAggregator(maxBodyBytes))
                     .addLast(new Receiver(uri, result));
               }
             })
