--- a/org.cranberrystand.daemon/src/test/java/org/cranberrystand/daemon/gateway/HttpFetchTest.java
+++ b/org.cranberrystand.daemon/src/test/java/org/cranberrystand/daemon/gateway/HttpFetchTest.java
@@ -2,6 +2,7 @@
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertThrows;
+import static org.testng.Assert.assertTrue;
 
 import io.netty.channel.nio.NioEventLoopGroup;
 import java.io.IOException;
@@ -68,6 +69,15 @@
     }
   }
 
+  /** Guards against an exception in the middle of a caller that handles failed stages only. */
+  @Test
+  public void addressWithoutHostThrows() {
+    CompletionStage<HttpFetch.Response> answer =
+        new HttpFetch(group).get(URI.create("http://a_b:1/"), TIMEOUT);
+
+    assertTrue(answer.toCompletableFuture().isCompletedExceptionally());
+  }
+
   private HttpFetch.Response get(String sentBytes) throws Exception {
     return fetch(sentBytes).toCompletableFuture().get(5, TimeUnit.SECONDS);
   }
