Confirm that a pool had one version only before a stream goes on by it

Cause: "this pool had one version only for as long as a stream can be old" was counted back from the present, though the registrations (and declarations) that the node knows are complete only up to the store's last answer. The gap is the pause between two watches (0.25 or 0.5 s), up to 2.2 s with a silent connection, and lasts as long as the fault where the store rejects the node or the node stands still. The answer of the nodes that know the origin is waited for 0.2 s only.

Ruled out: that the missing answer of the other nodes alone decides (it makes the stream unknown, no more); that a known origin is at fault.

Change: the history proves a version only if a call of the store that was sent after the caller's request arrived has brought everything up to then (StateConfirmation). Upstreams that the call brings are asked for their runs, so streams of either version go on. Streams of known origin or run need no confirmation.

Tests changed: StreamInferenceTest passes whether the state is confirmed (two rows more); PublishedFollowerTest expects false from each failed read instead of no call.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Gateway.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Gateway.java
@@ -341,7 +341,7 @@
         new PublishedFollower(
             loop, store, fleet, log, settings.store().heartbeatMillis(), incarnation);
     UpstreamRuns runs = ports.runs().open(fetch);
-    versions.setClients(store, runs);
+    versions.setClients(store, runs, new StateConfirmation(loop, follower, () -> nodeCount));
     verifier.setClient(runs);
     reports.open(host());
     StoreRole expectedRole = hasOtherSeeds() ? StoreRole.SUPPLEMENTARY : StoreRole.LEADING;
@@ -404,7 +404,12 @@
           held ? LogEvent.PLACEMENT_HELD : LogEvent.PLACEMENT_RESUMED,
           "version=" + follower.state().version() + " waiting=" + dispatcher.waitingCount());
       if (held) {
-        follower.readMissed(() -> dispatcher.stateConfirmed(System.nanoTime()));
+        follower.readMissed(
+            isConfirmed -> {
+              if (isConfirmed) {
+                dispatcher.stateConfirmed(System.nanoTime());
+              }
+            });
       }
     } else if (heldNanos >= PEER_CONFIRMATION_NANOS && isConfirmedByPeers(now)) {
       dispatcher.stateConfirmed(now);
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/PublishedFollower.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/PublishedFollower.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 import org.cranberrystand.daemon.internal.EventLog;
 import org.cranberrystand.event.LogEvent;
 import org.cranberrystand.membership.PublishedVersion;
@@ -16,7 +17,7 @@
  * other nodes while this node does not read the store or the store does not respond. Used only on
  * the event loop.
  */
-final class PublishedFollower {
+final class PublishedFollower implements StateConfirmation.Source {
   /**
    * How long the first watch after a failure waits. With a longer wait, the recovery of the store
    * would be noticed late, and until some time after that, removals are treated as expired
@@ -170,10 +171,11 @@
    * Reads the changes that this node has missed, in addition to the watch in progress, whose answer
    * may have been sent before the node stood still.
    *
-   * @param confirmed called when all changes up to now are applied; not if the store fails or has
-   *     to be listed again
+   * @param receiver receives whether all changes up to now are applied; false if the store fails or
+   *     has to be listed again
    */
-  void readMissed(Runnable confirmed) {
+  @Override
+  public void readMissed(Consumer<Boolean> receiver) {
     store
         .watch(version(), RECOVERY_WATCH_MILLIS)
         .whenComplete(
@@ -183,15 +185,21 @@
                       && result instanceof PublishedStore.Changes changes
                       && changes.version().isSameEra(version())) {
                     applyChanges(changes);
-                    confirmed.run();
+                    receiver.accept(true);
                   } else {
                     log.write(
                         LogEvent.STATE_NOT_CONFIRMED,
                         "version=" + version() + " result=" + result + " cause=" + failure);
+                    receiver.accept(false);
                   }
                 }));
   }
 
+  @Override
+  public boolean isStoreAvailable() {
+    return !storeUnavailable;
+  }
+
   /** Applies an update from another node if its version is newer. */
   void applyPeerUpdate(PublishedUpdate update) {
     if (!update.isApplicableTo(version())) {
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/StreamVersions.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/StreamVersions.java
@@ -19,7 +19,6 @@
 import org.cranberrystand.event.LogEvent;
 import org.cranberrystand.membership.PublishedVersion;
 import org.cranberrystand.routing.Route;
-import org.cranberrystand.routing.WeightedPool;
 import org.cranberrystand.upstream.RegisteredUpstream;
 
 /**
@@ -48,15 +47,28 @@
   /** How much clocks of VMs may differ. */
   private static final long CLOCK_DIFFERENCE_MILLIS = 5_000;
 
+  /** The upstreams of a pool that were asked, and when. */
+  private record Asked(long nanos, ImmutableSet<String> incarnations) {}
+
+  /** A stream whose version is sought, for a request that resumes it. */
+  private record Sought(
+      String stream,
+      Route route,
+      String host,
+      String path,
+      long windowNanos,
+      Consumer<StreamInference.Result> receiver) {}
+
   private final EventLoop loop;
   private final FleetState fleet;
   private final PublishedDecoder decoder;
   private final long historyMillis;
   private final EventLog log;
   private final StreamRuns runs = new StreamRuns();
-  private final Map<String, Long> askedNanosByPool = new HashMap<>();
+  private final Map<String, Asked> askedByPool = new HashMap<>();
   private PublishedStore store;
   private UpstreamRuns upstreamRuns;
+  private StateConfirmation confirmation;
   private boolean historyRead;
   private long historyTriedNanos = System.nanoTime() - HISTORY_INTERVAL_NANOS;
   private CompletableFuture<Void> historyInProgress;
@@ -77,9 +89,11 @@
   }
 
   /** Sets the clients of the store and the upstreams, before any stream is sought. */
-  void setClients(PublishedStore storeClient, UpstreamRuns runsClient) {
+  void setClients(
+      PublishedStore storeClient, UpstreamRuns runsClient, StateConfirmation stateConfirmation) {
     store = storeClient;
     upstreamRuns = runsClient;
+    confirmation = stateConfirmation;
   }
 
   /**
@@ -122,44 +136,78 @@
       String path,
       Consumer<StreamInference.Result> receiver) {
     pendingCount++;
-    long windowNanos = TimeUnit.MILLISECONDS.toNanos(route.timeoutMillis() + REMOVAL_LAG_MILLIS);
-    List<CompletableFuture<Void>> steps = new ArrayList<>();
-    steps.add(readHistory(windowNanos));
-    for (WeightedPool pool : route.pools()) {
-      steps.add(askUpstreams(pool.pool()));
-    }
+    Sought sought =
+        new Sought(
+            stream,
+            route,
+            host,
+            path,
+            TimeUnit.MILLISECONDS.toNanos(route.timeoutMillis() + REMOVAL_LAG_MILLIS),
+            receiver);
+    List<CompletableFuture<Void>> steps = new ArrayList<>(askUpstreams(route));
+    steps.add(readHistory(sought.windowNanos()));
+    afterAll(
+        steps,
+        () -> {
+          StreamInference.Result result = infer(sought, false);
+          if (result.basis() == StreamInference.Basis.HISTORY_NOT_CONFIRMED) {
+            confirmation.confirm(isConfirmed -> inferConfirmed(sought, isConfirmed));
+          } else {
+            finish(sought, result);
+          }
+        });
+  }
+
+  /** Infers once more, with the upstreams that registered until the state was confirmed. */
+  private void inferConfirmed(Sought sought, boolean isConfirmed) {
+    afterAll(askUpstreams(sought.route()), () -> finish(sought, infer(sought, isConfirmed)));
+  }
+
+  private void afterAll(List<CompletableFuture<Void>> steps, Runnable action) {
     CompletionStage<Void> all = CompletableFuture.allOf(steps.toArray(CompletableFuture[]::new));
-    all.whenComplete(
-        (done, failure) ->
-            loop.execute(
-                () -> {
-                  pendingCount--;
-                  receiver.accept(infer(stream, host, path, windowNanos));
-                }));
+    all.whenComplete((done, failure) -> loop.execute(action));
   }
 
-  private StreamInference.Result infer(String stream, String host, String path, long windowNanos) {
-    long now = System.nanoTime();
-    Optional<String> pool = fleet.routes().solePool(host, path, windowNanos, now);
-    Optional<ImmutableSet<String>> versions =
-        pool.flatMap(name -> fleet.versions().versionsServed(name, windowNanos, now));
-    StreamInference.Result result =
-        StreamInference.infer(stream, runs.origins(stream), pool, versions);
+  private StreamInference.Result infer(Sought sought, boolean isConfirmed) {
+    return StreamInference.infer(
+        sought.stream(),
+        runs.origins(sought.stream()),
+        solePool(sought),
+        versionsServed(sought),
+        isConfirmed);
+  }
+
+  private Optional<String> solePool(Sought sought) {
+    return fleet
+        .routes()
+        .solePool(sought.host(), sought.path(), sought.windowNanos(), System.nanoTime());
+  }
+
+  private Optional<ImmutableSet<String>> versionsServed(Sought sought) {
+    return solePool(sought)
+        .flatMap(
+            pool -> fleet.versions().versionsServed(pool, sought.windowNanos(), System.nanoTime()));
+  }
+
+  private void finish(Sought sought, StreamInference.Result result) {
+    pendingCount--;
     log.write(
         LogEvent.STREAM_INFERRED,
         "stream="
-            + stream
+            + sought.stream()
             + " basis="
             + result.basis()
             + " origin="
             + result.origin()
             + " pool="
-            + pool
+            + solePool(sought)
             + " versions="
-            + versions
+            + versionsServed(sought)
             + " window_ms="
-            + TimeUnit.NANOSECONDS.toMillis(windowNanos));
-    return result;
+            + TimeUnit.NANOSECONDS.toMillis(sought.windowNanos())
+            + " version="
+            + fleet.published().version());
+    sought.receiver().accept(result);
   }
 
   /** Reads the history of the store, unless enough of the past is known. */
@@ -237,32 +285,55 @@
                 upstream.startedAtMillis() >= sinceMillis && !changes.includes(upstream.id()));
   }
 
-  /** Asks all upstreams of a pool what they run, unless they were asked a moment ago. */
+  private List<CompletableFuture<Void>> askUpstreams(Route route) {
+    return route.pools().stream().map(pool -> askUpstreams(pool.pool())).toList();
+  }
+
+  /** Asks the upstreams of a pool what they run, except those that were asked a moment ago. */
   private CompletableFuture<Void> askUpstreams(String pool) {
-    CompletableFuture<Void> inProgress = runsInProgress.get(pool);
-    if (inProgress != null) {
-      return inProgress;
-    }
-    long now = System.nanoTime();
-    Long askedNanos = askedNanosByPool.get(pool);
+    CompletableFuture<Void> inProgress =
+        runsInProgress.getOrDefault(pool, CompletableFuture.completedFuture(null));
     ImmutableList<RegisteredUpstream> upstreams = fleet.versions().registered(pool);
-    if (upstreams.size() > MAX_UPSTREAMS
-        || (askedNanos != null && now - askedNanos < RUNS_INTERVAL_NANOS)) {
-      return CompletableFuture.completedFuture(null);
+    ImmutableList<RegisteredUpstream> due = due(pool, upstreams);
+    if (upstreams.size() > MAX_UPSTREAMS || due.isEmpty()) {
+      return inProgress;
     }
-    askedNanosByPool.put(pool, now);
-    CompletableFuture<Void> finished =
+    CompletableFuture<Void> asked =
         CompletableFuture.allOf(
-                upstreams.stream().map(this::askUpstream).toArray(CompletableFuture[]::new))
+                due.stream().map(this::askUpstream).toArray(CompletableFuture[]::new))
             .completeOnTimeout(null, RUNS_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+    CompletableFuture<Void> finished = CompletableFuture.allOf(inProgress, asked);
     runsInProgress.put(pool, finished);
     CompletionStage<Void> end = finished;
-    end.whenComplete((done, failure) -> loop.execute(() -> upstreamsAsked(pool, upstreams.size())));
+    end.whenComplete(
+        (done, failure) -> loop.execute(() -> upstreamsAsked(pool, finished, due.size())));
     return finished;
   }
 
-  private void upstreamsAsked(String pool, int count) {
-    runsInProgress.remove(pool);
+  /**
+   * Returns the upstreams of a pool that were not asked a moment ago, and records them as asked.
+   */
+  private ImmutableList<RegisteredUpstream> due(
+      String pool, ImmutableList<RegisteredUpstream> upstreams) {
+    long now = System.nanoTime();
+    Asked last = askedByPool.get(pool);
+    boolean isRecent = last != null && now - last.nanos() < RUNS_INTERVAL_NANOS;
+    askedByPool.put(
+        pool,
+        new Asked(
+            isRecent ? last.nanos() : now,
+            upstreams.stream()
+                .map(RegisteredUpstream::incarnationKey)
+                .collect(ImmutableSet.toImmutableSet())));
+    return isRecent
+        ? upstreams.stream()
+            .filter(upstream -> !last.incarnations().contains(upstream.incarnationKey()))
+            .collect(ImmutableList.toImmutableList())
+        : upstreams;
+  }
+
+  private void upstreamsAsked(String pool, CompletableFuture<Void> finished, int count) {
+    runsInProgress.remove(pool, finished);
     log.write(
         LogEvent.UPSTREAM_RUNS_READ,
         "pool=" + pool + " upstreams=" + count + " requests=" + runs.size());
--- a/org.cranberrystand.daemon/src/test/java/org/cranberrystand/daemon/gateway/PublishedFollowerTest.java
+++ b/org.cranberrystand.daemon/src/test/java/org/cranberrystand/daemon/gateway/PublishedFollowerTest.java
@@ -437,7 +437,13 @@
     readFirstState(1, 100);
     store.nextWatch();
     BlockingQueue<PublishedVersion> confirmed = new LinkedBlockingQueue<>();
-    onLoop(() -> follower.readMissed(() -> confirmed.add(follower.state().version())));
+    onLoop(
+        () ->
+            follower.readMissed(
+                isConfirmed -> {
+                  assertTrue(isConfirmed);
+                  confirmed.add(follower.state().version());
+                }));
     store
         .nextWatch()
         .answer()
@@ -454,13 +460,13 @@
   public void failedReadDoesNotConfirmTheState() throws Exception {
     readFirstState(1, 100);
     store.nextWatch();
-    BlockingQueue<String> confirmed = new LinkedBlockingQueue<>();
-    onLoop(() -> follower.readMissed(() -> confirmed.add("failed")));
+    BlockingQueue<Boolean> confirmed = new LinkedBlockingQueue<>();
+    onLoop(() -> follower.readMissed(confirmed::add));
     store.nextWatch().answer().completeExceptionally(new IOException("away"));
-    onLoop(() -> follower.readMissed(() -> confirmed.add("lost")));
+    onLoop(() -> follower.readMissed(confirmed::add));
     store.nextWatch().answer().complete(new PublishedStore.HistoryLost());
     onLoop(() -> {});
 
-    assertTrue(confirmed.isEmpty(), confirmed.toString());
+    assertEquals(ImmutableList.copyOf(confirmed), ImmutableList.of(false, false));
   }
 }
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/StreamInference.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/StreamInference.java
@@ -23,6 +23,8 @@
     SEVERAL_POOLS,
     /** The versions of the pool are not known for as long as a stream can be old. */
     HISTORY_TOO_SHORT,
+    /** Only one version is known to have served, but changes up to now may be missing. */
+    HISTORY_NOT_CONFIRMED,
     /** Several versions of the pool served lately, or none did. */
     SEVERAL_VERSIONS
   }
@@ -49,13 +51,15 @@
    * @param solePool the pool to which all requests of the route went for as long as a stream can be
    *     old; empty if there were several
    * @param versionsServed the versions that served this pool in that time; empty if not known
+   * @param isConfirmed whether these two include all changes up to the request of the caller
    * @return the origin, or why it is not certain
    */
   public static Result infer(
       String stream,
       ImmutableList<StreamOrigins.Origin> runs,
       Optional<String> solePool,
-      Optional<ImmutableSet<String>> versionsServed) {
+      Optional<ImmutableSet<String>> versionsServed,
+      boolean isConfirmed) {
     if (runs.size() > 1) {
       return Result.none(Basis.SEVERAL_RUNS);
     }
@@ -77,11 +81,14 @@
       return Result.none(Basis.HISTORY_TOO_SHORT);
     }
     ImmutableSet<String> versions = versionsServed.get();
-    return versions.size() == 1
-        ? new Result(
-            Basis.HISTORY,
-            Optional.of(
-                new StreamOrigins.Origin(stream, solePool.get(), versions.iterator().next())))
-        : Result.none(Basis.SEVERAL_VERSIONS);
+    if (versions.size() != 1) {
+      return Result.none(Basis.SEVERAL_VERSIONS);
+    }
+    if (!isConfirmed) {
+      return Result.none(Basis.HISTORY_NOT_CONFIRMED);
+    }
+    return new Result(
+        Basis.HISTORY,
+        Optional.of(new StreamOrigins.Origin(stream, solePool.get(), versions.iterator().next())));
   }
 }
--- a/org.cranberrystand/src/main/java/org/cranberrystand/event/LogEvent.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/event/LogEvent.java
@@ -114,7 +114,7 @@
   PLACEMENT_HELD(5043, Severity.WARNING, "placement held until the state is confirmed"),
   /** The node places requests again after it stood still. */
   PLACEMENT_RESUMED(5044, Severity.INFO, "placement resumed"),
-  /** The store did not confirm the state of a node that stood still. */
+  /** The store did not confirm that the state of a node is up to date. */
   STATE_NOT_CONFIRMED(5045, Severity.INFO, "state not confirmed by the store"),
   /** An upstream counts as cold: it receives only as many requests as it tolerates. */
   UPSTREAM_COLD(5046, Severity.INFO, "upstream counts as cold"),
--- a/org.cranberrystand/src/test/java/org/cranberrystand/dispatch/StreamInferenceTest.java
+++ b/org.cranberrystand/src/test/java/org/cranberrystand/dispatch/StreamInferenceTest.java
@@ -24,10 +24,11 @@
   @DataProvider
   public Object[][] certain() {
     return new Object[][] {
-      {ImmutableList.of(RUN), POOL, Optional.empty(), Basis.RUN},
-      {ImmutableList.of(RUN), POOL, served("v1", "v2"), Basis.RUN},
-      {ImmutableList.of(RUN), Optional.empty(), Optional.empty(), Basis.RUN},
-      {ImmutableList.of(), POOL, served("v1"), Basis.HISTORY},
+      {ImmutableList.of(RUN), POOL, Optional.empty(), true, Basis.RUN},
+      {ImmutableList.of(RUN), POOL, served("v1", "v2"), true, Basis.RUN},
+      {ImmutableList.of(RUN), Optional.empty(), Optional.empty(), true, Basis.RUN},
+      {ImmutableList.of(RUN), POOL, served("v1"), false, Basis.RUN},
+      {ImmutableList.of(), POOL, served("v1"), true, Basis.HISTORY},
     };
   }
 
@@ -37,8 +38,10 @@
       ImmutableList<StreamOrigins.Origin> runs,
       Optional<String> pool,
       Optional<ImmutableSet<String>> versions,
+      boolean isConfirmed,
       Basis basis) {
-    StreamInference.Result result = StreamInference.infer(STREAM, runs, pool, versions);
+    StreamInference.Result result =
+        StreamInference.infer(STREAM, runs, pool, versions, isConfirmed);
     assertEquals(result.basis(), basis);
     assertEquals(result.origin(), Optional.of(RUN));
   }
@@ -46,12 +49,13 @@
   @DataProvider
   public Object[][] uncertain() {
     return new Object[][] {
-      {ImmutableList.of(RUN, OTHER_RUN), POOL, served("v1"), Basis.SEVERAL_RUNS},
-      {ImmutableList.of(RUN), POOL, served("v2"), Basis.RUN_WITHOUT_VERSION},
-      {ImmutableList.of(), Optional.empty(), Optional.empty(), Basis.SEVERAL_POOLS},
-      {ImmutableList.of(), POOL, Optional.empty(), Basis.HISTORY_TOO_SHORT},
-      {ImmutableList.of(), POOL, served("v1", "v2"), Basis.SEVERAL_VERSIONS},
-      {ImmutableList.of(), POOL, served(), Basis.SEVERAL_VERSIONS},
+      {ImmutableList.of(RUN, OTHER_RUN), POOL, served("v1"), true, Basis.SEVERAL_RUNS},
+      {ImmutableList.of(RUN), POOL, served("v2"), true, Basis.RUN_WITHOUT_VERSION},
+      {ImmutableList.of(), Optional.empty(), Optional.empty(), true, Basis.SEVERAL_POOLS},
+      {ImmutableList.of(), POOL, Optional.empty(), true, Basis.HISTORY_TOO_SHORT},
+      {ImmutableList.of(), POOL, served("v1"), false, Basis.HISTORY_NOT_CONFIRMED},
+      {ImmutableList.of(), POOL, served("v1", "v2"), true, Basis.SEVERAL_VERSIONS},
+      {ImmutableList.of(), POOL, served(), true, Basis.SEVERAL_VERSIONS},
     };
   }
 
@@ -61,8 +65,10 @@
       ImmutableList<StreamOrigins.Origin> runs,
       Optional<String> pool,
       Optional<ImmutableSet<String>> versions,
+      boolean isConfirmed,
       Basis basis) {
-    StreamInference.Result result = StreamInference.infer(STREAM, runs, pool, versions);
+    StreamInference.Result result =
+        StreamInference.infer(STREAM, runs, pool, versions, isConfirmed);
     assertEquals(result.basis(), basis);
     assertTrue(result.origin().isEmpty());
   }
