Prefer the known origin of a stream to a run of its request

Callers would see a stream joined from two versions (ORDER) after its request was first sent to an upstream whose events never arrived, was moved to one of another version, and that one's stream broke.

Cause: a run that the node had read from an upstream decided before the node looked whether it knows where the stream began. The upstream of the abandoned attempt lists the request with events; the list of the other one is older or the run has ended, so the two do not cancel out.

Evidence: StreamVersionTest.streamGoesOnWhereItBeganThoughAnotherVersionRanItsRequest fails on: the upstream of the other version gets the resumed request (1, expected 0), though the node itself passed on the first event. It passes now.

Why it works: the origin is of the first event that reached the caller; a run says only that some attempt made events. Runs still decide at once where the node knows no origin, as after a kill of all nodes.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Admission.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Admission.java
@@ -146,8 +146,10 @@
       return;
     }
     ResumedRequest resumed = new ResumedRequest();
+    boolean isKnown = context.streams().known(caller.resumedStream()).isPresent();
     Optional<StreamOrigins.Origin> run = context.versions().provenByRun(caller.resumedStream());
-    if (run.isPresent()) {
+    // A run may be of an attempt that was abandoned before its first event arrived.
+    if (!isKnown && run.isPresent()) {
       resume(exchange, caller, route, team, resumed, run, StreamInference.Basis.RUN.toString());
       return;
     }
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/StreamLookup.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/StreamLookup.java
@@ -46,6 +46,11 @@
     origins.reported(origin, System.nanoTime());
   }
 
+  /** Returns the origin of a stream; empty if this node does not know it. */
+  Optional<Origin> known(String stream) {
+    return origins.find(stream);
+  }
+
   /**
    * Finds the origin of a stream.
    *
@@ -53,7 +58,7 @@
    * @param receiver receives the origin, at once or later; empty if no node knows it in time
    */
   void find(String stream, Consumer<Optional<Origin>> receiver) {
-    Optional<Origin> known = origins.find(stream);
+    Optional<Origin> known = known(stream);
     if (known.isPresent()) {
       receiver.accept(known);
       return;
