Let nodes that start together find each other at once

What callers saw: after a kill of all nodes, requests waited behind up to 34 requests at upstreams with 10 slots, and their callers left.

Cause: a node learns of most others from the lists in the reports of the seeds. A difference from a complete report didn't carry a changed list, so nodes that are no seeds missed each other, and each other's use of upstreams, until the next complete report, 2 to 10 s later.

ReportExchangeTest.nodesThatStartTogetherFindEachOther failed before: gateway-3 knew 7 of 8 nodes after a second.

In a fleet of one cell, a report that lists a node which its base lacks is now complete. That happens at most once for each node that appears. In fleets of several cells nodes list some at random, so nothing changes there.

--- a/org.cranberrystand.wire/src/main/java/org/cranberrystand/wire/peer/ReportChanges.java
+++ b/org.cranberrystand.wire/src/main/java/org/cranberrystand/wire/peer/ReportChanges.java
@@ -6,14 +6,17 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import java.util.function.Predicate;
 import java.util.function.ToLongFunction;
+import java.util.stream.Collectors;
 import org.cranberrystand.dispatch.CrashRegister;
 import org.cranberrystand.dispatch.StreamOrigins;
 import org.cranberrystand.dispatch.UpstreamLimits;
 import org.cranberrystand.dispatch.UpstreamUsage;
+import org.cranberrystand.membership.NodeInfo;
 import org.cranberrystand.membership.PeerReport;
 import org.cranberrystand.membership.ReportScope;
 import org.cranberrystand.membership.SharedObservations;
@@ -37,13 +40,26 @@
 
   /** Returns whether the difference can be encoded; otherwise a complete report is needed. */
   boolean areEncodable() {
-    boolean listIsSame =
-        report.scope() == ReportScope.NODE || report.listedNodes().equals(base.listedNodes());
     boolean hasAllTeams =
         report.load().usedQuotaUnits().keySet().containsAll(base.load().usedQuotaUnits().keySet());
     boolean poolsRegained =
         report.observations().unreachablePools().isEmpty() && !unreachablePoolsAreSame();
-    return listIsSame && hasAllTeams && !poolsRegained;
+    return listIsKnown() && hasAllTeams && !poolsRegained;
+  }
+
+  /**
+   * Returns whether the base lists what receivers need. Nodes of a single cell find each other by
+   * the reports of the seeds; in a fleet of several cells, nodes list some at random.
+   */
+  private boolean listIsKnown() {
+    if (report.scope() != ReportScope.NODE) {
+      return report.listedNodes().equals(base.listedNodes());
+    }
+    return report.cellCount() > 1 || hosts(base).containsAll(hosts(report));
+  }
+
+  private static Set<String> hosts(PeerReport report) {
+    return report.listedNodes().stream().map(NodeInfo::host).collect(Collectors.toSet());
   }
 
   boolean unreachablePoolsAreSame() {
--- a/org.cranberrystand.wire/src/test/java/org/cranberrystand/wire/peer/ReportExchangeTest.java
+++ b/org.cranberrystand.wire/src/test/java/org/cranberrystand/wire/peer/ReportExchangeTest.java
@@ -74,6 +74,19 @@
     }
   }
 
+  /** Guards against nodes that start together and miss each other's use of upstreams for seconds. */
+  @Test
+  public void nodesThatStartTogetherFindEachOther() {
+    SimulatedFleet fleet = new SimulatedFleet(8);
+    for (int i = 0; i < 8; i++) {
+      fleet.start(i, false);
+    }
+    fleet.run(1_000, 5);
+    for (Node node : fleet.nodes()) {
+      assertEquals(node.table.nodeCount(fleet.now()), 8, node.self.node());
+    }
+  }
+
   /** Guards against a receiver that waits for the next periodic base after it missed one. */
   @Test
   public void missedBaseIsRequested() {
