Keep nodes that have just started to their share of the slots

What callers saw: after a kill of all nodes, requests were sent at once and then waited at upstreams until the callers left.

Cause: until a node hears others, it counts their use as none. Eight nodes that start together each took all free slots for their own.

Evidence (trial with the logs of all nodes): 0.9 s after the nodes were ready, upstreams of 10 slots had 17 to 34 requests; `running` of 5001 was what the node itself had sent. Ruled out: a long wait in the queue of the node (0.1 s).

For 5 s after the first report a node uses its share of each upstream; in the first second of that, and for 3 s at most if it hears nobody, it assumes 16 nodes.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/FleetReports.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/FleetReports.java
@@ -70,6 +70,7 @@
   private PublishedVersion reportedVersion = PublishedVersion.NONE;
   private boolean peerLoadChanged;
   private boolean cellHead;
+  private boolean settling;
   private CellLayout layout;
   private ImmutableList<Double> cellWeights = ImmutableList.of();
 
@@ -93,6 +94,7 @@
     this.log = log;
     this.incarnation = incarnation;
     this.layout = table.layout();
+    updateStartingShares(System.nanoTime());
   }
 
   /** Opens the socket; must not be called on the event loop. */
@@ -275,9 +277,21 @@
     quotas.setReports(table.cellCount() == 1 ? QuotaReports.DIRECT : QuotaReports.BETWEEN_CELLS);
     quotas.setVisibleFraction(table.visibleFraction(now));
     updatePreferredUpstreams(layoutChanged, now);
+    updateStartingShares(now);
     applyPeerLoad(now);
   }
 
+  private void updateStartingShares(long now) {
+    boolean wasSettling = settling;
+    settling = table.isSettling(now);
+    if (settling) {
+      dispatcher.startingSharesChanged(
+          upstream -> table.startingSlotShare(upstream.id(), upstream.slots(), cellWeights, now));
+    } else if (wasSettling) {
+      dispatcher.startingSharesChanged(upstream -> Integer.MAX_VALUE);
+    }
+  }
+
   private void updatePreferredUpstreams(boolean layoutChanged, long now) {
     ImmutableList<Double> weights = table.cellWeights(now);
     if (layoutChanged || !weights.equals(cellWeights)) {
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/UpstreamState.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/UpstreamState.java
@@ -55,6 +55,7 @@
   private long minSendIntervalNanos;
   private long limitedUntilNanos = Long.MIN_VALUE;
   private int slotShare = Integer.MAX_VALUE;
+  private int startingShare = Integer.MAX_VALUE;
   private boolean sentBefore;
   private long lastSentNanos;
   private long lastReceivedNanos = Long.MIN_VALUE;
@@ -156,6 +157,11 @@
     slotShare = value;
   }
 
+  /** Sets how many slots this node may use at a time while it has just started. */
+  void setStartingShare(int value) {
+    startingShare = value;
+  }
+
   /** Returns whether this node may use some of the slots only. */
   boolean isDivided() {
     return slotShare < upstream.slots();
@@ -191,7 +197,8 @@
       return 0;
     }
     int slots = Math.max(1, (int) Math.round(upstream.slots() * admittedFraction));
-    return Math.max(0, Math.min(slots - totalRunning(), slotShare - running));
+    return Math.max(
+        0, Math.min(slots - totalRunning(), Math.min(slotShare, startingShare) - running));
   }
 
   /**
