Serve requests that continue a stream before those that begin one

What callers saw: a stream that broke off half way was refused as overloaded or waited behind requests that had not begun, although its caller has the first part and an upstream has done work for it.

Cause: only requests that this node has sent before went first in the queue. A stream that its caller takes up again at another node was a new one to it.

Evidence: CallDispatcherTest.resumedStreamGoesBeforeRequestsThatBegin failed before: the resumed streams were refused behind 20 waiting requests.

They wait outside the fair queues of teams, as requests that may have run do; their cost is still charged to the team.

--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CallQueue.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CallQueue.java
@@ -16,10 +16,10 @@
 /**
  * The requests of one pool that wait for a slot.
  *
- * <p>Requests without a team and those that may have run wait in the order of {@link
- * WaitingCall#ORDER}. The others wait in one fair queue for each priority, where the capacity is
- * shared among teams; requests of a team that can still be on time go before its late ones. Not
- * thread-safe.
+ * <p>Requests without a team, those that may have run and those that continue a stream wait in the
+ * order of {@link WaitingCall#ORDER}. The others wait in one fair queue for each priority, where
+ * the capacity is shared among teams; requests of a team that can still be on time go before its
+ * late ones. Not thread-safe.
  */
 final class CallQueue {
   private static final Comparator<WaitingCall> TEAM_ORDER =
@@ -109,7 +109,7 @@
       return findIn(ordered.iterator(), function);
     }
     for (WaitingCall entry : ordered) {
-      if (!entry.mayHaveRun()) {
+      if (!entry.goesFirst()) {
         break;
       }
       R result = function.apply(entry);
@@ -134,7 +134,7 @@
   /** Searches the requests that are on time, or those that are late, by priority. */
   private <R> R findByPriority(boolean late, Function<WaitingCall, R> function) {
     Iterator<WaitingCall> teamless =
-        ordered.stream().filter(w -> !w.mayHaveRun() && w.isLate() == late).iterator();
+        ordered.stream().filter(w -> !w.goesFirst() && w.isLate() == late).iterator();
     WaitingCall next = teamless.hasNext() ? teamless.next() : null;
     for (Map.Entry<Integer, FairQueue<WaitingCall>> level : fairByPriority.entrySet()) {
       FairQueue<WaitingCall> queue = level.getValue();
@@ -186,7 +186,7 @@
     return byKey.values().stream().sorted(WaitingCall.ORDER).toList();
   }
 
-  /** Returns the requests without a team, and those that may have run. */
+  /** Returns the requests that wait outside the fair queues. */
   List<WaitingCall> ordered() {
     return ordered.isEmpty() ? List.of() : List.copyOf(ordered);
   }
@@ -194,7 +194,7 @@
   /** Returns the number of requests before one that is not in a fair queue, and itself. */
   int orderedPosition(WaitingCall entry) {
     int fairlyQueued = byKey.size() - ordered.size();
-    return ordered.headSet(entry).size() + 1 + (entry.mayHaveRun() ? 0 : fairlyQueued);
+    return ordered.headSet(entry).size() + 1 + (entry.goesFirst() ? 0 : fairlyQueued);
   }
 
   /** Removes and returns a request of a team that has waited too long; null if there is none. */
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/WaitingCall.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/WaitingCall.java
@@ -6,11 +6,11 @@
 /** A queued request that waits for a slot. Immutable. */
 final class WaitingCall implements FairItem {
   /**
-   * Requests that may have run go first, then those that can still meet their target, then by
-   * priority, then by target.
+   * Requests that may have run and those that continue a stream go first, then those that can still
+   * meet their target, then by priority, then by target.
    */
   static final Comparator<WaitingCall> ORDER =
-      Comparator.comparing((WaitingCall w) -> !w.mayHaveRun())
+      Comparator.comparing((WaitingCall w) -> !w.goesFirst())
           .thenComparing(WaitingCall::isLate)
           .thenComparingInt(w -> w.call().priority())
           .thenComparingLong(w -> w.call().targetNanos())
@@ -53,8 +53,12 @@
     return excludedUpstream;
   }
 
-  boolean mayHaveRun() {
-    return mayHaveRun;
+  /**
+   * Returns whether the request goes before those that begin: it may have run, or its caller has
+   * the first part of its stream.
+   */
+  boolean goesFirst() {
+    return mayHaveRun || call.isContinued();
   }
 
   long latestWaitNanos() {
@@ -71,7 +75,7 @@
 
   /** Returns whether the request waits in the fair queue of its priority. */
   boolean sharesFairly() {
-    return call.hasTeam() && !mayHaveRun;
+    return call.hasTeam() && !goesFirst();
   }
 
   @Override
--- a/org.cranberrystand/src/test/java/org/cranberrystand/dispatch/CallDispatcherTest.java
+++ b/org.cranberrystand/src/test/java/org/cranberrystand/dispatch/CallDispatcherTest.java
@@ -43,6 +43,15 @@
         .build();
   }
 
+  private static CallSpec teamCall(long key, String team) {
+    return CallSpec.builder(key, "llm")
+        .streaming(true)
+        .size(500, 20)
+        .times(0, 400 * MILLI, 15_000 * MILLI)
+        .team(team, 1, 500)
+        .build();
+  }
+
   private void fillAllSlots() {
     for (int key = 1; key <= 2 * SLOTS; key++) {
       dispatcher.submit(call(key, 0, 0), null, 0);
@@ -460,6 +469,24 @@
     assertEquals(decisions.sent.get(decisions.sent.size() - 1).key(), 1);
   }
 
+  /** Guards against losing a stream half way, whose caller waits for the rest, to new requests. */
+  @Test
+  public void resumedStreamGoesBeforeRequestsThatBegin() {
+    fillAllSlots();
+    for (int key = 10; key < 20; key++) {
+      dispatcher.submit(call(key, 0, 0), null, 0);
+      dispatcher.submit(teamCall(key + 10, "large"), null, 0);
+    }
+    dispatcher.submit(call(30, 2, 0).continuedAt("v1"), null, 0);
+    dispatcher.submit(teamCall(31, "large").continuedAt("v1"), null, 0);
+    assertTrue(decisions.refused.stream().noneMatch(r -> r.key() >= 30));
+
+    dispatcher.ended(1, CallEnding.ANSWERED, 100 * MILLI);
+    dispatcher.ended(2, CallEnding.ANSWERED, 100 * MILLI);
+    assertEquals(
+        Set.copyOf(decisions.sentKeys().subList(2 * SLOTS, 2 * SLOTS + 2)), Set.of(30L, 31L));
+  }
+
   /** Guards against a request that leaves a silent engine although no other one has a free slot. */
   @Test
   public void requestCanMoveOnlyToAFreeSlotElsewhere() {
