--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/FleetReports.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/FleetReports.java
@@ -21,6 +21,7 @@
 import org.cranberrystand.membership.ReportScope;
 import org.cranberrystand.membership.ReportedLoad;
 import org.cranberrystand.membership.SharedObservations;
+import org.cranberrystand.membership.StartingShare;
 
 /**
  * Exchanges load reports with the other nodes and passes the reported load to the dispatcher and
@@ -54,6 +55,7 @@
   }
 
   private final PeerTable table;
+  private final StartingShare startingShare;
   private final PeerTargets targets;
   private final CallDispatcher dispatcher;
   private final QuotaLedger quotas;
@@ -94,7 +96,9 @@
     this.log = log;
     this.incarnation = incarnation;
     this.layout = table.layout();
-    updateStartingShares(System.nanoTime());
+    long now = System.nanoTime();
+    this.startingShare = new StartingShare(table, now);
+    updateStartingShares(now);
   }
 
   /** Opens the socket; must not be called on the event loop. */
@@ -283,10 +287,10 @@
 
   private void updateStartingShares(long now) {
     boolean wasSettling = settling;
-    settling = table.isSettling(now);
+    settling = startingShare.isSettling(now);
     if (settling) {
       dispatcher.startingSharesChanged(
-          upstream -> table.startingSlotShare(upstream.id(), upstream.slots(), cellWeights, now));
+          upstream -> startingShare.slots(upstream.id(), upstream.slots(), cellWeights, now));
     } else if (wasSettling) {
       dispatcher.startingSharesChanged(upstream -> Integer.MAX_VALUE);
     }
--- a/org.cranberrystand/src/main/java/org/cranberrystand/membership/PeerTable.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/membership/PeerTable.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.UnaryOperator;
 
@@ -37,16 +38,7 @@
    * arrive within this time. It is also the window in which requests at cold upstreams are counted,
    * so that a node that restarts does not use its share twice.
    */
-  private static final long LEARNING_NANOS = 1_000_000_000L;
-
-  /**
-   * How long the reports of nodes that start together are late: much of their code is not compiled
-   * yet, while all callers return at once.
-   */
-  private static final long SETTLING_NANOS = 5_000_000_000L;
-
-  /** A node that has heard no other one for this time after its start is probably alone. */
-  private static final long FIRST_REPORT_NANOS = 3_000_000_000L;
+  static final long LEARNING_NANOS = 1_000_000_000L;
 
   /** A node that knows fewer of the nodes that others know has no share. */
   private static final double MIN_KNOWN_FRACTION = 0.6;
@@ -551,45 +543,14 @@
     return others == 0 && peersExpected ? CellLayout.MAX_SINGLE_CELL_NODES : 1 + others;
   }
 
-  /**
-   * Returns how many slots of an upstream this node may use while it has just started. Nodes that
-   * start together are slow to report their use, and would all take the same slots.
-   *
-   * @param upstream the identifier of the upstream
-   * @param slots the number of slots of the upstream
-   * @param cellWeights the weights of the cells
-   * @param nowNanos the current monotonic time, in nanoseconds
-   * @return the number of slots, at least 1; {@link Integer#MAX_VALUE} once the node has settled
-   */
-  public int startingSlotShare(
-      String upstream, int slots, ImmutableList<Double> cellWeights, long nowNanos) {
-    if (!isSettling(nowNanos)) {
-      return Integer.MAX_VALUE;
-    }
-    if (!isPreferredUpstream(upstream, cellWeights)) {
-      return 1;
-    }
-    List<String> hosts = sharingHosts(nowNanos);
-    boolean isLearning = !reportReceived || nowNanos - firstReportNanos < LEARNING_NANOS;
-    for (int i = hosts.size(); isLearning && i < CellLayout.MAX_SINGLE_CELL_NODES; i++) {
-      hosts.add("unknown-" + i);
-    }
-    return Math.max(1, SlotShare.slots(upstream, slots, self.host(), hosts));
+  /** Returns whether the fleet has other nodes, even if this node has not heard of any. */
+  boolean expectsPeers() {
+    return peersExpected;
   }
 
-  /**
-   * Returns whether this node has started so recently that it and others may see each other's use
-   * late.
-   *
-   * @param nowNanos the current monotonic time, in nanoseconds
-   * @return false if the fleet has no other node
-   */
-  public boolean isSettling(long nowNanos) {
-    long startNanos = firstShareNanos(nowNanos);
-    return peersExpected
-        && (reportReceived
-            ? nowNanos - firstReportNanos < SETTLING_NANOS
-            : nowNanos - startNanos < FIRST_REPORT_NANOS);
+  /** Returns when the first report of another node arrived; empty if none has. */
+  OptionalLong firstReportNanos() {
+    return reportReceived ? OptionalLong.of(firstReportNanos) : OptionalLong.empty();
   }
 
   /**
@@ -598,7 +559,7 @@
    * <p>A node that does not hear of another one must not take over its share, since that one may
    * still use it.
    */
-  private List<String> sharingHosts(long nowNanos) {
+  List<String> sharingHosts(long nowNanos) {
     List<String> hosts = new ArrayList<>();
     hosts.add(self.host());
     ImmutableList<NodeInfo> others = directory.possiblyUsingUpstreams(nowNanos);
