Keep the history of the store though one registration names a start in the future

One odd registration whose start lies in the future made the history of the store look discarded at each node that started: after a kill of all nodes every stream that its caller resumed was refused (LOST). Such a start says nothing about the age of the registration.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/StreamVersions.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/StreamVersions.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.Range;
 import io.netty.channel.EventLoop;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -279,10 +280,12 @@
    * that started lately is not retained.
    */
   private boolean wasDiscarded(RetainedChanges changes, long sinceMillis) {
+    // A start in the future is false, and says nothing about the age of the registration.
+    Range<Long> lateStartsMillis =
+        Range.closed(sinceMillis, System.currentTimeMillis() + CLOCK_DIFFERENCE_MILLIS);
     return fleet.versions().registered().stream()
-        .anyMatch(
-            upstream ->
-                upstream.startedAtMillis() >= sinceMillis && !changes.includes(upstream.id()));
+        .filter(upstream -> lateStartsMillis.contains(upstream.startedAtMillis()))
+        .anyMatch(upstream -> !changes.includes(upstream.id()));
   }
 
   private List<CompletableFuture<Void>> askUpstreams(Route route) {
