--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/EmbeddedResponse.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/EmbeddedResponse.java
@@ -60,12 +60,12 @@
   }
 
   /** Returns whether a body contains the head of the response to a request, or ends within one. */
-  boolean isInBody(ByteBuf body) {
+  boolean isInBodyOrCut(ByteBuf body) {
     return containsHead(body, true);
   }
 
   /** Returns whether a body contains the whole head of the response to a request. */
-  boolean isWholeInBody(ByteBuf body) {
+  boolean isInBody(ByteBuf body) {
     return containsHead(body, false);
   }
 
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/ResponseAssembler.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/ResponseAssembler.java
@@ -196,7 +196,7 @@
 
   private void forwardLargeBody(ByteBuf content) {
     bufferedBody.writeBytes(content);
-    if (embeddedResponse.isWholeInBody(bufferedBody)) {
+    if (embeddedResponse.isInBody(bufferedBody)) {
       receiver.bodyInvalid(RUNS_TOGETHER);
       return;
     }
@@ -228,7 +228,7 @@
   /** Returns whether the body holds the next response, or its start, as its last bytes. */
   private boolean runsTogether(boolean bytesFollow) {
     int end = bufferedBody.writerIndex();
-    return embeddedResponse.isInBody(bufferedBody)
+    return embeddedResponse.isInBodyOrCut(bufferedBody)
         || (bytesFollow && embeddedResponse.unfinishedHeadIndex(bufferedBody) < end);
   }
 
