Have a store that was lost confirm the state as soon as it is back

Streams that callers resume within the pause before the next watch were refused though the store had returned (HISTORY_NOT_CONFIRMED, 0 ms after its history had been read), because a store that is known to be lost was not called.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/StateConfirmation.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/StateConfirmation.java
@@ -24,7 +24,7 @@
 
   /** Reads the changes that this node lacks. */
   interface Source {
-    /** Returns whether calls of the store may succeed. */
+    /** Returns whether the store has answered the last call, as far as is known. */
     boolean isStoreAvailable();
 
     /**
@@ -42,6 +42,7 @@
   private List<Consumer<Boolean>> carried = new ArrayList<>();
   private boolean callScheduled;
   private boolean callInProgress;
+  private boolean repeatable;
   private int callNumber;
   private long callNanos = System.nanoTime() - TimeUnit.HOURS.toNanos(1);
 
@@ -100,10 +101,8 @@
   private void call() {
     carried = waiting;
     waiting = new ArrayList<>();
-    if (!source.isStoreAvailable()) {
-      answerCarried(false);
-      return;
-    }
+    // A store that was lost may be back, but a call that fails then is not worth repeating.
+    repeatable = source.isStoreAvailable();
     int number = ++callNumber;
     callInProgress = true;
     callNanos = System.nanoTime();
@@ -116,8 +115,8 @@
       return;
     }
     callInProgress = false;
-    if (isConfirmed) {
-      answerCarried(true);
+    if (isConfirmed || !repeatable) {
+      answerCarried(isConfirmed);
     } else {
       // One failed call does not show that the store is lost.
       waiting.addAll(carried);
