Let a node that has just started use all free slots again

Callers of a node that had started a moment before and heard no other one got 503 (overloaded) while upstreams had free slots: the share of the slots that gave starting nodes assumes 16 nodes then.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/FleetReports.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/FleetReports.java
@@ -21,7 +21,6 @@
 import org.cranberrystand.membership.ReportScope;
 import org.cranberrystand.membership.ReportedLoad;
 import org.cranberrystand.membership.SharedObservations;
-import org.cranberrystand.membership.StartingShare;
 
 /**
  * Exchanges load reports with the other nodes and passes the reported load to the dispatcher and
@@ -55,7 +54,6 @@
   }
 
   private final PeerTable table;
-  private final StartingShare startingShare;
   private final PeerTargets targets;
   private final CallDispatcher dispatcher;
   private final QuotaLedger quotas;
@@ -72,7 +70,6 @@
   private PublishedVersion reportedVersion = PublishedVersion.NONE;
   private boolean peerLoadChanged;
   private boolean cellHead;
-  private boolean settling;
   private CellLayout layout;
   private ImmutableList<Double> cellWeights = ImmutableList.of();
 
@@ -96,9 +93,6 @@
     this.log = log;
     this.incarnation = incarnation;
     this.layout = table.layout();
-    long now = System.nanoTime();
-    this.startingShare = new StartingShare(table, now);
-    updateStartingShares(now);
   }
 
   /** Opens the socket; must not be called on the event loop. */
@@ -281,21 +275,9 @@
     quotas.setReports(table.cellCount() == 1 ? QuotaReports.DIRECT : QuotaReports.BETWEEN_CELLS);
     quotas.setVisibleFraction(table.visibleFraction(now));
     updatePreferredUpstreams(layoutChanged, now);
-    updateStartingShares(now);
     applyPeerLoad(now);
   }
 
-  private void updateStartingShares(long now) {
-    boolean wasSettling = settling;
-    settling = startingShare.isSettling(now);
-    if (settling) {
-      dispatcher.startingSharesChanged(
-          upstream -> startingShare.slots(upstream.id(), upstream.slots(), cellWeights, now));
-    } else if (wasSettling) {
-      dispatcher.startingSharesChanged(upstream -> Integer.MAX_VALUE);
-    }
-  }
-
   private void updatePreferredUpstreams(boolean layoutChanged, long now) {
     ImmutableList<Double> weights = table.cellWeights(now);
     if (layoutChanged || !weights.equals(cellWeights)) {
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CallDispatcher.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CallDispatcher.java
@@ -38,7 +38,6 @@
   private String ownDomain = "";
   private ToLongFunction<RegisteredUpstream> minSendIntervals = upstream -> 0;
   private ToIntFunction<RegisteredUpstream> slotShares = upstream -> Integer.MAX_VALUE;
-  private ToIntFunction<RegisteredUpstream> startingShares = upstream -> Integer.MAX_VALUE;
   private Consumer<RegisteredUpstream> contactLost = upstream -> {};
   private final Map<String, Double> usedElsewhereTokens = new HashMap<>();
   private long usageChanges;
@@ -71,7 +70,6 @@
       pool(name).setPreferredUpstreams(isPreferred);
       pool(name).setMinSendIntervals(minSendIntervals);
       pool(name).setSlotShares(slotShares);
-      pool(name).setStartingShares(startingShares);
       pool(name).setOwnDomain(ownDomain);
     }
     applyPeerUsage();
@@ -194,17 +192,6 @@
     pools.values().forEach(pool -> pool.setSlotShares(value));
   }
 
-  /**
-   * Replaces the numbers of slots that this node may use at a time while it has just started and
-   * does not know what others use.
-   *
-   * @param value returns the number of slots; {@link Integer#MAX_VALUE} for all
-   */
-  public void startingSharesChanged(ToIntFunction<RegisteredUpstream> value) {
-    startingShares = value;
-    pools.values().forEach(pool -> pool.setStartingShares(value));
-  }
-
   /**
    * Sets the listener for upstreams to which no connection could be opened. One that only broke
    * does not count, because sound upstreams reset connections too.
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/PoolScheduler.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/PoolScheduler.java
@@ -449,13 +449,6 @@
     upstreams.values().forEach(state -> state.setSlotShare(shares.applyAsInt(state.upstream())));
   }
 
-  /** Sets how many slots of each upstream this node may use while it has just started. */
-  void setStartingShares(ToIntFunction<RegisteredUpstream> shares) {
-    upstreams
-        .values()
-        .forEach(state -> state.setStartingShare(shares.applyAsInt(state.upstream())));
-  }
-
   /** Returns whether the slots of an upstream of the pool are divided among nodes. */
   boolean isDivided() {
     return upstreams.values().stream().anyMatch(UpstreamState::isDivided);
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/UpstreamState.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/UpstreamState.java
@@ -55,7 +55,6 @@
   private long minSendIntervalNanos;
   private long limitedUntilNanos = Long.MIN_VALUE;
   private int slotShare = Integer.MAX_VALUE;
-  private int startingShare = Integer.MAX_VALUE;
   private boolean sentBefore;
   private long lastSentNanos;
   private long lastReceivedNanos = Long.MIN_VALUE;
@@ -157,11 +156,6 @@
     slotShare = value;
   }
 
-  /** Sets how many slots this node may use at a time while it has just started. */
-  void setStartingShare(int value) {
-    startingShare = value;
-  }
-
   /** Returns whether this node may use some of the slots only. */
   boolean isDivided() {
     return slotShare < upstream.slots();
@@ -197,8 +191,7 @@
       return 0;
     }
     int slots = Math.max(1, (int) Math.round(upstream.slots() * admittedFraction));
-    return Math.max(
-        0, Math.min(slots - totalRunning(), Math.min(slotShare, startingShare) - running));
+    return Math.max(0, Math.min(slots - totalRunning(), slotShare - running));
   }
 
   /**
--- a/org.cranberrystand/src/main/java/org/cranberrystand/membership/PeerTable.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/membership/PeerTable.java
@@ -9,7 +9,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.UnaryOperator;
 
@@ -38,7 +37,7 @@
    * arrive within this time. It is also the window in which requests at cold upstreams are counted,
    * so that a node that restarts does not use its share twice.
    */
-  static final long LEARNING_NANOS = 1_000_000_000L;
+  private static final long LEARNING_NANOS = 1_000_000_000L;
 
   /** A node that knows fewer of the nodes that others know has no share. */
   private static final double MIN_KNOWN_FRACTION = 0.6;
@@ -543,23 +542,13 @@
     return others == 0 && peersExpected ? CellLayout.MAX_SINGLE_CELL_NODES : 1 + others;
   }
 
-  /** Returns whether the fleet has other nodes, even if this node has not heard of any. */
-  boolean expectsPeers() {
-    return peersExpected;
-  }
-
-  /** Returns when the first report of another node arrived; empty if none has. */
-  OptionalLong firstReportNanos() {
-    return reportReceived ? OptionalLong.of(firstReportNanos) : OptionalLong.empty();
-  }
-
   /**
    * Returns the addresses of the nodes among which the use of an upstream is divided.
    *
    * <p>A node that does not hear of another one must not take over its share, since that one may
    * still use it.
    */
-  List<String> sharingHosts(long nowNanos) {
+  private List<String> sharingHosts(long nowNanos) {
     List<String> hosts = new ArrayList<>();
     hosts.add(self.host());
     ImmutableList<NodeInfo> others = directory.possiblyUsingUpstreams(nowNanos);
