Remove a query of the current upstream that nothing uses any more

The log of ended requests takes the attempt since. Formatter, linter and compiler checks pass for the modules up to platform; no tests were run on it.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RelayAttempts.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RelayAttempts.java
@@ -57,11 +57,6 @@
     return current;
   }
 
-  /** Returns the upstream of the current attempt; null before the first one. */
-  RegisteredUpstream upstream() {
-    return current == null ? null : current.upstream();
-  }
-
   /** Returns whether the current attempt has not ended. */
   boolean isInProgress() {
     return current != null && current.isInProgress();
