Log why content is accepted again, and which lost connections are no crashes

No decision is changed: CrashRegisterTest, CrashingPartTest, CrashingPartFleetTest and LogEventTest pass.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/CrashDetector.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/CrashDetector.java
@@ -16,6 +16,8 @@
   /** All connections to an upstream that has crashed are closed within this time. */
   private static final long CONFIRMATION_MILLIS = 100;
 
+  private static final String THIS_NODE = "this node";
+
   private final CrashRegister register = new CrashRegister();
   private final EventLoop loop;
   private final UpstreamClient client;
@@ -38,57 +40,80 @@
    *
    * @param upstream the upstream
    * @param keys what identifies the content of the request
-   * @param confirmed called if the upstream has crashed
+   * @param requestLog the log of the request
    */
-  void connectionBroken(RegisteredUpstream upstream, ImmutableList<Long> keys, Runnable confirmed) {
+  void connectionBroken(
+      RegisteredUpstream upstream, ImmutableList<Long> keys, RelayLog requestLog) {
     long brokenNanos = System.nanoTime();
-    Runnable crashed =
-        () -> {
-          confirmed.run();
-          String incarnation = upstream.incarnationKey();
-          refuse(register.crashed(keys, incarnation, brokenNanos, System.nanoTime()), "this node");
-        };
     loop.schedule(
-            () -> client.checkAlive(upstream, alive -> runUnless(alive, crashed)),
+            () ->
+                client.checkAlive(
+                    upstream, alive -> confirm(upstream, keys, brokenNanos, alive, requestLog)),
             CONFIRMATION_MILLIS,
             TimeUnit.MILLISECONDS)
         .isDone();
   }
 
-  private static void runUnless(boolean condition, Runnable action) {
-    if (!condition) {
-      action.run();
+  private void confirm(
+      RegisteredUpstream upstream,
+      ImmutableList<Long> keys,
+      long brokenNanos,
+      boolean alive,
+      RelayLog requestLog) {
+    if (alive) {
+      requestLog.crashRuledOut(upstream, keys);
+      return;
     }
+    ImmutableList<CrashRegister.Change> changes =
+        register.crashed(keys, upstream.incarnationKey(), brokenNanos, System.nanoTime());
+    requestLog.crashSuspected(upstream, keys, keys.stream().map(register::crashCount).toList());
+    apply(changes, THIS_NODE);
   }
 
   /** Records that an upstream began to answer a request. */
   void answered(ImmutableList<Long> keys) {
-    register.answered(keys, System.nanoTime());
+    apply(register.answered(keys, System.nanoTime()), THIS_NODE);
   }
 
   /** Applies what another node knows. */
   void reported(String peer, ImmutableList<CrashRegister.Report> reports) {
-    refuse(register.reported(reports, System.nanoTime()), peer);
+    apply(register.reported(reports, System.nanoTime()), peer);
   }
 
-  private void refuse(ImmutableList<Long> keys, String source) {
-    keys.forEach(
-        key ->
-            log.write(
-                LogEvent.CONTENT_QUARANTINED,
-                "key="
-                    + Long.toHexString(key)
-                    + " suspicion="
-                    + register.suspicion(key, System.nanoTime())
-                    + " ms="
-                    + judge(ImmutableList.of(key)).refusalMillis()
-                    + " source="
-                    + source));
-    if (!keys.isEmpty()) {
+  /** Logs what has changed, and has waiting requests refused if further content is suspected. */
+  private void apply(ImmutableList<CrashRegister.Change> changes, String source) {
+    boolean suspected = false;
+    for (CrashRegister.Change change : changes) {
+      if (change.kind() == CrashRegister.ChangeKind.SUSPECTED) {
+        suspected = true;
+        logSuspected(change, source);
+      } else {
+        log.write(
+            LogEvent.CONTENT_ACCEPTED,
+            fields(change) + " cause=" + change.kind() + " source=" + source);
+      }
+    }
+    if (suspected) {
       refusalListener.run();
     }
   }
 
+  private void logSuspected(CrashRegister.Change change, String source) {
+    log.write(
+        LogEvent.CONTENT_QUARANTINED,
+        fields(change)
+            + " suspicion="
+            + register.suspicion(change.key(), System.nanoTime())
+            + " ms="
+            + judge(ImmutableList.of(change.key())).refusalMillis()
+            + " source="
+            + source);
+  }
+
+  private static String fields(CrashRegister.Change change) {
+    return "key=" + Long.toHexString(change.key()) + " crashes=" + change.crashes();
+  }
+
   /** Decides whether a request with the given keys may be sent. */
   CrashRegister.Verdict judge(ImmutableList<Long> keys) {
     return register.judge(keys, System.nanoTime());
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RelayLog.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RelayLog.java
@@ -50,10 +50,12 @@
     return millis(System.nanoTime() - arrivalNanos);
   }
 
-  void placed(RegisteredUpstream upstream, PlacementChoice choice, int runCount) {
+  void placed(RegisteredUpstream upstream, PlacementChoice choice, int runCount, long contentKey) {
     log.write(
         LogEvent.REQUEST_PLACED,
         requestFields
+            + " content="
+            + Long.toHexString(contentKey)
             + " upstream="
             + upstream.id()
             + " version="
@@ -167,10 +169,29 @@
         requestFields + " upstream=" + upstream.id() + " call=" + call + " cause=" + cause);
   }
 
-  /** Logs that an upstream may have crashed because of the request, and what identifies it. */
-  void crashSuspected(RegisteredUpstream upstream, List<Long> contentKeys) {
+  /**
+   * Logs that an upstream may have crashed because of the request, what identifies the request, and
+   * how many crashes each of the keys now has.
+   */
+  void crashSuspected(
+      RegisteredUpstream upstream, List<Long> contentKeys, List<Integer> crashCounts) {
     log.write(
         LogEvent.CRASH_SUSPECTED,
+        requestFields
+            + " upstream="
+            + upstream.id()
+            + " started_at_ms="
+            + upstream.startedAtMillis()
+            + " keys="
+            + hexKeys(contentKeys)
+            + " crashes="
+            + crashCounts.stream().map(String::valueOf).collect(Collectors.joining(",")));
+  }
+
+  /** Logs that a connection of the request broke, but its upstream still runs. */
+  void crashRuledOut(RegisteredUpstream upstream, List<Long> contentKeys) {
+    log.write(
+        LogEvent.CRASH_RULED_OUT,
         requestFields + " upstream=" + upstream.id() + " keys=" + hexKeys(contentKeys));
   }
 
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RequestContent.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RequestContent.java
@@ -2,7 +2,6 @@
 
 import com.google.common.collect.ImmutableList;
 import org.cranberrystand.dispatch.CrashRegister;
-import org.cranberrystand.upstream.RegisteredUpstream;
 
 /** The content of one request, which may crash upstreams. Used only on the event loop. */
 final class RequestContent {
@@ -17,6 +16,11 @@
     this.log = log;
   }
 
+  /** Returns the key of the whole content. */
+  long wholeKey() {
+    return keys.whole();
+  }
+
   /**
    * Returns for how long the content is refused; 0 if it may be sent. A request that may be sent to
    * find out which content crashes upstreams counts as sent for that from now on.
@@ -57,7 +61,6 @@
   void recordBroken(RelayAttempt broken) {
     // Content that crashes upstreams does so before the first event.
     ImmutableList<Long> suspects = broken.hasEvents() ? ImmutableList.of(keys.whole()) : keys.all();
-    RegisteredUpstream upstream = broken.upstream();
-    crashes.connectionBroken(upstream, suspects, () -> log.crashSuspected(upstream, suspects));
+    crashes.connectionBroken(broken.upstream(), suspects, log);
   }
 }
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RequestRelay.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RequestRelay.java
@@ -160,7 +160,7 @@
   /** Sends the request to the upstream that the dispatcher selected. */
   void send(RegisteredUpstream chosen, PlacementChoice choice) {
     atNode = false;
-    log.placed(chosen, choice, attempts.runCount() + 1);
+    log.placed(chosen, choice, attempts.runCount() + 1, content.wholeKey());
     attempts.sendToUpstream(chosen, choice, lastEventId, forwarder);
     if (route.isRetryable()) {
       silenceTimer.start();
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CrashEvidence.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CrashEvidence.java
@@ -117,6 +117,11 @@
     everAnswered = true;
   }
 
+  /** Returns how many upstreams crashed without an answer in between. */
+  int crashCount() {
+    return crashNanosByUpstream.size();
+  }
+
   private void setChanged(long nowNanos) {
     changed = true;
     changedNanos = nowNanos;
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CrashRegister.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CrashRegister.java
@@ -4,6 +4,7 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 import org.cranberrystand.util.BoundedMap;
@@ -33,6 +34,9 @@
   private static final int MAX_ENTRIES = 1_024;
   private static final int MAX_ANSWERS = 4_096;
 
+  /** Most keys are cleared of one crash sooner or later, which tells nothing. */
+  private static final int MIN_CHANGED_CRASHES = 2;
+
   /** Limits the size of a report. */
   private static final int MAX_REPORTED = 32;
 
@@ -54,6 +58,28 @@
    */
   public record Report(long key, long answerAgeNanos, ImmutableList<Crash> crashes) {}
 
+  /** Why a key is accepted or suspected from now on. */
+  public enum ChangeKind {
+    /** Several upstreams crashed without an answer in between. */
+    SUSPECTED,
+
+    /** A request with the key was answered, here or at another node. */
+    ANSWERED,
+
+    /** There was no room for the key, though it was suspected. */
+    FORGOTTEN
+  }
+
+  /**
+   * A change of what is known of a key.
+   *
+   * @param key the key
+   * @param kind the kind of change
+   * @param crashes how many upstreams crashed: all for a suspected key, otherwise those that do not
+   *     count any more
+   */
+  public record Change(long key, ChangeKind kind, int crashes) {}
+
   /**
    * Whether a request may be sent.
    *
@@ -96,15 +122,15 @@
    * @param incarnation the key of the incarnation of the upstream
    * @param atNanos the time of the crash
    * @param nowNanos the current time
-   * @return the keys that are suspected from now on
+   * @return what has changed
    */
-  public ImmutableList<Long> crashed(
+  public ImmutableList<Change> crashed(
       Collection<Long> keys, String incarnation, long atNanos, long nowNanos) {
-    return keys.stream()
-        .map(key -> new Report(key, -1, crash(incarnation, nowNanos - atNanos)))
-        .filter(report -> merge(report, nowNanos))
-        .map(Report::key)
-        .collect(ImmutableList.toImmutableList());
+    return reported(
+        keys.stream()
+            .map(key -> new Report(key, -1, crash(incarnation, nowNanos - atNanos)))
+            .toList(),
+        nowNanos);
   }
 
   private static ImmutableList<Crash> crash(String incarnation, long ageNanos) {
@@ -116,21 +142,46 @@
    *
    * @param reports the reports of the node
    * @param nowNanos the current time
-   * @return the keys that are suspected from now on
+   * @return what has changed
    */
-  public ImmutableList<Long> reported(Collection<Report> reports, long nowNanos) {
-    return reports.stream()
-        .filter(report -> merge(report, nowNanos))
-        .map(Report::key)
-        .collect(ImmutableList.toImmutableList());
+  public ImmutableList<Change> reported(Collection<Report> reports, long nowNanos) {
+    ImmutableList.Builder<Change> changes = ImmutableList.builder();
+    for (Report report : reports) {
+      evictForgotten(report.key(), nowNanos).ifPresent(changes::add);
+      merge(report, nowNanos).ifPresent(changes::add);
+    }
+    return changes.build();
   }
 
-  /** Returns whether the key is suspected from now on. */
-  private boolean merge(Report report, long nowNanos) {
+  private Optional<Change> merge(Report report, long nowNanos) {
     CrashEvidence evidence = evidenceFor(report.key());
     boolean suspectedBefore = evidence.isSuspected(nowNanos);
+    int crashesBefore = evidence.crashCount();
     evidence.merge(report, nowNanos);
-    return !suspectedBefore && evidence.isSuspected(nowNanos);
+    if (!suspectedBefore && evidence.isSuspected(nowNanos)) {
+      return Optional.of(new Change(report.key(), ChangeKind.SUSPECTED, evidence.crashCount()));
+    }
+    return cleared(report.key(), evidence, crashesBefore);
+  }
+
+  private static Optional<Change> cleared(long key, CrashEvidence evidence, int crashesBefore) {
+    int clearedCount = crashesBefore - evidence.crashCount();
+    return clearedCount < MIN_CHANGED_CRASHES
+        ? Optional.empty()
+        : Optional.of(new Change(key, ChangeKind.ANSWERED, clearedCount));
+  }
+
+  /** Evicts an entry if there is no room for a new key. */
+  private Optional<Change> evictForgotten(long newKey, long nowNanos) {
+    if (evidenceByKey.size() < MAX_ENTRIES || evidenceByKey.containsKey(newKey)) {
+      return Optional.empty();
+    }
+    Map.Entry<Long, CrashEvidence> eldest = evidenceByKey.entrySet().iterator().next();
+    evidenceByKey.remove(eldest.getKey());
+    return eldest.getValue().isSuspected(nowNanos)
+        ? Optional.of(
+            new Change(eldest.getKey(), ChangeKind.FORGOTTEN, eldest.getValue().crashCount()))
+        : Optional.empty();
   }
 
   private CrashEvidence evidenceFor(long key) {
@@ -145,16 +196,32 @@
    *
    * @param keys the keys of the request
    * @param nowNanos the current time
+   * @return what has changed
    */
-  public void answered(Collection<Long> keys, long nowNanos) {
+  public ImmutableList<Change> answered(Collection<Long> keys, long nowNanos) {
+    ImmutableList.Builder<Change> changes = ImmutableList.builder();
     for (Long key : keys) {
       answerNanosByKey.remove(key);
       answerNanosByKey.put(key, nowNanos);
       CrashEvidence evidence = evidenceByKey.get(key);
       if (evidence != null) {
+        int crashesBefore = evidence.crashCount();
         evidence.answered(nowNanos);
+        cleared(key, evidence, crashesBefore).ifPresent(changes::add);
       }
     }
+    return changes.build();
+  }
+
+  /**
+   * Returns how many upstreams crashed without an answer to a request with a key in between.
+   *
+   * @param key the key
+   * @return the number of crashes that are known
+   */
+  public int crashCount(long key) {
+    CrashEvidence evidence = evidenceByKey.get(key);
+    return evidence == null ? 0 : evidence.crashCount();
   }
 
   /**
--- a/org.cranberrystand/src/main/java/org/cranberrystand/event/LogEvent.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/event/LogEvent.java
@@ -42,6 +42,8 @@
    * Content is suspected to crash upstreams; it is rejected for some time unless other explains.
    */
   CONTENT_QUARANTINED(3012, Severity.WARNING, "content quarantined"),
+  /** Crashes of content no longer count. */
+  CONTENT_ACCEPTED(3013, Severity.INFO, "content accepted again"),
   /** An order to serve a model was sent to an engine. */
   ENGINE_ORDERED(4001, Severity.INFO, "engine ordered"),
   /** The rollout of a model version was halted because goodput dropped. */
@@ -137,7 +139,9 @@
   /** The upstreams of a pool were asked which requests they run. */
   UPSTREAM_RUNS_READ(5055, Severity.INFO, "requests of upstreams read"),
   /** Another process than the registered one answers at the address of an upstream. */
-  UPSTREAM_REPLACED(5056, Severity.WARNING, "upstream replaced by another process");
+  UPSTREAM_REPLACED(5056, Severity.WARNING, "upstream replaced by another process"),
+  /** A connection broke, but its upstream still runs. */
+  CRASH_RULED_OUT(5057, Severity.INFO, "upstream did not crash");
 
   private final int number;
   private final Severity severity;
--- a/org.cranberrystand/src/test/java/org/cranberrystand/dispatch/CrashRegisterTest.java
+++ b/org.cranberrystand/src/test/java/org/cranberrystand/dispatch/CrashRegisterTest.java
@@ -44,7 +44,9 @@
     crash(register, KEY, "c", 2 * SECOND);
     assertFalse(isRefused(register, KEY, 2 * SECOND));
 
-    assertEquals(register.reported(peer.reports(2 * SECOND), 2 * SECOND), ImmutableList.of(KEY));
+    assertEquals(
+        register.reported(peer.reports(2 * SECOND), 2 * SECOND),
+        ImmutableList.of(new CrashRegister.Change(KEY, CrashRegister.ChangeKind.SUSPECTED, 3)));
 
     assertTrue(isRefused(register, KEY, 2 * SECOND));
     assertFalse(isRefused(register, KEY + 1, 2 * SECOND));
