Tell other nodes of every crash and answer, and of old crashes too

Cause: a report holds 32 keys. They were chosen anew each time, those with most crashes first, from what had changed in the last 3 s, whoever had seen it. While upstreams are lost, the same keys came first each time: an answer, which leaves a key without crashes, came last, and a crash that a node had just seen itself came after what others had told it. And a key with one or two crashes was told for 3 s only, so nodes that started later never heard of it.

Change: keys take turns in the reports. What is suspected and a few of the other keys with crashes have room in each report, news of this node comes before those of others, and all news is told for 3 s from the first time on.

Why it works: no key can come first twice while another of its kind waits, and a node that has just started hears of all keys in the end.

--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CrashEvidence.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CrashEvidence.java
@@ -23,9 +23,6 @@
 
   private static final int MAX_CRASHES = 8;
 
-  /** Covers several reports, so that a lost one does no harm. */
-  private static final long REPORT_NANOS = TimeUnit.SECONDS.toNanos(3);
-
   /**
    * The age under which an answer is passed on of which another node told. It is from before all
    * crashes; passing on its own age would add the delay of each report.
@@ -195,10 +192,6 @@
             && atNanos - sortedCrashes().get(MAX_CRASHES - 1) <= 0);
   }
 
-  boolean isReported(long nowNanos) {
-    return isSuspected(nowNanos) || nowNanos - changedNanos < REPORT_NANOS;
-  }
-
   CrashRegister.Report report(long key, long nowNanos) {
     return new CrashRegister.Report(
         key,
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CrashRegister.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CrashRegister.java
@@ -2,7 +2,6 @@
 
 import com.google.common.collect.ImmutableList;
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -34,9 +33,6 @@
   private static final int MAX_PROBES = 1_024;
   private static final int MAX_ANSWERS = 8_192;
 
-  /** Limits the size of a report. */
-  private static final int MAX_REPORTED = 32;
-
   /** Most keys are cleared of one crash sooner or later, which tells nothing. */
   private static final int MIN_CHANGED_CRASHES = 2;
 
@@ -109,6 +105,7 @@
   }
 
   private final EvidenceTable table = new EvidenceTable();
+  private final CrashNews news = new CrashNews(table);
 
   /** Kept for all keys, since another node may report a crash from before the answer. */
   private final Map<Long, Long> answerNanosByKey = new BoundedMap<>(MAX_ANSWERS);
@@ -128,7 +125,7 @@
       Collection<Long> keys, String incarnation, long atNanos, long nowNanos) {
     ImmutableList<Crash> crash =
         ImmutableList.of(new Crash(incarnation.hashCode(), nowNanos - atNanos));
-    return reported(keys.stream().map(key -> new Report(key, -1, crash)).toList(), nowNanos);
+    return merge(keys.stream().map(key -> new Report(key, -1, crash)).toList(), true, nowNanos);
   }
 
   /**
@@ -139,6 +136,10 @@
    * @return what has changed
    */
   public ImmutableList<Change> reported(Collection<Report> reports, long nowNanos) {
+    return merge(reports, false, nowNanos);
+  }
+
+  private ImmutableList<Change> merge(Collection<Report> reports, boolean seenHere, long nowNanos) {
     table.removeExpired(nowNanos);
     ImmutableList.Builder<Change> changes = ImmutableList.builder();
     for (Report report : reports) {
@@ -151,7 +152,7 @@
       if (!evidence.merge(report, nowNanos)) {
         continue;
       }
-      store(key, evidence, nowNanos).ifPresent(changes::add);
+      store(key, evidence, seenHere, nowNanos).ifPresent(changes::add);
       if (!suspectedBefore && evidence.isSuspected(nowNanos)) {
         changes.add(new Change(key, ChangeKind.SUSPECTED, evidence.crashCount()));
       } else {
@@ -162,8 +163,10 @@
   }
 
   /** Stores changed evidence; returns the change for a suspected key that had to give way. */
-  private Optional<Change> store(long key, CrashEvidence evidence, long nowNanos) {
+  private Optional<Change> store(
+      long key, CrashEvidence evidence, boolean seenHere, long nowNanos) {
     Optional<Map.Entry<Long, CrashEvidence>> evicted = table.put(key, evidence);
+    news.changed(key, evidence, seenHere);
     return evicted
         .filter(entry -> entry.getValue().isSuspected(nowNanos))
         .map(
@@ -195,7 +198,7 @@
       CrashEvidence evidence = table.get(key);
       int crashesBefore = evidence == null ? 0 : evidence.crashCount();
       if (evidence != null && evidence.answered(nowNanos)) {
-        store(key, evidence, nowNanos).ifPresent(changes::add);
+        store(key, evidence, true, nowNanos).ifPresent(changes::add);
         cleared(key, evidence, crashesBefore).ifPresent(changes::add);
       }
     }
@@ -299,19 +302,14 @@
   }
 
   /**
-   * Returns what to pass on to other nodes: all suspected keys, for nodes that have just started,
-   * and what has changed lately.
+   * Returns what to pass on to other nodes in the next report.
    *
    * @param nowNanos the current time
-   * @return the reports, those with most crashes first
+   * @return what is known of some keys
    */
   public ImmutableList<Report> reports(long nowNanos) {
-    return table
-        .entries()
-        .filter(entry -> entry.getValue().isReported(nowNanos))
-        .map(entry -> entry.getValue().report(entry.getKey(), nowNanos))
-        .sorted(Comparator.comparingInt((Report report) -> report.crashes().size()).reversed())
-        .limit(MAX_REPORTED)
+    return news.next(nowNanos).stream()
+        .map(key -> table.get(key).report(key, nowNanos))
         .collect(ImmutableList.toImmutableList());
   }
 }
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/EvidenceTable.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/EvidenceTable.java
@@ -92,12 +92,6 @@
     return Map.entry(key, evidence);
   }
 
-  /** Returns all keys. */
-  Stream<Map.Entry<Long, CrashEvidence>> entries() {
-    return rows.entrySet().stream()
-        .map(entry -> Map.entry(entry.getKey(), entry.getValue().evidence()));
-  }
-
   /** Returns the keys with enough crashes, also those whose refusal is over. */
   Stream<Map.Entry<Long, CrashEvidence>> suspected() {
     return keysByRank.get(EvidenceRank.SUSPECTED).stream().map(key -> Map.entry(key, get(key)));
--- a/org.cranberrystand/src/test/java/org/cranberrystand/dispatch/CrashRegisterTest.java
+++ b/org.cranberrystand/src/test/java/org/cranberrystand/dispatch/CrashRegisterTest.java
@@ -272,4 +272,56 @@
 
     assertFalse(isRefused(register, KEY, 2 * 3_600L * SECOND));
   }
+
+  private static void tell(CrashRegister from, CrashRegister to, int reports, long nowNanos) {
+    for (int i = 0; i < reports; i++) {
+      to.reported(from.reports(nowNanos), nowNanos);
+    }
+  }
+
+  /** Guards against crashes that only nodes know which are replaced one after another. */
+  @Test
+  public void nodeStartedLaterLearnsOfCrashesThatAreNoNews() {
+    crash(peer, KEY, "a", 0);
+    crash(peer, KEY, "b", SECOND);
+    tell(peer, new CrashRegister(), 1, 2 * SECOND);
+
+    tell(peer, register, 2, 30 * SECOND);
+    crash(register, KEY, "c", 31 * SECOND);
+
+    assertTrue(isRefused(register, KEY, 31 * SECOND));
+  }
+
+  /** Guards against refusing sound requests because there is no room to tell of their answers. */
+  @Test
+  public void answersAreToldBesideManyCrashes() {
+    for (int i = 0; i < 3; i++) {
+      crash(register, KEY, "u" + i, i * SECOND);
+    }
+    for (int i = 0; i < 60; i++) {
+      crash(peer, 1_000L + i, "a", SECOND);
+      crash(peer, 1_000L + i, "b", 2 * SECOND);
+    }
+    tell(register, peer, 1, 3 * SECOND);
+    peer.answered(ImmutableList.of(KEY), 4 * SECOND);
+
+    tell(peer, register, 4, 4 * SECOND);
+
+    assertFalse(isRefused(register, KEY, 4 * SECOND));
+  }
+
+  /** Guards against a crash that is never told because others were told of by other nodes. */
+  @Test
+  public void crashSeenHereIsToldBeforeThoseSeenElsewhere() {
+    for (int i = 0; i < 20; i++) {
+      CrashRegister third = new CrashRegister();
+      for (int j = 0; j < 30; j++) {
+        crash(third, 1_000L + 30L * i + j, "a" + i, SECOND);
+      }
+      tell(third, peer, 1, SECOND);
+    }
+    crash(peer, KEY, "b", SECOND);
+
+    assertTrue(peer.reports(SECOND).stream().anyMatch(report -> report.key() == KEY));
+  }
 }
--- a/org.cranberrystand/src/test/java/org/cranberrystand/dispatch/RepeatedCrashFleetTest.java
+++ b/org.cranberrystand/src/test/java/org/cranberrystand/dispatch/RepeatedCrashFleetTest.java
@@ -83,7 +83,45 @@
         }
       }
     }
+    assertRefused(fleet);
+  }
+
+  private static void assertRefused(RegisterFleet fleet) {
     long late = fleet.lateCrashCount(CRASHES_BEFORE_BOUND);
     assertTrue(late <= MAX_LATE_CRASHES, late + " of " + fleet.crashCount() + " crashes are late");
   }
+
+  @DataProvider
+  public Object[][] restarts() {
+    List<Object[]> rows = new ArrayList<>();
+    for (int seed = 1; seed <= SEEDS; seed++) {
+      rows.add(new Object[] {2, 1_000, seed});
+      rows.add(new Object[] {5, 1_000, seed});
+      rows.add(new Object[] {30, 3_500, seed});
+    }
+    return rows.toArray(Object[][]::new);
+  }
+
+  /** Guards against crashes that are forgotten while the nodes are replaced one after another. */
+  @Test(dataProvider = "restarts")
+  public void requestIsRefusedWhileNodesRestartInTurn(
+      int crashingIntervalSeconds, int restartIntervalMillis, int seed) {
+    int nodeCount = 8;
+    RegisterFleet fleet = new RegisterFleet(nodeCount, seed);
+    RegisterFleet.Tally sound = new RegisterFleet.Tally();
+    int restarts = 0;
+    while (fleet.now() < 4 * LENGTH) {
+      fleet.step();
+      if (fleet.now() % (restartIntervalMillis * RegisterFleet.MILLISECOND) == 0) {
+        fleet.restartNode(restarts++ % nodeCount);
+      }
+      if (fleet.now() % (crashingIntervalSeconds * 1_000L * RegisterFleet.MILLISECOND) == 0) {
+        fleet.sendCrashing(CRASHING);
+      }
+      if (fleet.isDue(SOUND_PER_SECOND)) {
+        fleet.sendSound(request(fleet), sound);
+      }
+    }
+    assertRefused(fleet);
+  }
 }
