--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RequestRelay.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RequestRelay.java
@@ -45,6 +45,7 @@
   private final SilenceTimer silenceTimer;
   private final RelayLog log;
   private final RequestHedge hedge;
+  private final CallerResponse response;
   private final ResponseForwarder forwarder = new ResponseForwarder();
 
   private CallSpec spec;
@@ -55,11 +56,7 @@
 
   private long refusalPauseMillis;
   private boolean done;
-  private boolean responseStarted;
-  private ResponseAssembler startedResponse;
-  private long firstResponseNanos;
   private long lastByteNanos;
-  private String lastEventId;
 
   RequestRelay(
       RelayContext context,
@@ -82,7 +79,7 @@
     this.content =
         new RequestContent(context.crashes(), ContentKeys.of(exchange, caller, team), log);
     this.hedge = new RequestHedge(context, this, attempts, forwarder, content, spec, log);
-    this.lastEventId = caller.lastEventId();
+    this.response = new CallerResponse(exchange, context.headerCodec(), caller.lastEventId());
   }
 
   /** Submits the request to the dispatcher. */
@@ -120,7 +117,7 @@
   }
 
   private Optional<RegisteredUpstream> chooseNode() {
-    return responseStarted
+    return response.isStarted()
         ? Optional.empty()
         : forwarding.chooseNode(spec.pool(), attempts.triedUpstreams());
   }
@@ -161,11 +158,11 @@
   void send(RegisteredUpstream chosen, PlacementChoice choice) {
     atNode = false;
     log.placed(chosen, choice, attempts.runCount() + 1, content.wholeKey());
-    attempts.sendToUpstream(chosen, choice, lastEventId, forwarder);
+    attempts.sendToUpstream(chosen, choice, response.lastEventId(), forwarder);
     if (route.isRetryable()) {
       silenceTimer.start();
     }
-    if (route.isRetryable() && attempts.runCount() == 1 && lastEventId == null) {
+    if (route.isRetryable() && attempts.runCount() == 1 && response.lastEventId() == null) {
       hedge.firstAttemptSent();
     }
   }
@@ -187,10 +184,9 @@
     if (done) {
       return;
     }
-    if (responseStarted) {
-      // Closing the connection is the only way to show that a started stream is incomplete.
+    if (response.isStarted()) {
       end("cut", -1);
-      exchange.abort();
+      response.abort();
       return;
     }
     if (attempts.runCount() > 0) {
@@ -217,8 +213,8 @@
       return;
     }
     end("failed", status.code());
-    if (responseStarted) {
-      exchange.abort();
+    if (response.isStarted()) {
+      response.abort();
     } else {
       ErrorResponses.write(exchange, status, detail, 0);
     }
@@ -230,10 +226,10 @@
     silenceTimer.cancel();
     String hedgeFields = hedge.requestEnded(outcome);
     attempts.releaseResponse();
-    log.ended(outcome, status, attempt(), attempts.runCount(), firstResponseNanos, hedgeFields);
+    log.ended(outcome, status, attempt(), attempts.runCount(), response.firstNanos(), hedgeFields);
     context
         .metrics()
-        .recordEnded(route, outcome, spec.arrivalNanos(), firstResponseNanos, System.nanoTime());
+        .recordEnded(route, outcome, spec.arrivalNanos(), response.firstNanos(), System.nanoTime());
   }
 
   @Override
@@ -268,7 +264,7 @@
     @Override
     public void deadlinePassed() {
       boolean sent = attempts.isInProgress();
-      endAttempt(sent && !responseStarted ? CallEnding.SILENT : CallEnding.CANCELLED);
+      endAttempt(sent && !response.isStarted() ? CallEnding.SILENT : CallEnding.CANCELLED);
       if (sent) {
         fail(HttpResponseStatus.GATEWAY_TIMEOUT, "no answer in time");
       } else {
@@ -314,7 +310,7 @@
    */
   boolean tryAcquireRetry() {
     // Without the identifier of the last event, another attempt would restart the stream.
-    boolean resumable = !responseStarted || lastEventId != null;
+    boolean resumable = !response.isStarted() || response.lastEventId() != null;
     return route.isRetryable()
         && resumable
         // Another node may have sent the request to as many upstreams as allowed.
@@ -387,15 +383,14 @@
     @Override
     public void eventsReceived(
         ResponseAssembler received, ByteBuf events, int count, String eventId) {
+      String lastEventId = response.lastEventId();
       if (!attempt().hasEvents() && lastEventId != null && !received.beginsAfter(lastEventId)) {
         events.release();
         breakOff("stream not resumed after event " + lastEventId);
         return;
       }
-      if (firstResponseNanos == 0) {
-        firstResponseNanos = lastByteNanos;
-      }
-      if (!responseStarted && !atNode) {
+      response.arrived(lastByteNanos);
+      if (!response.isStarted() && !atNode) {
         bindToVersion();
       }
       if (!attempt().hasEvents()) {
@@ -405,8 +400,7 @@
       attempt().setHasEvents();
       context.dispatcher().eventsReceived(spec.key(), count, lastByteNanos);
       startResponse(received);
-      lastEventId = eventId;
-      exchange.sendPart(events);
+      response.sendEvents(events, eventId);
     }
 
     @Override
@@ -430,19 +424,12 @@
     }
 
     private void startResponse(ResponseAssembler received) {
-      if (!responseStarted) {
-        responseStarted = true;
-        startedResponse = received;
+      if (!response.isStarted()) {
         hedge.cancel();
-        exchange.startResponse(received.status(), received.callerHeaders(context.headerCodec()));
+        response.start(received);
       }
     }
 
-    /** Once the caller has the head of a response, only the body of the same one may follow. */
-    private boolean mayForward(ResponseAssembler received) {
-      return responseStarted ? received == startedResponse : received.isForwardable();
-    }
-
     @Override
     public void bodyPartReceived(ResponseAssembler received, ByteBuf part) {
       if (received != attempt().response()) {
@@ -450,7 +437,7 @@
         part.release();
         return;
       }
-      if (!mayForward(received)) {
+      if (!response.accepts(received)) {
         part.release();
         endAttempt(CallEnding.FAILED);
         if (!hedge.takeOver()) {
@@ -459,7 +446,7 @@
         return;
       }
       startResponse(received);
-      exchange.sendPart(part);
+      response.sendPart(part);
     }
 
     @Override
@@ -468,14 +455,14 @@
       if (!attempt().hasEvents()) {
         recordBroken();
       }
-      if (insideEvent || !responseStarted) {
+      if (insideEvent || !response.isStarted()) {
         // An upstream that stops within an event, or before the first one, did not finish.
         retryOrFail("incomplete stream", CallEnding.FAILED);
         return;
       }
       recordEnding(CallEnding.ANSWERED);
       end(ANSWERED, received.status().code());
-      exchange.finishResponse();
+      response.finish();
     }
 
     @Override
@@ -484,7 +471,7 @@
       boolean serverError = received.status().codeClass() == HttpStatusClass.SERVER_ERROR;
       if (received.isNotRun()) {
         handleNotRun(received, body);
-      } else if (!mayForward(received)) {
+      } else if (!response.accepts(received)) {
         body.release();
         retryOrFail("no valid answer", CallEnding.FAILED);
       } else if (serverError && hedge.isInProgress()) {
@@ -515,7 +502,7 @@
         refusedByNode(received.status());
         return;
       }
-      if (!responseStarted && received.status().equals(HttpResponseStatus.BAD_REQUEST)) {
+      if (!response.isStarted() && received.status().equals(HttpResponseStatus.BAD_REQUEST)) {
         forwardWhole(received, body);
         return;
       }
@@ -538,14 +525,9 @@
       int status = received.status().code();
       boolean failed = status >= HttpResponseStatus.INTERNAL_SERVER_ERROR.code();
       recordEnding(failed ? CallEnding.FAILED : CallEnding.ANSWERED);
-      firstResponseNanos = lastByteNanos;
+      response.arrived(lastByteNanos);
       end(failed ? "upstream-failed" : ANSWERED, status);
-      if (responseStarted) {
-        exchange.sendPart(body);
-        exchange.finishResponse();
-      } else {
-        exchange.respond(received.status(), received.callerHeaders(context.headerCodec()), body);
-      }
+      response.sendWhole(received, body);
     }
 
     @Override
