Accept content again only after a success, or failures of several upstreams

Cause: any answer cleared all keys of the request. What proves that content does not crash upstreams was never asked.

Ruled out: an answer of 500, which never cleared anything.

Change: a sealed success clears the keys. Any other complete answer counts only if three upstreams gave one and none ended in between, so that content which always fails is not refused for upstreams that were lost with it by chance. Answers through another node are left to that node.

Why it works: an upstream that rejects requests is one of many; content that ends upstreams meets one that runs it before it has met three that reject it.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/CrashDetector.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/CrashDetector.java
@@ -70,11 +70,16 @@
     apply(changes, THIS_NODE);
   }
 
-  /** Records that an upstream began to answer a request. */
+  /** Records that an upstream survived content. */
   void answered(ImmutableList<Long> keys) {
     apply(register.answered(keys, System.nanoTime()), THIS_NODE);
   }
 
+  /** Records that an upstream answered with a failure, and may not have run the content. */
+  void failed(RegisteredUpstream upstream, ImmutableList<Long> keys) {
+    apply(register.failed(keys, upstream.incarnationKey(), System.nanoTime()), THIS_NODE);
+  }
+
   /** Applies what another node knows. */
   void reported(String peer, ImmutableList<CrashRegister.Report> reports) {
     apply(register.reported(reports, System.nanoTime()), peer);
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RequestContent.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RequestContent.java
@@ -1,6 +1,8 @@
 package org.cranberrystand.daemon.gateway;
 
 import com.google.common.collect.ImmutableList;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpStatusClass;
 import org.cranberrystand.dispatch.CrashRegister;
 
 /** The content of one request, which may crash upstreams. Used only on the event loop. */
@@ -52,9 +54,13 @@
     crashes.answered(keys.parts());
   }
 
-  /** Records that an upstream sent a complete response. */
-  void answered() {
-    crashes.answered(keys.all());
+  /** Records that an upstream sent a complete response and does not say that it ran nothing. */
+  void answered(RelayAttempt answered, HttpResponseStatus status) {
+    if (status.codeClass() == HttpStatusClass.SUCCESS) {
+      crashes.answered(keys.all());
+    } else {
+      crashes.failed(answered.upstream(), keys.all());
+    }
   }
 
   /** Records that the request may have crashed the upstream of an attempt. */
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RequestHedge.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RequestHedge.java
@@ -295,6 +295,9 @@
       context.signals().refused(attempt.upstream());
       end(CallEnding.NOT_RUN, "refused");
     } else if (serverError || !response.isForwardable()) {
+      if (response.isForwardable()) {
+        content.answered(attempt, response.status());
+      }
       body.release();
       end(CallEnding.FAILED, FAILED);
     } else {
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RequestRelay.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RequestRelay.java
@@ -460,6 +460,7 @@
         retryOrFail("incomplete stream", CallEnding.FAILED);
         return;
       }
+      recordAnswer(received);
       recordEnding(CallEnding.ANSWERED);
       end(ANSWERED, received.status().code());
       response.finish();
@@ -475,10 +476,12 @@
         body.release();
         retryOrFail("no valid answer", CallEnding.FAILED);
       } else if (serverError && hedge.isInProgress()) {
+        recordAnswer(received);
         body.release();
         recordEnding(CallEnding.FAILED);
         hedge.takeOver();
       } else if (serverError && tryAcquireRetry()) {
+        recordAnswer(received);
         body.release();
         recordEnding(CallEnding.FAILED);
         retry("status " + received.status().code());
@@ -524,6 +527,7 @@
     private void forwardWhole(ResponseAssembler received, ByteBuf body) {
       int status = received.status().code();
       boolean failed = status >= HttpResponseStatus.INTERNAL_SERVER_ERROR.code();
+      recordAnswer(received);
       recordEnding(failed ? CallEnding.FAILED : CallEnding.ANSWERED);
       response.arrived(lastByteNanos);
       end(failed ? "upstream-failed" : ANSWERED, status);
@@ -560,8 +564,11 @@
 
     private void recordEnding(CallEnding ending) {
       context.dispatcher().ended(spec.key(), ending, System.nanoTime());
-      if (ending == CallEnding.ANSWERED) {
-        content.answered();
+    }
+
+    private void recordAnswer(ResponseAssembler received) {
+      if (!received.isNotRun() && !atNode) {
+        content.answered(attempt(), received.status());
       }
     }
   }
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CrashEvidence.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CrashEvidence.java
@@ -3,13 +3,19 @@
 import com.google.common.collect.ImmutableList;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 /**
  * What is known of one key of requests: the crashes since the last answer to a request with it, and
  * whether there ever was an answer. Not thread-safe.
+ *
+ * <p>Content that crashes upstreams does so each time that it runs, so a success shows that it does
+ * not. A failure may be the answer of an upstream that did not run the request; only several
+ * upstreams together show that it runs without a crash.
  */
 final class CrashEvidence {
   /** An upstream runs many requests at a time, so two crashes may be a coincidence. */
@@ -29,8 +35,14 @@
    */
   private static final long EARLIER_ANSWER_AGE_NANOS = TimeUnit.HOURS.toNanos(1);
 
+  /** So many upstreams that answer with a failure, and none that crashes, are worth a success. */
+  private static final int FAILURES_TO_CLEAR = 3;
+
   private final Map<Integer, Long> crashNanosByUpstream = new HashMap<>();
 
+  /** The incarnations of the upstreams that answered with a failure since the last crash. */
+  private final Set<String> failingUpstreams = new HashSet<>();
+
   private boolean everAnswered;
   private boolean clearedByAnswer;
   private long answerNanos;
@@ -78,6 +90,7 @@
       return true;
     }
     crashNanosByUpstream.put(upstream, atNanos);
+    failingUpstreams.clear();
     if (crashNanosByUpstream.size() > MAX_CRASHES) {
       removeClosestCrash();
     }
@@ -104,6 +117,12 @@
     return addAnswer(nowNanos, List.of(), nowNanos);
   }
 
+  /** Records that an upstream answered with a failure; returns whether that changes anything. */
+  boolean failed(String incarnation, long nowNanos) {
+    failingUpstreams.add(incarnation);
+    return failingUpstreams.size() >= FAILURES_TO_CLEAR && answered(nowNanos);
+  }
+
   /** Returns whether the answer changes anything. */
   private boolean addAnswer(long atNanos, List<Integer> laterCrashes, long nowNanos) {
     boolean cleared =
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CrashRegister.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CrashRegister.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import java.util.stream.Stream;
 import org.cranberrystand.util.BoundedMap;
 
@@ -14,7 +15,7 @@
  *
  * <p>A request has several keys: one for its whole content and one for each part of its prompt that
  * other requests may share. A key is suspected after several crashes without an answer in between.
- * Any answer clears a key, since content that crashes upstreams never gets one.
+ * A success clears a key, since content that crashes upstreams never gets one.
  *
  * <p>All keys of a request are charged with its crash, though one of them explains it. So a
  * suspected key is refused only if no other key explains its crashes better: one that no request
@@ -182,7 +183,7 @@
   }
 
   /**
-   * Records that an upstream answered a request, which clears its keys.
+   * Records that an upstream ran a request with success, which clears its keys.
    *
    * @param keys the keys of the request
    * @param nowNanos the current time
@@ -193,11 +194,29 @@
       answerNanosByKey.remove(key);
       answerNanosByKey.put(key, nowNanos);
     }
+    return clear(keys, evidence -> evidence.answered(nowNanos), nowNanos);
+  }
+
+  /**
+   * Records that an upstream answered a request with a failure. It may not have run the request, so
+   * this clears the keys only after the same at several other upstreams.
+   *
+   * @param keys the keys of the request
+   * @param incarnation the key of the incarnation of the upstream
+   * @param nowNanos the current time
+   * @return what has changed
+   */
+  public ImmutableList<Change> failed(Collection<Long> keys, String incarnation, long nowNanos) {
+    return clear(keys, evidence -> evidence.failed(incarnation, nowNanos), nowNanos);
+  }
+
+  private ImmutableList<Change> clear(
+      Collection<Long> keys, Predicate<CrashEvidence> answer, long nowNanos) {
     ImmutableList.Builder<Change> changes = ImmutableList.builder();
     for (long key : keys) {
       CrashEvidence evidence = table.get(key);
       int crashesBefore = evidence == null ? 0 : evidence.crashCount();
-      if (evidence != null && evidence.answered(nowNanos)) {
+      if (evidence != null && answer.test(evidence)) {
         store(key, evidence, true, nowNanos).ifPresent(changes::add);
         cleared(key, evidence, crashesBefore).ifPresent(changes::add);
       }
--- a/org.cranberrystand/src/test/java/org/cranberrystand/dispatch/CrashRegisterTest.java
+++ b/org.cranberrystand/src/test/java/org/cranberrystand/dispatch/CrashRegisterTest.java
@@ -324,4 +324,31 @@
 
     assertTrue(peer.reports(SECOND).stream().anyMatch(report -> report.key() == KEY));
   }
+
+  /** Guards against a faulty upstream that has content accepted again which it did not run. */
+  @Test
+  public void failuresOfOneUpstreamDoNotClearAKey() {
+    for (int i = 0; i < 3; i++) {
+      crash(register, KEY, "u" + i, i * SECOND);
+      for (int j = 0; j < 5; j++) {
+        register.failed(ImmutableList.of(KEY), "faulty", i * SECOND + j);
+        register.failed(ImmutableList.of(KEY), "foreign", i * SECOND + j);
+      }
+    }
+
+    assertTrue(isRefused(register, KEY, 2 * SECOND));
+  }
+
+  /** Guards against refusing content that always fails and lost its upstreams by chance. */
+  @Test
+  public void failuresOfSeveralUpstreamsClearAKey() {
+    crash(register, KEY, "a", 0);
+    crash(register, KEY, "b", SECOND);
+    for (int i = 0; i < 3; i++) {
+      register.failed(ImmutableList.of(KEY), "u" + i, SECOND + i);
+    }
+    crash(register, KEY, "c", 2 * SECOND);
+
+    assertFalse(isRefused(register, KEY, 2 * SECOND));
+  }
 }
