Count each crash of an upstream that starts again under its registration

Cause: a crash was identified by the incarnation that is registered. Until a new registration arrives, all further ends of the same upstream counted as its first one. An entry without a start, or a start under an old Id, has the same effect.

Ruled out: that the crash is not confirmed (5029 is there each time).

Change: a connection belongs to one run of a process. A connection that was opened after a crash was lost with another one, whose identity has a number besides the incarnation. Nodes number alike, since they tell each other of crashes; the first crash has the same identity as before, so that older builds understand it.

Why it works: an upstream that accepts a connection after its crash has started again, whatever its registration says. A crash that is seen late, on an old connection, still counts once.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/CrashDetector.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/CrashDetector.java
@@ -39,33 +39,34 @@
    * Records that the connection of a request ended before its upstream sent anything of the answer.
    *
    * @param upstream the upstream
+   * @param connectedNanos when the connection was opened
    * @param keys what identifies the content of the request
    * @param requestLog the log of the request
    */
   void connectionBroken(
-      RegisteredUpstream upstream, ImmutableList<Long> keys, RelayLog requestLog) {
+      RegisteredUpstream upstream,
+      long connectedNanos,
+      ImmutableList<Long> keys,
+      RelayLog requestLog) {
     long brokenNanos = System.nanoTime();
+    Runnable crashed = () -> crashed(upstream, connectedNanos, brokenNanos, keys, requestLog);
+    Runnable ruledOut = () -> requestLog.crashRuledOut(upstream, keys);
     loop.schedule(
-            () ->
-                client.checkAlive(
-                    upstream, alive -> confirm(upstream, keys, brokenNanos, alive, requestLog)),
+            () -> client.checkAlive(upstream, alive -> (alive ? ruledOut : crashed).run()),
             CONFIRMATION_MILLIS,
             TimeUnit.MILLISECONDS)
         .isDone();
   }
 
-  private void confirm(
+  private void crashed(
       RegisteredUpstream upstream,
-      ImmutableList<Long> keys,
+      long connectedNanos,
       long brokenNanos,
-      boolean alive,
+      ImmutableList<Long> keys,
       RelayLog requestLog) {
-    if (alive) {
-      requestLog.crashRuledOut(upstream, keys);
-      return;
-    }
     ImmutableList<CrashRegister.Change> changes =
-        register.crashed(keys, upstream.incarnationKey(), brokenNanos, System.nanoTime());
+        register.crashed(
+            keys, upstream.incarnationKey(), connectedNanos, brokenNanos, System.nanoTime());
     requestLog.crashSuspected(upstream, keys, keys.stream().map(register::crashCount).toList());
     apply(changes, THIS_NODE);
   }
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RelayAttempt.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RelayAttempt.java
@@ -86,6 +86,11 @@
     return exchange == null ? "none" : exchange.connectionName();
   }
 
+  /** Returns when the connection was opened, in nanoseconds. */
+  long connectedNanos() {
+    return exchange.connectedNanos();
+  }
+
   /** Records the head of the response, or the first event of a stream. */
   void setResponded() {
     responded = true;
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RequestContent.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RequestContent.java
@@ -67,6 +67,6 @@
   void recordBroken(RelayAttempt broken) {
     // Content that crashes upstreams does so before the first event.
     ImmutableList<Long> suspects = broken.hasEvents() ? ImmutableList.of(keys.whole()) : keys.all();
-    crashes.connectionBroken(broken.upstream(), suspects, log);
+    crashes.connectionBroken(broken.upstream(), broken.connectedNanos(), suspects, log);
   }
 }
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/UpstreamClient.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/UpstreamClient.java
@@ -329,5 +329,10 @@
     public String connectionName() {
       return connection == null ? "none" : connection.name();
     }
+
+    @Override
+    public long connectedNanos() {
+      return connection == null ? System.nanoTime() : connection.openedNanos();
+    }
   }
 }
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/UpstreamConnection.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/UpstreamConnection.java
@@ -65,6 +65,7 @@
   private final UpstreamResponseDecoder decoder;
   private final Channel channel;
   private final CarriedRequests carried = new CarriedRequests();
+  private final long openedNanos = System.nanoTime();
   private PendingRequest active;
   private boolean releasePending;
   private boolean untrusted;
@@ -158,6 +159,11 @@
     return carried.contains(requestId);
   }
 
+  /** Returns when the connection was opened, in nanoseconds. */
+  long openedNanos() {
+    return openedNanos;
+  }
+
   /** Returns the name of the connection in the log. */
   String name() {
     return channel.id().asShortText();
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/UpstreamExchange.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/UpstreamExchange.java
@@ -13,4 +13,7 @@
 
   /** Returns the name of the connection in the log; {@code none} before one is open. */
   String connectionName();
+
+  /** Returns when the connection was opened, in nanoseconds; the current time before one is. */
+  long connectedNanos();
 }
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CrashRegister.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CrashRegister.java
@@ -40,7 +40,8 @@
   /**
    * A crash of an upstream that was about to answer a request with the key.
    *
-   * @param upstream the hash of the incarnation of the upstream
+   * @param upstream identifies the crash: a hash of the incarnation of the upstream and of how
+   *     often that has crashed before
    * @param ageNanos the time since the crash, in nanoseconds
    */
   public record Crash(int upstream, long ageNanos) {}
@@ -107,6 +108,7 @@
 
   private final EvidenceTable table = new EvidenceTable();
   private final CrashNews news = new CrashNews(table);
+  private final CrashedUpstreams upstreams = new CrashedUpstreams();
 
   /** Kept for all keys, since another node may report a crash from before the answer. */
   private final Map<Long, Long> answerNanosByKey = new BoundedMap<>(MAX_ANSWERS);
@@ -117,15 +119,16 @@
    * Records that an upstream crashed when it was about to answer a request.
    *
    * @param keys the keys of the request
-   * @param incarnation the key of the incarnation of the upstream
+   * @param incarnation the key of the incarnation of the upstream, as it is registered
+   * @param connectedNanos when the connection was opened on which the request was sent
    * @param atNanos the time of the crash
    * @param nowNanos the current time
    * @return what has changed
    */
   public ImmutableList<Change> crashed(
-      Collection<Long> keys, String incarnation, long atNanos, long nowNanos) {
-    ImmutableList<Crash> crash =
-        ImmutableList.of(new Crash(incarnation.hashCode(), nowNanos - atNanos));
+      Collection<Long> keys, String incarnation, long connectedNanos, long atNanos, long nowNanos) {
+    int upstream = upstreams.crashOf(incarnation, connectedNanos, atNanos);
+    ImmutableList<Crash> crash = ImmutableList.of(new Crash(upstream, nowNanos - atNanos));
     return merge(keys.stream().map(key -> new Report(key, -1, crash)).toList(), true, nowNanos);
   }
 
@@ -137,6 +140,11 @@
    * @return what has changed
    */
   public ImmutableList<Change> reported(Collection<Report> reports, long nowNanos) {
+    for (Report report : reports) {
+      report.crashes().stream()
+          .filter(crash -> crash.ageNanos() >= 0)
+          .forEach(crash -> upstreams.add(crash.upstream(), nowNanos - crash.ageNanos()));
+    }
     return merge(reports, false, nowNanos);
   }
 
--- /dev/null
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CrashedUpstreams.java
@@ -0,0 +1,57 @@
+package org.cranberrystand.dispatch;
+
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.cranberrystand.util.BoundedMap;
+
+/**
+ * Tells the crashes of upstreams apart. Not thread-safe.
+ *
+ * <p>An upstream may start again under its identifier before its registration says so, or while no
+ * registration can be read. Then all its crashes have the same incarnation key. A connection
+ * belongs to one run of a process, so one that was opened after a crash was lost with another
+ * crash.
+ */
+final class CrashedUpstreams {
+  private static final int MAX_CRASHES = 4_096;
+
+  /**
+   * A process that ends may accept connections for a moment, and other nodes learn of the time of
+   * its crash with the delay of a report.
+   */
+  private static final long SAME_CRASH_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
+
+  private final Map<Integer, Long> nanosByCrash = new BoundedMap<>(MAX_CRASHES);
+
+  /**
+   * Returns the identity of the crash that ended a connection, which is the same at all nodes.
+   *
+   * @param incarnation the key of the incarnation of the upstream, as it is registered
+   * @param connectedNanos when the connection was opened
+   * @param atNanos when it was lost
+   */
+  int crashOf(String incarnation, long connectedNanos, long atNanos) {
+    int start = 0;
+    while (isKnownBefore(identity(incarnation, start), connectedNanos)) {
+      start++;
+    }
+    int crash = identity(incarnation, start);
+    add(crash, atNanos);
+    return crash;
+  }
+
+  private boolean isKnownBefore(int crash, long connectedNanos) {
+    Long known = nanosByCrash.get(crash);
+    return known != null && connectedNanos - known > SAME_CRASH_NANOS;
+  }
+
+  /** The identity of the first crash is that of the incarnation, as earlier builds have it. */
+  private static int identity(String incarnation, int start) {
+    return start == 0 ? incarnation.hashCode() : (incarnation + '/' + start).hashCode();
+  }
+
+  /** Records a crash that this or another node has identified. */
+  void add(int crash, long atNanos) {
+    nanosByCrash.putIfAbsent(crash, atNanos);
+  }
+}
--- a/org.cranberrystand/src/test/java/org/cranberrystand/dispatch/CrashRegisterTest.java
+++ b/org.cranberrystand/src/test/java/org/cranberrystand/dispatch/CrashRegisterTest.java
@@ -25,7 +25,7 @@
   }
 
   private static void crash(CrashRegister target, long key, String upstream, long atNanos) {
-    target.crashed(ImmutableList.of(key), upstream, atNanos, atNanos);
+    target.crashed(ImmutableList.of(key), upstream, 0, atNanos, atNanos);
   }
 
   private static boolean isRefused(CrashRegister target, long key, long nowNanos) {
@@ -68,7 +68,7 @@
   @Test
   public void keyThatIsAnsweredAtAnyNodeIsAccepted() {
     for (int i = 0; i < 6; i++) {
-      register.crashed(ImmutableList.of(KEY, COMMON_KEY), "u" + i, i * SECOND, i * SECOND);
+      register.crashed(ImmutableList.of(KEY, COMMON_KEY), "u" + i, 0, i * SECOND, i * SECOND);
       peer.answered(ImmutableList.of(COMMON_KEY), i * SECOND + SECOND / 2);
       peer.reported(register.reports(i * SECOND + SECOND / 2), i * SECOND + SECOND / 2);
       register.reported(peer.reports(i * SECOND + SECOND / 2), i * SECOND + SECOND / 2);
@@ -136,7 +136,7 @@
 
   private static void crashTogether(CrashRegister target, List<Long> keys, int firstUpstream) {
     for (int i = 0; i < 3; i++) {
-      target.crashed(keys, "u" + (firstUpstream + i), i * SECOND, i * SECOND);
+      target.crashed(keys, "u" + (firstUpstream + i), 0, i * SECOND, i * SECOND);
     }
   }
 
@@ -148,7 +148,7 @@
   public void keyThatWasAnsweredBeforeTheCrashesIsNotBlamed() {
     register.answered(ImmutableList.of(COMMON_KEY), 0);
     for (int i = 1; i <= 3; i++) {
-      register.crashed(ImmutableList.of(COMMON_KEY, KEY), "u" + i, i * SECOND, i * SECOND);
+      register.crashed(ImmutableList.of(COMMON_KEY, KEY), "u" + i, 0, i * SECOND, i * SECOND);
     }
 
     assertEquals(register.suspicion(COMMON_KEY, 4 * SECOND), Suspicion.EXPLAINED);
@@ -351,4 +351,36 @@
 
     assertFalse(isRefused(register, KEY, 2 * SECOND));
   }
+
+  private void crashAgain(CrashRegister target, long connectedNanos, long atNanos) {
+    target.crashed(ImmutableList.of(KEY), "a", connectedNanos, atNanos, atNanos);
+    tell(register, peer, 1, atNanos);
+    tell(peer, register, 1, atNanos);
+  }
+
+  /**
+   * Guards against counting the crashes of an upstream once that starts again while its
+   * registration does not change.
+   */
+  @Test
+  public void crashesOfAnUpstreamThatStartedAgainCountEachTime() {
+    crashAgain(register, 0, SECOND);
+    crashAgain(peer, 2 * SECOND, 3 * SECOND);
+    assertFalse(isRefused(register, KEY, 3 * SECOND));
+
+    crashAgain(register, 4 * SECOND, 5 * SECOND);
+
+    assertTrue(isRefused(register, KEY, 5 * SECOND));
+    assertTrue(isRefused(peer, KEY, 5 * SECOND));
+  }
+
+  /** Guards against counting one crash twice because a node sees it late, on an old connection. */
+  @Test
+  public void crashThatIsSeenLateOnAnOldConnectionCountsOnce() {
+    crashAgain(register, 0, SECOND);
+    crashAgain(peer, SECOND / 2, 2 * SECOND);
+    crashAgain(register, SECOND + SECOND / 10, 3 * SECOND);
+
+    assertFalse(isRefused(register, KEY, 3 * SECOND));
+  }
 }
--- a/org.cranberrystand/src/test/java/org/cranberrystand/dispatch/RegisterFleet.java
+++ b/org.cranberrystand/src/test/java/org/cranberrystand/dispatch/RegisterFleet.java
@@ -118,7 +118,7 @@
       crashes.add(new Crash(now, now - node.startNanos >= CONTACT));
       String upstream = nextUpstream();
       long at = now + OUTCOME_DELAY;
-      events.add(new Event(at, () -> node.register.crashed(keys, upstream, at, at)));
+      events.add(new Event(at, () -> node.register.crashed(keys, upstream, 0, at, at)));
     }
   }
 
@@ -138,7 +138,7 @@
     for (List<Long> keys : requests) {
       Node node = randomNode();
       if (tally.count(isSent(node, keys))) {
-        events.add(new Event(at, () -> node.register.crashed(keys, upstream, at, at)));
+        events.add(new Event(at, () -> node.register.crashed(keys, upstream, 0, at, at)));
       }
     }
   }
