Do not take an upstream for alive because a connection to it seems open

Cause: 0.1 s after a connection broke, one other that had not been closed was enough for the upstream to be alive. A connection that has fallen silent stays open without it.

Ruled out: responses that end with their connection; they are checked by a new connection.

Change: an upstream is alive if it has sent something since, or accepts a connection that stays open. One that refuses connections is not. One that closes them at once, or does not answer, is alive as far as it can be known if another connection is open, since it may accept no more. One check serves all requests that were lost together, so that there are not more connections than before.

Why it works: only bytes that arrive after the loss, or a listener, show a process.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/CrashDetector.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/CrashDetector.java
@@ -2,6 +2,10 @@
 
 import com.google.common.collect.ImmutableList;
 import io.netty.channel.EventLoop;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.cranberrystand.daemon.internal.EventLog;
 import org.cranberrystand.dispatch.CrashRegister;
@@ -19,6 +23,7 @@
   private static final String THIS_NODE = "this node";
 
   private final CrashRegister register = new CrashRegister();
+  private final Map<String, List<Suspect>> unconfirmedByIncarnation = new HashMap<>();
   private final EventLoop loop;
   private final UpstreamClient client;
   private final EventLog log;
@@ -36,38 +41,58 @@
   }
 
   /**
-   * Records that the connection of a request ended before its upstream sent anything of the answer.
+   * An attempt that may have crashed its upstream.
    *
    * @param upstream the upstream
-   * @param connectedNanos when the connection was opened
+   * @param connectedNanos when its connection was opened
+   * @param endedNanos when the connection was lost
    * @param keys what identifies the content of the request
-   * @param requestLog the log of the request
+   * @param log the log of the request
    */
-  void connectionBroken(
+  record Suspect(
       RegisteredUpstream upstream,
       long connectedNanos,
+      long endedNanos,
       ImmutableList<Long> keys,
-      RelayLog requestLog) {
-    long brokenNanos = System.nanoTime();
-    Runnable crashed = () -> crashed(upstream, connectedNanos, brokenNanos, keys, requestLog);
-    Runnable ruledOut = () -> requestLog.crashRuledOut(upstream, keys);
-    loop.schedule(
-            () -> client.checkAlive(upstream, alive -> (alive ? ruledOut : crashed).run()),
-            CONFIRMATION_MILLIS,
-            TimeUnit.MILLISECONDS)
-        .isDone();
-  }
-
-  private void crashed(
-      RegisteredUpstream upstream,
-      long connectedNanos,
-      long brokenNanos,
-      ImmutableList<Long> keys,
-      RelayLog requestLog) {
+      RelayLog log) {}
+
+  /** Records that the upstream of an attempt has crashed, unless it is found to run. */
+  void connectionBroken(Suspect suspect) {
+    String incarnation = suspect.upstream().incarnationKey();
+    List<Suspect> unconfirmed = unconfirmedByIncarnation.get(incarnation);
+    if (unconfirmed != null) {
+      unconfirmed.add(suspect);
+      return;
+    }
+    unconfirmedByIncarnation.put(incarnation, new ArrayList<>(List.of(suspect)));
+    loop.schedule(() -> confirm(incarnation), CONFIRMATION_MILLIS, TimeUnit.MILLISECONDS).isDone();
+  }
+
+  private void confirm(String incarnation) {
+    List<Suspect> suspects = unconfirmedByIncarnation.remove(incarnation);
+    Suspect last = suspects.get(suspects.size() - 1);
+    client.checkAlive(
+        last.upstream(),
+        last.endedNanos(),
+        alive -> suspects.forEach(alive ? this::ruledOut : this::crashed));
+  }
+
+  private void ruledOut(Suspect suspect) {
+    suspect.log().crashRuledOut(suspect.upstream(), suspect.keys());
+  }
+
+  private void crashed(Suspect suspect) {
+    ImmutableList<Long> keys = suspect.keys();
     ImmutableList<CrashRegister.Change> changes =
         register.crashed(
-            keys, upstream.incarnationKey(), connectedNanos, brokenNanos, System.nanoTime());
-    requestLog.crashSuspected(upstream, keys, keys.stream().map(register::crashCount).toList());
+            keys,
+            suspect.upstream().incarnationKey(),
+            suspect.connectedNanos(),
+            suspect.endedNanos(),
+            System.nanoTime());
+    suspect
+        .log()
+        .crashSuspected(suspect.upstream(), keys, keys.stream().map(register::crashCount).toList());
     apply(changes, THIS_NODE);
   }
 
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RequestContent.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RequestContent.java
@@ -65,8 +65,13 @@
 
   /** Records that the request may have crashed the upstream of an attempt. */
   void recordBroken(RelayAttempt broken) {
-    // Content that crashes upstreams does so before the first event.
-    ImmutableList<Long> suspects = broken.hasEvents() ? ImmutableList.of(keys.whole()) : keys.all();
-    crashes.connectionBroken(broken.upstream(), broken.connectedNanos(), suspects, log);
+    crashes.connectionBroken(
+        new CrashDetector.Suspect(
+            broken.upstream(), broken.connectedNanos(), System.nanoTime(), suspects(broken), log));
+  }
+
+  /** Returns the keys that may have crashed the upstream; parts do so before the first event. */
+  private ImmutableList<Long> suspects(RelayAttempt broken) {
+    return broken.hasEvents() ? ImmutableList.of(keys.whole()) : keys.all();
   }
 }
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/UpstreamClient.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/UpstreamClient.java
@@ -1,8 +1,6 @@
 package org.cranberrystand.daemon.gateway;
 
 import com.google.common.collect.HashMultimap;
-import com.google.common.collect.HashMultiset;
-import com.google.common.collect.Multiset;
 import com.google.common.collect.SetMultimap;
 import com.google.common.net.HostAndPort;
 import io.netty.bootstrap.Bootstrap;
@@ -11,10 +9,12 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestEncoder;
+import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -62,7 +62,27 @@
   /** Connections that become idle ones if they stay open for a moment. */
   private final SetMultimap<String, UpstreamConnection> probedConnections = HashMultimap.create();
 
-  private final Multiset<String> openConnections = HashMultiset.create();
+  private final SetMultimap<String, UpstreamConnection> openConnections = HashMultimap.create();
+
+  /** How an attempt ended to open a connection that stays open. */
+  private enum ProbeResult {
+    OPEN,
+
+    /** The upstream accepted the connection and closed it at once. */
+    CLOSED,
+
+    /** Nothing listens at the address. */
+    REFUSED,
+
+    /** There was no answer in time. */
+    FAILED;
+
+    static ProbeResult ofFailure(Throwable cause) {
+      boolean refused =
+          cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException);
+      return refused ? REFUSED : FAILED;
+    }
+  }
 
   /**
    * Creates a client without connections.
@@ -153,11 +173,11 @@
 
   /** Opens a connection to an upstream and keeps it for later requests. */
   void probe(RegisteredUpstream upstream) {
-    probe(upstream, connected -> {});
+    probe(upstream, result -> {});
   }
 
-  /** Finds out whether a connection can be opened that stays open, and keeps it. */
-  private void probe(RegisteredUpstream upstream, Consumer<Boolean> result) {
+  /** Tries to open a connection that stays open, and keeps it. */
+  private void probe(RegisteredUpstream upstream, Consumer<ProbeResult> result) {
     ChannelFuture connect = bootstrap.connect(socketAddress(upstream));
     whenEnded(
         connect,
@@ -166,7 +186,7 @@
           if (connect.isSuccess()) {
             confirm(upstream, open(upstream, connect.channel()), result);
           } else {
-            result.accept(false);
+            result.accept(ProbeResult.ofFailure(connect.cause()));
           }
         });
   }
@@ -181,7 +201,7 @@
   }
 
   private void confirm(
-      RegisteredUpstream upstream, UpstreamConnection connection, Consumer<Boolean> result) {
+      RegisteredUpstream upstream, UpstreamConnection connection, Consumer<ProbeResult> result) {
     probedConnections.put(upstream.id(), connection);
     loop.schedule(
         () -> {
@@ -191,7 +211,7 @@
           } else {
             connection.close();
           }
-          result.accept(usable);
+          result.accept(usable ? ProbeResult.OPEN : ProbeResult.CLOSED);
         },
         ACCEPTED_CONFIRMATION_MILLIS,
         TimeUnit.MILLISECONDS);
@@ -215,13 +235,13 @@
 
               @Override
               public void connectionClosed(UpstreamConnection closedConnection) {
-                openConnections.remove(id);
+                openConnections.remove(id, closedConnection);
                 removeIdle(id, closedConnection);
               }
 
               @Override
               public void checkAlive(Consumer<Boolean> result) {
-                probe(upstream, result);
+                probe(upstream, probed -> result.accept(probed == ProbeResult.OPEN));
               }
 
               @Override
@@ -232,17 +252,31 @@
             channel.pipeline().get(UpstreamResponseDecoder.class),
             channel);
     channel.pipeline().addLast(connection);
-    openConnections.add(id);
+    openConnections.put(id, connection);
     return connection;
   }
 
-  /** Finds out whether a connection to an upstream is open or can be opened. */
-  void checkAlive(RegisteredUpstream upstream, Consumer<Boolean> result) {
-    if (openConnections.contains(upstream.id())) {
+  /**
+   * Finds out whether the process of an upstream still runs. That a connection is open shows
+   * nothing, since it may have fallen silent; that one cannot be opened shows nothing either while
+   * others are open, unless nothing listens any more.
+   *
+   * @param upstream the upstream
+   * @param sinceNanos when it may have ended
+   * @param result receives the result
+   */
+  void checkAlive(RegisteredUpstream upstream, long sinceNanos, Consumer<Boolean> result) {
+    String id = upstream.id();
+    if (openConnections.get(id).stream().anyMatch(open -> open.hasReceivedSince(sinceNanos))) {
       result.accept(true);
-    } else {
-      probe(upstream, result);
+      return;
     }
+    probe(
+        upstream,
+        probed ->
+            result.accept(
+                probed == ProbeResult.OPEN
+                    || (probed != ProbeResult.REFUSED && openConnections.containsKey(id))));
   }
 
   private void addIdle(RegisteredUpstream upstream, UpstreamConnection connection) {
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/UpstreamConnection.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/UpstreamConnection.java
@@ -66,6 +66,7 @@
   private final Channel channel;
   private final CarriedRequests carried = new CarriedRequests();
   private final long openedNanos = System.nanoTime();
+  private long receivedNanos = openedNanos;
   private PendingRequest active;
   private boolean releasePending;
   private boolean untrusted;
@@ -159,6 +160,11 @@
     return carried.contains(requestId);
   }
 
+  /** Returns whether the upstream has sent anything since a time. */
+  boolean hasReceivedSince(long nanos) {
+    return receivedNanos - nanos > 0;
+  }
+
   /** Returns when the connection was opened, in nanoseconds. */
   long openedNanos() {
     return openedNanos;
@@ -175,6 +181,7 @@
 
   @Override
   public void channelRead(ChannelHandlerContext ctx, Object message) {
+    receivedNanos = System.nanoTime();
     try {
       if (active == null) {
         handleUnsolicitedData();
--- a/org.cranberrystand.daemon/src/test/java/org/cranberrystand/daemon/gateway/UpstreamClientTest.java
+++ b/org.cranberrystand.daemon/src/test/java/org/cranberrystand/daemon/gateway/UpstreamClientTest.java
@@ -1,6 +1,8 @@
 package org.cranberrystand.daemon.gateway;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -8,10 +10,12 @@
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.handler.codec.http.HttpResponse;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.cranberrystand.daemon.internal.EventLog;
@@ -65,6 +69,7 @@
     group = new NioEventLoopGroup(1);
     loop = group.next();
     server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+    server.setSoTimeout(READ_TIMEOUT_MILLIS);
   }
 
   @AfterMethod(alwaysRun = true)
@@ -115,4 +120,55 @@
     assertEquals(calls.poll(READ_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS), "sent");
     assertEquals(calls.poll(READ_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS), "connect failed");
   }
+
+  private RegisteredUpstream upstream() {
+    String address = "127.0.0.1:" + server.getLocalPort();
+    return new RegisteredUpstream(ID, "llm", address, "d", "v1", 4, 1, 0, false);
+  }
+
+  /** Opens a connection from the client, and returns the other end of it. */
+  private Socket openConnection() throws IOException {
+    client = new UpstreamClient(loop, null, pool -> 1, (upstream, connected) -> {}, LOG);
+    loop.execute(() -> client.probe(upstream()));
+    return server.accept();
+  }
+
+  private boolean isAlive(RegisteredUpstream upstream) throws Exception {
+    CompletableFuture<Boolean> result = new CompletableFuture<>();
+    loop.execute(() -> client.checkAlive(upstream, System.nanoTime(), result::complete));
+    return result.get(READ_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
+  /** Guards against taking an upstream that has ended for alive, because a connection is silent. */
+  @Test
+  public void upstreamThatRefusesConnectionsIsNotAlive() throws Exception {
+    try (Socket silent = openConnection()) {
+      RegisteredUpstream upstream = upstream();
+      server.close();
+
+      assertFalse(isAlive(upstream));
+      assertTrue(silent.isConnected());
+    }
+  }
+
+  /** Guards against taking an upstream for dead that accepts no more than some connections. */
+  @Test
+  public void upstreamThatClosesFurtherConnectionsIsAlive() throws Exception {
+    try (Socket open = openConnection()) {
+      Thread closing =
+          new Thread(
+              () -> {
+                try {
+                  server.accept().close();
+                } catch (IOException e) {
+                  throw new UncheckedIOException(e);
+                }
+              });
+      closing.start();
+
+      assertTrue(isAlive(upstream()));
+      closing.join();
+      assertTrue(open.isConnected());
+    }
+  }
 }
