Count the end of an upstream within the head of a response

Cause: a head that is cut by the end of the connection is malformed, which was taken for a violation of the protocol by an upstream that goes on.

Evidence: RepeatedCrashTest: upstreams that end after the first header line, or within it; before, the last of 10 sends still ends an upstream (502), order and stream; now it is refused after 3 ends. 3002 says 'malformed HTTP response' and no 5029 follows.

Ruled out: that every violation is an end; a connection that is still open when it is found shows that the upstream runs, and a check would open a connection for each.

Change: a violation that is found when the connection has ended is checked like any other lost connection.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/UpstreamConnection.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/UpstreamConnection.java
@@ -388,9 +388,12 @@
     fail(failed, cause, true);
   }
 
-  /** Fails a request whose upstream violated the protocol. */
+  /**
+   * Fails a request whose upstream violated the protocol, or closed the connection in the middle of
+   * a message.
+   */
   private void violated(PendingRequest failed, Throwable cause) {
-    fail(failed, cause, false);
+    fail(failed, cause, !channel.isActive());
   }
 
   private void fail(PendingRequest failed, Throwable cause, boolean endedByUpstream) {
