Count the end of an upstream whose request was given up just before

Cause: an attempt was forgotten when the node closed its connection. An upstream that ends a moment later shows that on no connection of the request any more.

Change: half a second after an attempt was given up, it is charged if this or another node has seen its upstream crash meanwhile. If the caller left and no connection to the upstream is there, or the content has crashes already, the node finds out whether anything listens at its address. Not for an upstream that was silent: a lost link looks the same, and the connection would be used by the next request.

Why it works: after half a second no upstream works on a request whose connection was closed, so an end that counts has happened by then. Sound requests cost a connection only where the node would have to open one for the next request.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/CrashDetector.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/CrashDetector.java
@@ -20,6 +20,9 @@
   /** All connections to an upstream that has crashed are closed within this time. */
   private static final long CONFIRMATION_MILLIS = 100;
 
+  /** By this time an upstream has stopped to work on a request whose connection was closed. */
+  private static final long GIVEN_UP_MILLIS = 500;
+
   private static final String THIS_NODE = "this node";
 
   private final CrashRegister register = new CrashRegister();
@@ -45,8 +48,8 @@
    *
    * @param upstream the upstream
    * @param connectedNanos when its connection was opened
-   * @param endedNanos when the connection was lost
-   * @param keys what identifies the content of the request
+   * @param endedNanos when the connection was lost or closed
+   * @param keys what identifies the content of the request, the key of the whole content first
    * @param log the log of the request
    */
   record Suspect(
@@ -68,6 +71,41 @@
     loop.schedule(() -> confirm(incarnation), CONFIRMATION_MILLIS, TimeUnit.MILLISECONDS).isDone();
   }
 
+  /**
+   * Records that this node gave up an attempt, because the caller left or the upstream took too
+   * long. The upstream may end because of it all the same, which no connection shows then.
+   *
+   * @param suspect the attempt
+   * @param mayConnect whether a connection may be opened to find out
+   */
+  void attemptGivenUp(Suspect suspect, boolean mayConnect) {
+    loop.schedule(() -> confirmGivenUp(suspect, mayConnect), GIVEN_UP_MILLIS, TimeUnit.MILLISECONDS)
+        .isDone();
+  }
+
+  private void confirmGivenUp(Suspect suspect, boolean mayConnect) {
+    RegisteredUpstream upstream = suspect.upstream();
+    boolean knownToEnd =
+        register.hasCrashed(
+            upstream.incarnationKey(), suspect.connectedNanos(), suspect.endedNanos());
+    if (knownToEnd) {
+      crashed(suspect);
+    } else if (mayConnect && (!client.isConnected(upstream) || isSuspicious(suspect.keys()))) {
+      client.checkListening(upstream, listening -> confirmed(suspect, listening));
+    }
+  }
+
+  /** Returns whether the content has crashes, so that a further one is worth a connection. */
+  private boolean isSuspicious(ImmutableList<Long> keys) {
+    return register.crashCount(keys.get(0)) > 0;
+  }
+
+  private void confirmed(Suspect suspect, boolean listening) {
+    if (!listening) {
+      crashed(suspect);
+    }
+  }
+
   private void confirm(String incarnation) {
     List<Suspect> suspects = unconfirmedByIncarnation.remove(incarnation);
     Suspect last = suspects.get(suspects.size() - 1);
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RequestContent.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RequestContent.java
@@ -3,6 +3,7 @@
 import com.google.common.collect.ImmutableList;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
+import org.cranberrystand.dispatch.CallEnding;
 import org.cranberrystand.dispatch.CrashRegister;
 
 /** The content of one request, which may crash upstreams. Used only on the event loop. */
@@ -63,15 +64,22 @@
     }
   }
 
-  /** Records that the request may have crashed the upstream of an attempt. */
+  /** Records that an attempt ended with its connection, and may have crashed its upstream. */
   void recordBroken(RelayAttempt broken) {
-    crashes.connectionBroken(
-        new CrashDetector.Suspect(
-            broken.upstream(), broken.connectedNanos(), System.nanoTime(), suspects(broken), log));
+    crashes.connectionBroken(suspect(broken));
   }
 
-  /** Returns the keys that may have crashed the upstream; parts do so before the first event. */
-  private ImmutableList<Long> suspects(RelayAttempt broken) {
-    return broken.hasEvents() ? ImmutableList.of(keys.whole()) : keys.all();
+  /** Records that an attempt is given up, and may still crash its upstream. */
+  void recordGivenUp(RelayAttempt givenUp, CallEnding ending) {
+    // A connection to an upstream that may be down would be used by the next request.
+    crashes.attemptGivenUp(suspect(givenUp), ending.isUpstreamReachable());
+  }
+
+  private CrashDetector.Suspect suspect(RelayAttempt attempt) {
+    // Parts of the prompt that crash upstreams do so before the first event.
+    ImmutableList<Long> suspects =
+        attempt.hasEvents() ? ImmutableList.of(keys.whole()) : keys.all();
+    return new CrashDetector.Suspect(
+        attempt.upstream(), attempt.connectedNanos(), System.nanoTime(), suspects, log);
   }
 }
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RequestRelay.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RequestRelay.java
@@ -251,6 +251,9 @@
 
   /** Cancels the attempt in progress, if any, and removes the request from the dispatcher. */
   private void endAttempt(CallEnding ending) {
+    if (attempts.isInProgress() && !atNode) {
+      content.recordGivenUp(attempt(), ending);
+    }
     attempts.cancelCurrent(ending);
     context.dispatcher().ended(spec.key(), ending, System.nanoTime());
   }
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/UpstreamClient.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/UpstreamClient.java
@@ -256,6 +256,11 @@
     return connection;
   }
 
+  /** Returns whether a connection to an upstream seems open. */
+  boolean isConnected(RegisteredUpstream upstream) {
+    return openConnections.containsKey(upstream.id());
+  }
+
   /**
    * Finds out whether the process of an upstream still runs. That a connection is open shows
    * nothing, since it may have fallen silent; that one cannot be opened shows nothing either while
@@ -279,6 +284,11 @@
                     || (probed != ProbeResult.REFUSED && openConnections.containsKey(id))));
   }
 
+  /** Finds out whether a process listens at the address of an upstream, as far as it answers. */
+  void checkListening(RegisteredUpstream upstream, Consumer<Boolean> result) {
+    probe(upstream, probed -> result.accept(probed != ProbeResult.REFUSED));
+  }
+
   private void addIdle(RegisteredUpstream upstream, UpstreamConnection connection) {
     Deque<UpstreamConnection> connections =
         idleConnections.computeIfAbsent(upstream.id(), i -> new ArrayDeque<>());
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CrashRegister.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CrashRegister.java
@@ -132,6 +132,19 @@
     return merge(keys.stream().map(key -> new Report(key, -1, crash)).toList(), true, nowNanos);
   }
 
+  /**
+   * Returns whether this or another node has seen the upstream of a connection crash about the time
+   * at which this node closed the connection, or later.
+   *
+   * @param incarnation the key of the incarnation of the upstream, as it is registered
+   * @param connectedNanos when the connection was opened
+   * @param closedNanos when it was closed
+   * @return true if a crash ended the process to which the connection was opened
+   */
+  public boolean hasCrashed(String incarnation, long connectedNanos, long closedNanos) {
+    return upstreams.hasCrashed(incarnation, connectedNanos, closedNanos);
+  }
+
   /**
    * Takes over what another node knows.
    *
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CrashedUpstreams.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CrashedUpstreams.java
@@ -31,13 +31,18 @@
    * @param atNanos when it was lost
    */
   int crashOf(String incarnation, long connectedNanos, long atNanos) {
+    int crash = next(incarnation, connectedNanos);
+    add(crash, atNanos);
+    return crash;
+  }
+
+  /** Returns the identity of the first crash after a connection was opened. */
+  private int next(String incarnation, long connectedNanos) {
     int start = 0;
     while (isKnownBefore(identity(incarnation, start), connectedNanos)) {
       start++;
     }
-    int crash = identity(incarnation, start);
-    add(crash, atNanos);
-    return crash;
+    return identity(incarnation, start);
   }
 
   private boolean isKnownBefore(int crash, long connectedNanos) {
@@ -54,4 +59,12 @@
   void add(int crash, long atNanos) {
     nanosByCrash.putIfAbsent(crash, atNanos);
   }
+
+  /**
+   * Returns whether a crash is known that ended a connection about when it was closed, or later.
+   */
+  boolean hasCrashed(String incarnation, long connectedNanos, long closedNanos) {
+    Long known = nanosByCrash.get(next(incarnation, connectedNanos));
+    return known != null && known - closedNanos >= -SAME_CRASH_NANOS;
+  }
 }
--- a/org.cranberrystand/src/test/java/org/cranberrystand/dispatch/CrashRegisterTest.java
+++ b/org.cranberrystand/src/test/java/org/cranberrystand/dispatch/CrashRegisterTest.java
@@ -383,4 +383,18 @@
 
     assertFalse(isRefused(register, KEY, 3 * SECOND));
   }
+
+  /**
+   * Guards against missing a crash, or counting another one, after this node gave an attempt up.
+   */
+  @Test
+  public void crashThatAnotherNodeSawEndsTheConnectionsBeforeIt() {
+    peer.crashed(ImmutableList.of(KEY), "a", 0, 5 * SECOND, 5 * SECOND);
+    tell(peer, register, 1, 5 * SECOND);
+
+    assertTrue(register.hasCrashed("a", SECOND, 5 * SECOND - SECOND / 2));
+    assertFalse(register.hasCrashed("a", 6 * SECOND, 6 * SECOND));
+    assertFalse(register.hasCrashed("a", SECOND, 7 * SECOND));
+    assertFalse(register.hasCrashed("b", SECOND, 4 * SECOND));
+  }
 }
