Find out whether an upstream crashed before another one gets the request

Callers: a request that ends upstreams and may be repeated ended two of them at a time, so six before it was refused.

Cause: the second attempt was sent as soon as the first connection broke, 0.1 s before it was known that the upstream had crashed. Both ends lie within 0.2 s, so they count as one, like those of a failure domain. And each further request had two attempts again, although the crashes of the one before were known.

Ruled out: refusing after two crashes; two losses are too common to refuse what is sound.

Change: an attempt that was lost at its start is repeated when it is known that the upstream runs, or 0.2 s after the loss, so that a second end counts by itself. Once an upstream has crashed with content, each request with it tries one upstream only, unless it has survived the start there. The first event does not show that yet: an upstream may end as it starts to run the request. So shared parts are cleared by the second event.

What it costs: a sound repeatable request whose connection breaks goes on 0.1 to 0.2 s later than before. Streams that have two events go on at once, as before.

The decisions about retries move from RequestRelay to RelayRetries.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/CrashDetector.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/CrashDetector.java
@@ -26,7 +26,7 @@
   private static final String THIS_NODE = "this node";
 
   private final CrashRegister register = new CrashRegister();
-  private final Map<String, List<Suspect>> unconfirmedByIncarnation = new HashMap<>();
+  private final Map<String, List<Unconfirmed>> unconfirmedByIncarnation = new HashMap<>();
   private final EventLoop loop;
   private final UpstreamClient client;
   private final EventLog log;
@@ -59,18 +59,51 @@
       ImmutableList<Long> keys,
       RelayLog log) {}
 
-  /** Records that the upstream of an attempt has crashed, unless it is found to run. */
-  void connectionBroken(Suspect suspect) {
+  private record Unconfirmed(Suspect suspect, Runnable repeat) {}
+
+  /**
+   * Records that the upstream of an attempt has crashed, unless it is found to run.
+   *
+   * @param suspect the attempt
+   * @param repeat called as soon as a further crash would count by itself
+   */
+  void connectionBroken(Suspect suspect, Runnable repeat) {
     String incarnation = suspect.upstream().incarnationKey();
-    List<Suspect> unconfirmed = unconfirmedByIncarnation.get(incarnation);
+    Unconfirmed added = new Unconfirmed(suspect, repeat);
+    List<Unconfirmed> unconfirmed = unconfirmedByIncarnation.get(incarnation);
     if (unconfirmed != null) {
-      unconfirmed.add(suspect);
+      unconfirmed.add(added);
       return;
     }
-    unconfirmedByIncarnation.put(incarnation, new ArrayList<>(List.of(suspect)));
+    unconfirmedByIncarnation.put(incarnation, new ArrayList<>(List.of(added)));
     loop.schedule(() -> confirm(incarnation), CONFIRMATION_MILLIS, TimeUnit.MILLISECONDS).isDone();
   }
 
+  private void confirm(String incarnation) {
+    List<Unconfirmed> unconfirmed = unconfirmedByIncarnation.remove(incarnation);
+    Suspect last = unconfirmed.get(unconfirmed.size() - 1).suspect();
+    client.checkAlive(
+        last.upstream(),
+        last.endedNanos(),
+        alive -> unconfirmed.forEach(alive ? this::ruledOut : this::crashed));
+  }
+
+  private void ruledOut(Unconfirmed unconfirmed) {
+    Suspect suspect = unconfirmed.suspect();
+    suspect.log().crashRuledOut(suspect.upstream(), suspect.keys());
+    unconfirmed.repeat().run();
+  }
+
+  private void crashed(Unconfirmed unconfirmed) {
+    crashed(unconfirmed.suspect());
+    long elapsedNanos = System.nanoTime() - unconfirmed.suspect().endedNanos();
+    loop.schedule(
+            unconfirmed.repeat(),
+            CrashRegister.MIN_SEPARATION_NANOS - elapsedNanos,
+            TimeUnit.NANOSECONDS)
+        .isDone();
+  }
+
   /**
    * Records that this node gave up an attempt, because the caller left or the upstream took too
    * long. The upstream may end because of it all the same, which no connection shows then.
@@ -97,7 +130,7 @@
 
   /** Returns whether the content has crashes, so that a further one is worth a connection. */
   private boolean isSuspicious(ImmutableList<Long> keys) {
-    return register.crashCount(keys.get(0)) > 0;
+    return crashCount(keys.get(0)) > 0;
   }
 
   private void confirmed(Suspect suspect, boolean listening) {
@@ -106,19 +139,6 @@
     }
   }
 
-  private void confirm(String incarnation) {
-    List<Suspect> suspects = unconfirmedByIncarnation.remove(incarnation);
-    Suspect last = suspects.get(suspects.size() - 1);
-    client.checkAlive(
-        last.upstream(),
-        last.endedNanos(),
-        alive -> suspects.forEach(alive ? this::ruledOut : this::crashed));
-  }
-
-  private void ruledOut(Suspect suspect) {
-    suspect.log().crashRuledOut(suspect.upstream(), suspect.keys());
-  }
-
   private void crashed(Suspect suspect) {
     ImmutableList<Long> keys = suspect.keys();
     ImmutableList<CrashRegister.Change> changes =
@@ -130,7 +150,7 @@
             System.nanoTime());
     suspect
         .log()
-        .crashSuspected(suspect.upstream(), keys, keys.stream().map(register::crashCount).toList());
+        .crashSuspected(suspect.upstream(), keys, keys.stream().map(this::crashCount).toList());
     apply(changes, THIS_NODE);
   }
 
@@ -188,6 +208,11 @@
     return register.judge(keys, System.nanoTime());
   }
 
+  /** Returns how many upstreams crashed without an answer to a request with a key in between. */
+  int crashCount(long key) {
+    return register.crashCount(key);
+  }
+
   /** Records that a request is sent to find out whether some of its keys crash upstreams. */
   void probeSent(ImmutableList<Long> keys) {
     register.probeSent(keys, System.nanoTime());
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RelayAttempt.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RelayAttempt.java
@@ -14,7 +14,7 @@
   private UpstreamExchange exchange;
   private boolean inProgress;
   private boolean responded;
-  private boolean hasEvents;
+  private int eventCount;
 
   /**
    * Creates an attempt that is not sent yet.
@@ -43,7 +43,7 @@
 
   /** Returns how long the upstream may be silent. */
   long silenceLimitMillis(Route route, long patienceMillis) {
-    return hasEvents
+    return hasEvents()
         ? SilencePolicy.eventLimitMillis(route.gapTargetMillis(), patienceMillis, placement)
         : SilencePolicy.firstResponseLimitMillis(route.targetMillis(), patienceMillis, placement);
   }
@@ -101,11 +101,19 @@
   }
 
   /** Records that events of a stream arrived. */
-  void setHasEvents() {
-    hasEvents = true;
+  void addEvents(int count) {
+    eventCount += count;
   }
 
   boolean hasEvents() {
-    return hasEvents;
+    return eventCount > 0;
+  }
+
+  /**
+   * Returns whether the upstream has survived the start of the request. With the first event, it
+   * may just be starting.
+   */
+  boolean hasSurvivedStart() {
+    return eventCount > 1;
   }
 }
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RelayAttempts.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RelayAttempts.java
@@ -25,6 +25,9 @@
   private RelayAttempt current;
   private int runCount;
 
+  /** Whether the current attempt, or one that may have run, is at another node. */
+  private boolean atNode;
+
   /**
    * Creates the attempts of a request that this node has not sent.
    *
@@ -72,6 +75,16 @@
     runCount--;
   }
 
+  /** Returns whether the current attempt, or one that may have run, is at another node. */
+  boolean isAtNode() {
+    return atNode;
+  }
+
+  /** Records that another node certainly did not run the request. */
+  void leaveNode() {
+    atNode = false;
+  }
+
   Set<String> triedUpstreams() {
     return triedUpstreams;
   }
@@ -79,6 +92,7 @@
   /** Sends the request to another node. */
   void sendToNode(
       RegisteredUpstream node, UpstreamClient client, ResponseAssembler.Receiver receiver) {
+    atNode = true;
     HttpRequest request = outgoing.toNode(remainingMillis(), runCount);
     current = begin(new RelayAttempt(node, null, newResponse(receiver)), client, request);
   }
@@ -89,6 +103,7 @@
       PlacementChoice choice,
       String lastEventId,
       ResponseAssembler.Receiver receiver) {
+    atNode = false;
     HttpRequest request = outgoing.toUpstream(upstream, remainingMillis(), lastEventId);
     current = begin(new RelayAttempt(upstream, choice, newResponse(receiver)), request);
   }
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RequestContent.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RequestContent.java
@@ -43,11 +43,15 @@
   }
 
   /**
-   * Returns whether the content may be sent to a further upstream after one that may have run it.
+   * Returns whether the content may be sent to a further upstream after an attempt that may have
+   * run. Once an upstream has crashed with it, each request may try one only.
    */
-  boolean mayRepeat() {
+  boolean mayRepeat(RelayAttempt attempt) {
     CrashRegister.Verdict verdict = crashes.judge(keys.all());
-    return !isProbe && verdict.refusalNanos() == 0 && verdict.probedKeys().isEmpty();
+    return !isProbe
+        && verdict.refusalNanos() == 0
+        && verdict.probedKeys().isEmpty()
+        && (attempt.hasSurvivedStart() || crashes.crashCount(keys.whole()) == 0);
   }
 
   /** Records that an upstream survived the shared parts of the prompt. */
@@ -64,9 +68,14 @@
     }
   }
 
-  /** Records that an attempt ended with its connection, and may have crashed its upstream. */
-  void recordBroken(RelayAttempt broken) {
-    crashes.connectionBroken(suspect(broken));
+  /**
+   * Records that an attempt ended with its connection, and may have crashed its upstream.
+   *
+   * @param broken the attempt
+   * @param repeat called once another upstream may get the request, as far as this attempt goes
+   */
+  void recordBroken(RelayAttempt broken, Runnable repeat) {
+    crashes.connectionBroken(suspect(broken), repeat);
   }
 
   /** Records that an attempt is given up, and may still crash its upstream. */
@@ -76,9 +85,9 @@
   }
 
   private CrashDetector.Suspect suspect(RelayAttempt attempt) {
-    // Parts of the prompt that crash upstreams do so before the first event.
+    // Parts of the prompt that crash upstreams do so at the start.
     ImmutableList<Long> suspects =
-        attempt.hasEvents() ? ImmutableList.of(keys.whole()) : keys.all();
+        attempt.hasSurvivedStart() ? ImmutableList.of(keys.whole()) : keys.all();
     return new CrashDetector.Suspect(
         attempt.upstream(), attempt.connectedNanos(), System.nanoTime(), suspects, log);
   }
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RequestHedge.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RequestHedge.java
@@ -26,6 +26,7 @@
   private final RelayContext context;
   private final RequestRelay relay;
   private final RelayAttempts attempts;
+  private final RelayRetries retries;
   private final ResponseAssembler.Receiver receiver;
   private final RequestContent content;
   private final CallSpec spec;
@@ -45,6 +46,7 @@
    * @param context the components that all requests share
    * @param relay the relay of the request
    * @param attempts sends the attempts of the request
+   * @param retries decides whether the request may be repeated
    * @param receiver receives the response once the hedge is the attempt of the relay
    * @param content the content of the request
    * @param spec the request
@@ -54,6 +56,7 @@
       RelayContext context,
       RequestRelay relay,
       RelayAttempts attempts,
+      RelayRetries retries,
       ResponseAssembler.Receiver receiver,
       RequestContent content,
       CallSpec spec,
@@ -61,6 +64,7 @@
     this.context = context;
     this.relay = relay;
     this.attempts = attempts;
+    this.retries = retries;
     this.receiver = receiver;
     this.content = content;
     this.spec = spec;
@@ -101,7 +105,7 @@
     HedgeTarget target =
         context.dispatcher().findHedgeTarget(spec, first.upstream(), now).orElse(null);
     // The retry is taken last, since it cannot be returned.
-    if (target == null || !relay.tryAcquireRetry()) {
+    if (target == null || !retries.tryAcquire()) {
       return;
     }
     policy().hedgeSent(pool, now);
@@ -276,7 +280,7 @@
       receiver.streamEnded(response, insideEvent);
     } else {
       attempt.ended();
-      content.recordBroken(attempt);
+      content.recordBroken(attempt, () -> {});
       end(CallEnding.FAILED, FAILED);
     }
   }
@@ -314,7 +318,7 @@
     }
     attempt.ended();
     if (endedByUpstream) {
-      content.recordBroken(attempt);
+      content.recordBroken(attempt, () -> {});
     }
     log.broken(attempt.upstream(), "answer", cause);
     end(CallEnding.BROKEN, "broken");
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RequestRelay.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RequestRelay.java
@@ -22,14 +22,10 @@
  * have run it. Used only on the event loop.
  */
 final class RequestRelay implements CallerExchange.Listener {
-  /** With more attempts that upstreams refuse or that fail to connect, the node gives up. */
-  private static final int MAX_ATTEMPTS_WITHOUT_RUN = 4;
-
-  /** With less time left, a retry would not finish before the deadline. */
-  private static final long MIN_RETRY_MILLIS = 50;
-
   private static final long RETRY_AFTER_MILLIS = 300;
 
+  private static final String CONNECTION_BROKE = "connection broke";
+
   static final String ANSWERED = "answered";
   static final String CALLER_GONE = "caller-gone";
 
@@ -46,14 +42,10 @@
   private final RelayLog log;
   private final RequestHedge hedge;
   private final CallerResponse response;
+  private final RelayRetries retries;
   private final ResponseForwarder forwarder = new ResponseForwarder();
 
   private CallSpec spec;
-  private int attemptsWithoutRun;
-
-  /** Whether the current attempt, or one that may have run, is at another node. */
-  private boolean atNode;
-
   private long refusalPauseMillis;
   private boolean done;
   private long lastByteNanos;
@@ -78,8 +70,9 @@
     this.log = new RelayLog(context.log(), caller.requestId(), route, team, spec.arrivalNanos());
     this.content =
         new RequestContent(context.crashes(), ContentKeys.of(exchange, caller, team), log);
-    this.hedge = new RequestHedge(context, this, attempts, forwarder, content, spec, log);
     this.response = new CallerResponse(exchange, context.headerCodec(), caller.lastEventId());
+    this.retries = new RelayRetries(context.retries(), route, spec, attempts, content, response);
+    this.hedge = new RequestHedge(context, this, attempts, retries, forwarder, content, spec, log);
   }
 
   /** Submits the request to the dispatcher. */
@@ -111,7 +104,6 @@
   private void sendToNode(RegisteredUpstream node) {
     // The other node charges the request.
     quota.refund();
-    atNode = true;
     log.forwarded(node, attempts.runCount());
     attempts.sendToNode(node, forwarding.client(), forwarder);
   }
@@ -156,7 +148,6 @@
 
   /** Sends the request to the upstream that the dispatcher selected. */
   void send(RegisteredUpstream chosen, PlacementChoice choice) {
-    atNode = false;
     log.placed(chosen, choice, attempts.runCount() + 1, content.wholeKey());
     attempts.sendToUpstream(chosen, choice, response.lastEventId(), forwarder);
     if (route.isRetryable()) {
@@ -251,7 +242,7 @@
 
   /** Cancels the attempt in progress, if any, and removes the request from the dispatcher. */
   private void endAttempt(CallEnding ending) {
-    if (attempts.isInProgress() && !atNode) {
+    if (attempts.isInProgress() && !attempts.isAtNode()) {
       content.recordGivenUp(attempt(), ending);
     }
     attempts.cancelCurrent(ending);
@@ -280,7 +271,7 @@
   private final class Silence implements SilenceTimer.Watched {
     @Override
     public long silentMillis() {
-      return done || !attempts.isInProgress() || atNode
+      return done || !attempts.isInProgress() || attempts.isAtNode()
           ? -1
           : millis(attempt().response().silentNanos());
     }
@@ -297,7 +288,7 @@
           !hedge.isInProgress()
               && (context.dispatcher().canMove(spec, attempt().upstream().id(), System.nanoTime())
                   || chooseNode().isPresent());
-      boolean moves = canMove && tryAcquireRetry();
+      boolean moves = canMove && retries.tryAcquire();
       if (moves) {
         hedge.firstAttemptLasted(attempt());
         endAttempt(CallEnding.SILENT);
@@ -307,21 +298,16 @@
     }
   }
 
-  /**
-   * Takes a retry from the allowance if a request that may have run may be sent to another
-   * upstream.
-   */
-  boolean tryAcquireRetry() {
-    // Without the identifier of the last event, another attempt would restart the stream.
-    boolean resumable = !response.isStarted() || response.lastEventId() != null;
-    return route.isRetryable()
-        && resumable
-        // Another node may have sent the request to as many upstreams as allowed.
-        && !atNode
-        && content.mayRepeat()
-        && attempts.runCount() < route.maxAttempts()
-        && millis(spec.deadlineNanos() - System.nanoTime()) > MIN_RETRY_MILLIS
-        && context.retries().tryAcquire(spec.pool());
+  /** Sends the request to another upstream after it was checked whether the last one crashed. */
+  private void retryAfterCheck() {
+    if (done || refuseIfQuarantined()) {
+      return;
+    }
+    if (retries.tryAcquireAfterCheck()) {
+      retry(CONNECTION_BROKE);
+    } else {
+      fail(HttpResponseStatus.BAD_GATEWAY, CONNECTION_BROKE);
+    }
   }
 
   private void retry(String cause) {
@@ -347,7 +333,7 @@
 
     @Override
     public void headReceived(ResponseHeaders headers) {
-      if (atNode) {
+      if (attempts.isAtNode()) {
         refusalPauseMillis = headers.pause().map(PauseRequest::millis).orElse(RETRY_AFTER_MILLIS);
       } else {
         context.signals().received(attempt().upstream(), headers, attempt().sentNanos());
@@ -375,7 +361,7 @@
     public void connectFailed(Throwable cause) {
       attempts.notRun();
       forwarding.unreachable();
-      atNode = false;
+      attempts.leaveNode();
       endAttempt(CallEnding.UNREACHABLE);
       log.broken(attempt().upstream(), "connect", cause);
       if (!hedge.takeOver()) {
@@ -393,14 +379,15 @@
         return;
       }
       response.arrived(lastByteNanos);
-      if (!response.isStarted() && !atNode) {
+      if (!response.isStarted() && !attempts.isAtNode()) {
         bindToVersion();
       }
-      if (!attempt().hasEvents()) {
+      boolean survivedBefore = attempt().hasSurvivedStart();
+      attemptResponded();
+      attempt().addEvents(count);
+      if (!survivedBefore && attempt().hasSurvivedStart()) {
         content.partsAnswered();
-        attemptResponded();
       }
-      attempt().setHasEvents();
       context.dispatcher().eventsReceived(spec.key(), count, lastByteNanos);
       startResponse(received);
       response.sendEvents(events, eventId);
@@ -455,14 +442,15 @@
     @Override
     public void streamEnded(ResponseAssembler received, boolean insideEvent) {
       attempt().ended();
-      if (!attempt().hasEvents()) {
-        recordBroken();
-      }
+      boolean isSuspect = !attempt().hasEvents();
       if (insideEvent || !response.isStarted()) {
         // An upstream that stops within an event, or before the first one, did not finish.
-        retryOrFail("incomplete stream", CallEnding.FAILED);
+        retryOrFail("incomplete stream", CallEnding.FAILED, isSuspect);
         return;
       }
+      if (isSuspect && !attempts.isAtNode()) {
+        content.recordBroken(attempt(), () -> {});
+      }
       recordAnswer(received);
       recordEnding(CallEnding.ANSWERED);
       end(ANSWERED, received.status().code());
@@ -483,7 +471,7 @@
         body.release();
         recordEnding(CallEnding.FAILED);
         hedge.takeOver();
-      } else if (serverError && tryAcquireRetry()) {
+      } else if (serverError && retries.tryAcquire()) {
         recordAnswer(received);
         body.release();
         recordEnding(CallEnding.FAILED);
@@ -495,7 +483,7 @@
 
     private void handleNotRun(ResponseAssembler received, ByteBuf body) {
       attempts.notRun();
-      if (!atNode) {
+      if (!attempts.isAtNode()) {
         context.signals().refused(attempt().upstream());
       }
       recordEnding(CallEnding.NOT_RUN);
@@ -503,7 +491,7 @@
         body.release();
         return;
       }
-      if (atNode) {
+      if (attempts.isAtNode()) {
         body.release();
         refusedByNode(received.status());
         return;
@@ -517,7 +505,7 @@
     }
 
     private void refusedByNode(HttpResponseStatus status) {
-      atNode = false;
+      attempts.leaveNode();
       if (status.equals(HttpResponseStatus.TOO_MANY_REQUESTS)) {
         refuse(NotRunReason.TEAM_LIMIT, refusalPauseMillis);
       } else if (forwarding.refusedByNode()) {
@@ -540,16 +528,24 @@
     @Override
     public void connectionBroken(Throwable cause, boolean endedByUpstream) {
       attempt().ended();
-      if (endedByUpstream) {
-        recordBroken();
-      }
       log.broken(attempt().upstream(), "answer", cause);
-      retryOrFail("connection broke", CallEnding.BROKEN);
+      retryOrFail(CONNECTION_BROKE, CallEnding.BROKEN, endedByUpstream);
     }
 
-    private void recordBroken() {
-      if (!atNode) {
-        content.recordBroken(attempt());
+    /** Retries or fails the request after an attempt that may have crashed its upstream. */
+    private void retryOrFail(String cause, CallEnding ending, boolean isSuspect) {
+      if (!isSuspect || attempts.isAtNode()) {
+        retryOrFail(cause, ending);
+        return;
+      }
+      RelayAttempt broken = attempt();
+      boolean waits = !broken.hasSurvivedStart() && !hedge.isInProgress() && retries.mayRepeat();
+      if (waits) {
+        recordEnding(ending);
+        content.recordBroken(broken, RequestRelay.this::retryAfterCheck);
+      } else {
+        content.recordBroken(broken, () -> {});
+        retryOrFail(cause, ending);
       }
     }
 
@@ -558,7 +554,7 @@
       if (hedge.takeOver()) {
         return;
       }
-      if (tryAcquireRetry()) {
+      if (retries.tryAcquire()) {
         retry(cause);
       } else {
         fail(HttpResponseStatus.BAD_GATEWAY, cause);
@@ -570,7 +566,7 @@
     }
 
     private void recordAnswer(ResponseAssembler received) {
-      if (!received.isNotRun() && !atNode) {
+      if (!received.isNotRun() && !attempts.isAtNode()) {
         content.answered(attempt(), received.status());
       }
     }
@@ -578,9 +574,7 @@
 
   /** Submits a request again that was refused or could not be sent. */
   private void retryNotRun(String cause, boolean sent) {
-    attemptsWithoutRun++;
-    if (attemptsWithoutRun > MAX_ATTEMPTS_WITHOUT_RUN
-        || (sent && !context.retries().tryAcquire(spec.pool()))) {
+    if (!retries.tryAcquireNotRun(sent)) {
       refuse(NotRunReason.REFUSED, RETRY_AFTER_MILLIS);
       return;
     }
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CrashEvidence.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CrashEvidence.java
@@ -21,9 +21,6 @@
   /** An upstream runs many requests at a time, so two crashes may be a coincidence. */
   private static final int CRASHES_TO_SUSPECT = 3;
 
-  /** Crashes that are closer have a common cause, such as a failure domain that was lost. */
-  private static final long MIN_SEPARATION_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
-
   /** Doubles with each further crash. */
   private static final long REFUSAL_NANOS = TimeUnit.SECONDS.toNanos(120);
 
@@ -162,7 +159,8 @@
   private List<Long> separateCrashes() {
     List<Long> separate = new ArrayList<>();
     for (long crash : sortedCrashes()) {
-      if (separate.isEmpty() || crash - separate.get(separate.size() - 1) >= MIN_SEPARATION_NANOS) {
+      if (separate.isEmpty()
+          || crash - separate.get(separate.size() - 1) >= CrashRegister.MIN_SEPARATION_NANOS) {
         separate.add(crash);
       }
     }
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CrashRegister.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CrashRegister.java
@@ -28,6 +28,12 @@
  * thread-safe.
  */
 public final class CrashRegister {
+  /**
+   * Crashes that are closer have a common cause, such as a failure domain that was lost, and count
+   * as one; in nanoseconds.
+   */
+  public static final long MIN_SEPARATION_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
+
   /** An upstream crashes within this time if it crashes because of a request. */
   private static final long PROBE_NANOS = TimeUnit.SECONDS.toNanos(1);
 
