Ask again whether content is refused before a request is sent on

Callers: a request that an upstream refused, or that waited for its upstream to be verified, was sent to another one although its content had come to be refused (BUDGET).

Cause: the register was asked when a request arrived, and for those that wait when a key became suspected. What was at an upstream at that moment was in neither group, and what is accepted again, and explained the crashes of other content, changes what is refused too.

Evidence: RepeatedCrashTest: a stream that its upstream refuses after three others have ended; before, it was sent on and ended a fourth (504), now it gets 503.

Change: the register is asked before each retry and each verified placement, and waiting requests are looked at after every change.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/ContinuedPlacements.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/ContinuedPlacements.java
@@ -58,7 +58,9 @@
           }
           if (isRegistered) {
             pendingByKey.remove(call.key());
-            relay.send(upstream, choice);
+            if (!relay.refuseIfQuarantined()) {
+              relay.send(upstream, choice);
+            }
           } else {
             reject(relay, call, upstream, pending);
           }
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/CrashDetector.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/CrashDetector.java
@@ -38,7 +38,7 @@
     this.log = log;
   }
 
-  /** Sets what to call when further content is suspected. */
+  /** Sets what to call when other content is refused than before. */
   void setRefusalListener(Runnable listener) {
     refusalListener = listener;
   }
@@ -169,12 +169,10 @@
     apply(register.reported(reports, System.nanoTime()), peer);
   }
 
-  /** Logs what has changed, and has waiting requests refused if further content is suspected. */
+  /** Logs what has changed, and has the requests refused that must not be sent any more. */
   private void apply(ImmutableList<CrashRegister.Change> changes, String source) {
-    boolean suspected = false;
     for (CrashRegister.Change change : changes) {
       if (change.kind() == CrashRegister.ChangeKind.SUSPECTED) {
-        suspected = true;
         logSuspected(change, source);
       } else {
         log.write(
@@ -182,7 +180,8 @@
             fields(change) + " cause=" + change.kind() + " source=" + source);
       }
     }
-    if (suspected) {
+    if (!changes.isEmpty()) {
+      // What is accepted again may have explained the crashes of other content.
       refusalListener.run();
     }
   }
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RequestRelay.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RequestRelay.java
@@ -311,6 +311,9 @@
   }
 
   private void retry(String cause) {
+    if (refuseIfQuarantined()) {
+      return;
+    }
     log.repeated(attempt().upstream(), attempts.runCount(), cause);
     attempts.releaseResponse();
     if (forward()) {
