Count the end of an upstream that shows only in its next registration

Cause: an end counted only if a connection showed it. A silent upstream looks like one behind a lost link, and one that is back accepts connections.

Evidence: RepeatedCrashTest: an order under which upstreams fall silent and register with a new start; before, the last of 4 sends ran into its time limit again (504), now it is refused after 3.

Ruled out: counting every silent upstream.

Change: for ten seconds, attempts without an answer are remembered. If another process registers meanwhile under the Id or at the address of their upstream, that has ended, and they are charged.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/CrashDetector.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/CrashDetector.java
@@ -2,7 +2,9 @@
 
 import com.google.common.collect.ImmutableList;
 import io.netty.channel.EventLoop;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -23,10 +25,19 @@
   /** By this time an upstream has stopped to work on a request whose connection was closed. */
   private static final long GIVEN_UP_MILLIS = 500;
 
+  /** An upstream that falls silent as it crashes is registered again within this time. */
+  private static final long UNEXPLAINED_NANOS = TimeUnit.SECONDS.toNanos(10);
+
+  private static final int MAX_UNEXPLAINED = 1_024;
+
   private static final String THIS_NODE = "this node";
 
   private final CrashRegister register = new CrashRegister();
   private final Map<String, List<Unconfirmed>> unconfirmedByIncarnation = new HashMap<>();
+
+  /** Attempts without an answer whose upstreams are not known to have crashed, the oldest first. */
+  private final Deque<Suspect> unexplained = new ArrayDeque<>();
+
   private final EventLoop loop;
   private final UpstreamClient client;
   private final EventLog log;
@@ -57,7 +68,19 @@
       long connectedNanos,
       long endedNanos,
       ImmutableList<Long> keys,
-      RelayLog log) {}
+      RelayLog log) {
+
+    /** Returns whether the process that registered took the place of that of the attempt. */
+    private boolean isReplacedBy(RegisteredUpstream registered) {
+      boolean otherStart =
+          upstream.startedAtMillis() > 0
+              && registered.startedAtMillis() > 0
+              && upstream.startedAtMillis() != registered.startedAtMillis();
+      return upstream.id().equals(registered.id())
+          ? otherStart
+          : upstream.address().equals(registered.address());
+    }
+  }
 
   private record Unconfirmed(Suspect suspect, Runnable repeat) {}
 
@@ -68,6 +91,7 @@
    * @param repeat called as soon as a further crash would count by itself
    */
   void connectionBroken(Suspect suspect, Runnable repeat) {
+    addUnexplained(suspect);
     String incarnation = suspect.upstream().incarnationKey();
     Unconfirmed added = new Unconfirmed(suspect, repeat);
     List<Unconfirmed> unconfirmed = unconfirmedByIncarnation.get(incarnation);
@@ -94,6 +118,25 @@
     unconfirmed.repeat().run();
   }
 
+  private void addUnexplained(Suspect suspect) {
+    if (unexplained.size() >= MAX_UNEXPLAINED) {
+      unexplained.removeFirst();
+    }
+    unexplained.addLast(suspect);
+  }
+
+  /**
+   * Records that an upstream is registered. If another process ran in its place, that has ended
+   * since, even if no connection showed it.
+   */
+  void registered(RegisteredUpstream upstream) {
+    long oldestNanos = System.nanoTime() - UNEXPLAINED_NANOS;
+    unexplained.removeIf(suspect -> suspect.endedNanos() - oldestNanos < 0);
+    List<Suspect> ended =
+        unexplained.stream().filter(suspect -> suspect.isReplacedBy(upstream)).toList();
+    ended.forEach(this::crashed);
+  }
+
   private void crashed(Unconfirmed unconfirmed) {
     crashed(unconfirmed.suspect());
     long elapsedNanos = System.nanoTime() - unconfirmed.suspect().endedNanos();
@@ -112,6 +155,7 @@
    * @param mayConnect whether a connection may be opened to find out
    */
   void attemptGivenUp(Suspect suspect, boolean mayConnect) {
+    addUnexplained(suspect);
     loop.schedule(() -> confirmGivenUp(suspect, mayConnect), GIVEN_UP_MILLIS, TimeUnit.MILLISECONDS)
         .isDone();
   }
@@ -140,6 +184,7 @@
   }
 
   private void crashed(Suspect suspect) {
+    unexplained.remove(suspect);
     ImmutableList<Long> keys = suspect.keys();
     ImmutableList<CrashRegister.Change> changes =
         register.crashed(
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/FleetState.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/FleetState.java
@@ -39,6 +39,7 @@
   private final ColdUpstreams cold;
   private final UpstreamClient client;
   private final UpstreamVerifier verifier;
+  private final CrashDetector crashes;
   private final GatewayMetrics metrics;
   private final EventLog log;
   private final UpstreamRegistry registry = new UpstreamRegistry(MonotonicClock.system());
@@ -64,9 +65,11 @@
       ColdUpstreams cold,
       UpstreamClient client,
       UpstreamVerifier verifier,
+      CrashDetector crashes,
       GatewayMetrics metrics,
       EventLog log) {
     this.verifier = verifier;
+    this.crashes = crashes;
     this.decoder = decoder;
     this.dispatcher = dispatcher;
     this.cold = cold;
@@ -118,6 +121,7 @@
     registry.replaceEvacuations(evacuations, System.nanoTime());
     registry.replaceAll(listed, System.nanoTime());
     listed.forEach(upstream -> versions.registered(upstream, System.nanoTime()));
+    listed.forEach(crashes::registered);
     applyUpstreams("list");
   }
 
@@ -143,6 +147,7 @@
         registry.registered(upstream);
         versions.registered(upstream, System.nanoTime());
         verifier.registered(upstream);
+        crashes.registered(upstream);
       }
       registered.clear();
       evacuations.forEach(registry::evacuationStarted);
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Gateway.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Gateway.java
@@ -139,7 +139,8 @@
     this.crashes = new CrashDetector(loop, client, log);
     crashes.setRefusalListener(admission::refuseQuarantined);
     ColdUpstreams cold = new ColdUpstreams(settings.limits().coldTolerance());
-    this.fleet = new FleetState(ports.decoder(), dispatcher, cold, client, verifier, metrics, log);
+    this.fleet =
+        new FleetState(ports.decoder(), dispatcher, cold, client, verifier, crashes, metrics, log);
     this.reach =
         new ReachMonitor(dispatcher, client, fleet, metrics, log, admission::forwardWaiting);
     this.callers = new CallerServer(loop, this::callerLimits, admission::handleRequest);
