Answer every request before a planned stop ends, and take none that cannot end

Cause: whether a request is taken was decided by the time since the start of the stop alone (3 s), as it arrived. How long it may last, that it waits for a slot until later, and what it gets if it is still there at the end, was not asked. The time was counted from when the event loop came to it.

Evidence: LateRequestTest, grace 4 s, a silent upstream. Before, the connection is closed without a byte for a stream and a resumable one after 1.4 s, and for each kind of request after 2.7 s, also one that another node forwards; now those that were sent get 502 or 504, the others 503 with Retry-After, and the upstream sees none of them.

Ruled out: requests whose body arrives late. They are judged when they are whole.

Change: ShutdownPolicy sends a request if its time limit is over before the node ends. What waits is looked at again every 0.1 s, also for each forwarded request. 0.75 s before the end of the grace, what was sent gets 502 and what never was 503; started streams are cut, as before. The time counts from the signal. Another node is not asked to run the request: its answer would pass through this one.

Why it works: after the last answers there is no request left when connections close.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Admission.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Admission.java
@@ -40,7 +40,9 @@
   private static final long FIRST_EVENT_WAIT_TARGETS = 4;
   private static final long FIRST_EVENT_WAIT_GAPS = 8;
 
-  private static final long LEAVING_RETRY_MILLIS = 50;
+  /** Another node can serve the request at once. */
+  static final long LEAVING_RETRY_MILLIS = 50;
+
   private static final long QUOTA_RETRY_MILLIS = 1_000;
 
   /** Another node may know the stream, or this one may have just started. */
@@ -95,13 +97,13 @@
       rejectNotRun(exchange, caller, NotRunReason.NOT_READY, NOT_READY_RETRY_MILLIS, "");
       return;
     }
-    if (context.refusingRequests().get()) {
-      rejectNotRun(exchange, caller, NotRunReason.LEAVING, LEAVING_RETRY_MILLIS, "");
-      return;
-    }
     HttpRequest request = exchange.request();
     RouteMatch match = table.find(host(request), path(request), caller.apiKey());
     if (match instanceof RouteMatch.Matched matched) {
+      if (!context.shutdown().maySend(matched.route(), deadlineNanos(caller, matched.route()))) {
+        rejectNotRun(exchange, caller, NotRunReason.LEAVING, LEAVING_RETRY_MILLIS, "");
+        return;
+      }
       findOrigin(exchange, caller, matched.route(), matched.team());
     } else if (match instanceof RouteMatch.KeyRefused) {
       deny(exchange, caller, HttpResponseStatus.UNAUTHORIZED, "no team holds the key", table);
@@ -115,6 +117,16 @@
     ImmutableList.copyOf(relays.values()).forEach(RequestRelay::refuseIfQuarantined);
   }
 
+  /** Refuses the requests that have not been sent and cannot end before the gateway does. */
+  void refuseLate() {
+    ImmutableList.copyOf(relays.values()).forEach(RequestRelay::refuseIfLate);
+  }
+
+  /** Gives all requests their final answer, before the gateway ends. */
+  void endAll() {
+    ImmutableList.copyOf(relays.values()).forEach(RequestRelay::endWithNode);
+  }
+
   /** Forwards the requests that wait for pools which this node does not reach. */
   void forwardWaiting() {
     ImmutableList.copyOf(relays.values()).forEach(RequestRelay::forwardWaiting);
@@ -298,6 +310,10 @@
         .build();
   }
 
+  private static long deadlineNanos(CallerHeaders caller, Route route) {
+    return System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(waitMillis(caller, route));
+  }
+
   private static long waitMillis(CallerHeaders caller, Route route) {
     return caller.waitMillis() > 0
         ? Math.min(caller.waitMillis(), route.timeoutMillis())
@@ -365,8 +381,7 @@
                 + retryAfterMillis
                 + inputs);
     context.metrics().recordRejected(reason.status());
-    ErrorResponses.write(
-        exchange, HttpResponseStatus.valueOf(reason.status()), reason.label(), retryAfterMillis);
+    ErrorResponses.refuse(exchange, reason, retryAfterMillis);
   }
 
   @Override
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/CallerConnection.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/CallerConnection.java
@@ -31,6 +31,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
+import org.cranberrystand.outcome.NotRunReason;
 import org.cranberrystand.routing.CallerLimits;
 
 /**
@@ -76,6 +77,7 @@
   private ByteBuf body;
   private boolean readingBody;
   private boolean responding;
+  private boolean responseBegun;
   private boolean closeAfterResponse;
   private Listener listener;
   private long lastActivityNanos = System.nanoTime();
@@ -254,6 +256,7 @@
   }
 
   private void prepare(HttpResponse response) {
+    responseBegun = true;
     closeAfterResponse |=
         owner.isClosingConnections() || request == null || !HttpUtil.isKeepAlive(request);
     if (closeAfterResponse) {
@@ -281,6 +284,7 @@
     releaseBody();
     listener = null;
     responding = false;
+    responseBegun = false;
     request = null;
     lastActivityNanos = System.nanoTime();
     if (closeAfterResponse) {
@@ -369,6 +373,17 @@
     }
   }
 
+  /** Refuses the request if it was received and no response to it was begun. */
+  void refusePending() {
+    if (responding && !responseBegun) {
+      Listener notified = listener;
+      ErrorResponses.refuse(this, NotRunReason.LEAVING, Admission.LEAVING_RETRY_MILLIS);
+      if (notified != null) {
+        notified.callerDisconnected();
+      }
+    }
+  }
+
   void close() {
     channel.close();
   }
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/CallerServer.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/CallerServer.java
@@ -121,6 +121,11 @@
     List.copyOf(connections).forEach(CallerConnection::closeIfIdle);
   }
 
+  /** Refuses the requests that were received and not handled yet. */
+  void refusePending() {
+    List.copyOf(connections).forEach(CallerConnection::refusePending);
+  }
+
   /** Returns whether a caller has yet to read a part of a response. */
   boolean hasUnsentResponses() {
     return connections.stream().anyMatch(CallerConnection::hasUnsentResponse);
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/ErrorResponses.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/ErrorResponses.java
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.Locale;
+import org.cranberrystand.outcome.NotRunReason;
 import org.cranberrystand.wire.Json;
 import org.cranberrystand.wire.http.ProblemDocument;
 
@@ -18,6 +19,17 @@
 
   private ErrorResponses() {}
 
+  /**
+   * Responds that a request did not run.
+   *
+   * @param exchange the request
+   * @param reason the reason
+   * @param retryAfterMillis when the caller may come again, in milliseconds
+   */
+  static void refuse(CallerExchange exchange, NotRunReason reason, long retryAfterMillis) {
+    write(exchange, HttpResponseStatus.valueOf(reason.status()), reason.label(), retryAfterMillis);
+  }
+
   /**
    * Responds to a request with a problem document.
    *
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Gateway.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Gateway.java
@@ -179,7 +179,7 @@
         versions,
         verifier,
         fleet::routing,
-        shutdown::isRefusingRequests,
+        shutdown,
         lag,
         log,
         metrics);
@@ -558,8 +558,9 @@
    */
   public CompletionStage<Void> shutDownGracefully() {
     log.write(LogEvent.NODE_DRAINING, "waiting=" + dispatcher.waitingCount());
+    long requestedNanos = System.nanoTime();
     CompletableFuture<Void> finished = new CompletableFuture<>();
-    loop.execute(() -> shutdown.start(() -> finished.complete(null)));
+    loop.execute(() -> shutdown.start(requestedNanos, () -> finished.complete(null)));
     return finished;
   }
 
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/GatewayShutdown.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/GatewayShutdown.java
@@ -2,25 +2,28 @@
 
 import io.netty.channel.EventLoop;
 import java.util.concurrent.TimeUnit;
+import org.cranberrystand.dispatch.ShutdownPolicy;
+import org.cranberrystand.routing.Route;
 
 /**
  * The graceful shutdown of a gateway. Used only on the event loop, except where stated.
  *
- * <p>Callers with a cached list of addresses keep sending requests for some time, which are still
- * served. Requests after that could outlast the process and are refused.
+ * <p>Callers with a cached list of addresses keep sending requests for some time. Those that end
+ * before the process does are still served, the others are refused. Before the process ends, each
+ * request that is left gets its final answer.
  */
 final class GatewayShutdown {
   /** By this time most callers have fetched a new list of addresses. */
   private static final long CLOSE_IDLE_AFTER_MILLIS = 1_500;
 
-  /** Requests that arrive later might not finish before the process is killed. */
-  private static final long REFUSE_AFTER_MILLIS = 3_000;
-
   private static final long MIN_DURATION_MILLIS = 3_200;
 
   /** Part of the time limit that is reserved for the exit of the process. */
   private static final long EXIT_RESERVE_MILLIS = 500;
 
+  /** Time for callers to receive the final answers. */
+  private static final long FINAL_ANSWER_MILLIS = 250;
+
   private static final long CHECK_INTERVAL_MILLIS = 100;
 
   private final EventLoop loop;
@@ -28,6 +31,7 @@
   private final Admission admission;
   private final long maxDurationMillis;
   private final Runnable leavingAnnouncement;
+  private final ShutdownPolicy policy = new ShutdownPolicy(System.nanoTime());
   private volatile boolean started;
   private long startNanos;
   private Runnable finished;
@@ -50,25 +54,57 @@
     return started;
   }
 
-  /** Returns whether new requests are refused. */
-  boolean isRefusingRequests() {
-    return started && elapsedMillis() > REFUSE_AFTER_MILLIS;
+  /** Records that a request was answered. */
+  void answered(Route route, long elapsedNanos) {
+    policy.answered(route.name(), elapsedNanos, System.nanoTime());
+  }
+
+  /**
+   * Returns whether a request may be sent to an upstream.
+   *
+   * @param route the route
+   * @param deadlineNanos when the request gets an answer in any case
+   */
+  boolean maySend(Route route, long deadlineNanos) {
+    if (!started) {
+      return true;
+    }
+    long now = System.nanoTime();
+    long remainingNanos = startNanos + nanos(finalAnswerMillis()) - now;
+    return policy.maySend(
+        new ShutdownPolicy.Progress(now - startNanos, remainingNanos),
+        route.name(),
+        deadlineNanos - now,
+        route.isRetryable());
+  }
+
+  private static long nanos(long millis) {
+    return TimeUnit.MILLISECONDS.toNanos(millis);
   }
 
   private long elapsedMillis() {
     return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
   }
 
+  private long endMillis() {
+    return maxDurationMillis - EXIT_RESERVE_MILLIS;
+  }
+
+  private long finalAnswerMillis() {
+    return endMillis() - FINAL_ANSWER_MILLIS;
+  }
+
   /**
    * Starts the shutdown.
    *
+   * @param requestedNanos when it was requested
    * @param onFinished called when the gateway may be closed
    */
-  void start(Runnable onFinished) {
+  void start(long requestedNanos, Runnable onFinished) {
     if (started) {
       return;
     }
-    startNanos = System.nanoTime();
+    startNanos = requestedNanos;
     started = true;
     finished = onFinished;
     callers.startClosingConnections();
@@ -81,14 +117,24 @@
     if (elapsedMillis > CLOSE_IDLE_AFTER_MILLIS) {
       callers.closeIdle();
     }
+    admission.refuseLate();
+    if (elapsedMillis >= finalAnswerMillis()) {
+      admission.endAll();
+      callers.refusePending();
+    }
     boolean idle =
         elapsedMillis > MIN_DURATION_MILLIS
             && admission.activeRequestCount() == 0
             && !callers.hasUnsentResponses();
-    if (idle || elapsedMillis > maxDurationMillis - EXIT_RESERVE_MILLIS) {
+    if (idle || elapsedMillis >= endMillis()) {
       finished.run();
     } else {
-      loop.schedule(this::check, CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS).isDone();
+      long untilMillis = elapsedMillis < finalAnswerMillis() ? finalAnswerMillis() : endMillis();
+      loop.schedule(
+              this::check,
+              Math.min(CHECK_INTERVAL_MILLIS, untilMillis - elapsedMillis),
+              TimeUnit.MILLISECONDS)
+          .isDone();
     }
   }
 }
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RelayContext.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RelayContext.java
@@ -6,6 +6,7 @@
 import org.cranberrystand.dispatch.CallDispatcher;
 import org.cranberrystand.dispatch.QuotaLedger;
 import org.cranberrystand.dispatch.RetryAllowance;
+import org.cranberrystand.routing.Route;
 import org.cranberrystand.routing.RoutingTable;
 
 /**
@@ -25,7 +26,7 @@
  * @param versions finds out at which software version a stream began that no node knows
  * @param verifier finds out whether upstreams are the processes that registered
  * @param routing supplies the current declaration; null before the first one
- * @param refusingRequests supplies whether new requests are refused because of a shutdown
+ * @param shutdown the shutdown of the gateway
  * @param lag measures the lag of the event loop
  * @param log the event log
  * @param metrics the metrics of the gateway
@@ -45,7 +46,17 @@
     StreamVersions versions,
     UpstreamVerifier verifier,
     Supplier<RoutingTable> routing,
-    Supplier<Boolean> refusingRequests,
+    GatewayShutdown shutdown,
     LoopLag lag,
     EventLog log,
-    GatewayMetrics metrics) {}
+    GatewayMetrics metrics) {
+
+  /** Records that a request ended, and when it arrived and had its first response. */
+  void requestEnded(Route route, String outcome, long arrivalNanos, long firstResponseNanos) {
+    long now = System.nanoTime();
+    if (outcome.equals(RequestRelay.ANSWERED)) {
+      shutdown.answered(route, now - arrivalNanos);
+    }
+    metrics.recordEnded(route, outcome, arrivalNanos, firstResponseNanos, now);
+  }
+}
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RelayRetries.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RelayRetries.java
@@ -41,6 +41,14 @@
     return isWithinLimits() && content.mayRepeat(attempts.current());
   }
 
+  /**
+   * Returns whether a request may be sent to another upstream, but not before it is known whether
+   * the last one crashed.
+   */
+  boolean waitForCheck() {
+    return !attempts.current().hasSurvivedStart() && mayRepeat();
+  }
+
   private boolean isWithinLimits() {
     // Without the identifier of the last event, another attempt would restart the stream.
     boolean resumable = !response.isStarted() || response.lastEventId() != null;
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RequestRelay.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RequestRelay.java
@@ -138,6 +138,23 @@
     return true;
   }
 
+  /** Refuses the request if it was not sent and cannot end before the gateway does. */
+  void refuseIfLate() {
+    if (!done
+        && attempts.runCount() == 0
+        && !context.shutdown().maySend(route, spec.deadlineNanos())) {
+      endWithNode();
+    }
+  }
+
+  /** Gives the request its final answer, because the gateway ends. */
+  void endWithNode() {
+    if (!done) {
+      endAttempt(CallEnding.CANCELLED);
+      refuse(NotRunReason.LEAVING, Admission.LEAVING_RETRY_MILLIS);
+    }
+  }
+
   boolean isDone() {
     return done;
   }
@@ -195,8 +212,7 @@
     quota.refund();
     log.refused(reason, context.dispatcher().waitingCount(), retryAfterMillis);
     end("refused-" + reason.label(), reason.status());
-    ErrorResponses.write(
-        exchange, HttpResponseStatus.valueOf(reason.status()), reason.label(), retryAfterMillis);
+    ErrorResponses.refuse(exchange, reason, retryAfterMillis);
   }
 
   private void fail(HttpResponseStatus status, String detail) {
@@ -218,9 +234,7 @@
     String hedgeFields = hedge.requestEnded(outcome);
     attempts.releaseResponse();
     log.ended(outcome, status, attempt(), attempts.runCount(), response.firstNanos(), hedgeFields);
-    context
-        .metrics()
-        .recordEnded(route, outcome, spec.arrivalNanos(), response.firstNanos(), System.nanoTime());
+    context.requestEnded(route, outcome, spec.arrivalNanos(), response.firstNanos());
   }
 
   @Override
@@ -542,8 +556,7 @@
         return;
       }
       RelayAttempt broken = attempt();
-      boolean waits = !broken.hasSurvivedStart() && !hedge.isInProgress() && retries.mayRepeat();
-      if (waits) {
+      if (!hedge.isInProgress() && retries.waitForCheck()) {
         recordEnding(ending);
         content.recordBroken(broken, RequestRelay.this::retryAfterCheck);
       } else {
