Do not close a connection in a planned stop before its first request is read

Callers: a connection that was opened 1.5 s or more after the start of a planned stop could be closed as idle, with the request on it unread.

Cause: each 0.1 s, all connections without a request in progress were closed, also those that had just been opened.

Change: only connections that have been quiet for 0.3 s are idle.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/CallerConnection.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/CallerConnection.java
@@ -31,6 +31,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import org.cranberrystand.outcome.NotRunReason;
 import org.cranberrystand.routing.CallerLimits;
 
@@ -48,6 +49,9 @@
 
   private static final int INITIAL_BODY_BYTES = 1_024;
 
+  /** The first request on a connection follows its opening within this time. */
+  private static final long MIN_IDLE_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
+
   /** The server that owns the connection. */
   interface Owner {
     /** Returns the current limits for callers. */
@@ -366,9 +370,9 @@
     }
   }
 
-  /** Closes the connection if no request is in progress. */
-  void closeIfIdle() {
-    if (isIdle()) {
+  /** Closes the connection if no request is in progress, and none has just been announced. */
+  void closeIfIdle(long nowNanos) {
+    if (isIdle() && nowNanos - lastActivityNanos >= MIN_IDLE_NANOS) {
       channel.close();
     }
   }
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/CallerServer.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/CallerServer.java
@@ -118,7 +118,8 @@
 
   /** Closes the connections without a request in progress. */
   void closeIdle() {
-    List.copyOf(connections).forEach(CallerConnection::closeIfIdle);
+    long now = System.nanoTime();
+    List.copyOf(connections).forEach(connection -> connection.closeIfIdle(now));
   }
 
   /** Refuses the requests that were received and not handled yet. */
--- a/org.cranberrystand.daemon/src/test/java/org/cranberrystand/daemon/gateway/CallerConnectionTest.java
+++ b/org.cranberrystand.daemon/src/test/java/org/cranberrystand/daemon/gateway/CallerConnectionTest.java
@@ -17,11 +17,15 @@
 import io.netty.util.ReferenceCountUtil;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import org.cranberrystand.routing.CallerLimits;
 import org.testng.annotations.Test;
 
 /** Tests when a caller's connection may be closed. */
 public final class CallerConnectionTest {
+  /** Longer than a caller takes to send a request on a new connection. */
+  private static final long LONG_NANOS = TimeUnit.SECONDS.toNanos(1);
+
   /** Holds written messages as the socket of a caller does that reads nothing. */
   private static final class SlowCaller extends ChannelOutboundHandlerAdapter {
     private final List<ChannelPromise> unsent = new ArrayList<>();
@@ -88,11 +92,25 @@
     connection.bytesArrived();
     channel.writeInbound(request, LastHttpContent.EMPTY_LAST_CONTENT);
 
-    connection.closeIfIdle();
+    connection.closeIfIdle(System.nanoTime() + LONG_NANOS);
     assertTrue(channel.isOpen(), "closed with a response that the caller has not read");
 
     caller.readAll();
-    connection.closeIfIdle();
+    connection.closeIfIdle(System.nanoTime() + LONG_NANOS);
+    channel.runPendingTasks();
+    assertFalse(channel.isOpen());
+  }
+
+  /** Guards against closing a connection in a planned stop before its first request is read. */
+  @Test
+  public void connectionThatWasJustOpenedIsNotIdle() {
+    CallerConnection connection = new CallerConnection(new RespondingOwner());
+    EmbeddedChannel channel = new EmbeddedChannel(connection);
+
+    connection.closeIfIdle(System.nanoTime());
+    assertTrue(channel.isOpen(), "closed before its first request");
+
+    connection.closeIfIdle(System.nanoTime() + LONG_NANOS);
     channel.runPendingTasks();
     assertFalse(channel.isOpen());
   }
