--- a/review/src-2/StopCase.java
+++ b/review/src-2/StopCase.java
@@ -18,11 +18,11 @@
   private static final Pattern ADDRESS = Pattern.compile("\"([0-9.]+:[0-9]+)\"");
   private static final int GATEWAYS = 8;
 
-  /** Together they send about 30 requests a second to each gateway. */
+  /** Together they send about 50 requests a second to each gateway. */
   private static final int CLIENTS = 24;
 
-  private static final int PAUSE_MILLIS = 95;
-  private static final int WORK_MILLIS = 5;
+  private static final int PAUSE_MILLIS = 38;
+  private static final int WORK_MILLIS = 3;
   private static final int DEADLINE_MILLIS = 3_000;
 
   /** As long as a response of the directory says; some clients keep it three times as long. */
