--- a/review/src-2/OddEntryCase.java
+++ b/review/src-2/OddEntryCase.java
@@ -11,7 +11,7 @@
 
   /** Not a multiple of the heartbeat of runners, so that entries come at any time between two. */
   private static final int ROUND_MILLIS = 1_150;
-  private static final int REQUEST_INTERVAL_MILLIS = 25;
+  private static final int REQUEST_INTERVAL_MILLIS = 15;
   private static final int DEADLINE_MILLIS = 3_000;
   private static volatile boolean stopped;
 
@@ -68,7 +68,7 @@
         record.write("client: %s%s to %s: %d %s", target, attempt, address, answer.status(),
             answer.ending());
       });
-      Lab.sleep(REQUEST_INTERVAL_MILLIS * 2L);
+      Lab.sleep(REQUEST_INTERVAL_MILLIS);
     }
   }
 }
