--- a/review/src-2/CrashCase.java
+++ b/review/src-2/CrashCase.java
@@ -14,11 +14,14 @@
   private static final int RUNNERS = 10;
   private static final int WORK_MILLIS = 40;
 
-  /** {@code retry_abuse}: the client repeats three more times, at once. */
-  private static final int COPIES = 4;
+  /**
+   * How many copies come at once each time. {@code retry_abuse}, {@code x = 3.0, for_s = 5.5}: in
+   * this time the client repeats three more times, at once.
+   */
+  private static final int[] COPIES = {4, 4, 1, 1};
 
-  private static final int ROUNDS = 4;
-  private static final int ROUND_MILLIS = 6_000;
+  private static final int[] PAUSE_MILLIS = {4_500, 6_000, 6_000, 6_000};
+  private static final int WARM_UP_MILLIS = 6_000;
 
   /** The runner is back after some seconds. */
   private static final int BACK_MILLIS = 4_000;
@@ -50,14 +53,14 @@
         String address = fleet.gateway(i).callerAddress();
         Lab.start(() -> sendOthers(record, address, count));
       }
-      Lab.sleep(ROUND_MILLIS);
-      for (int round = 0; round < ROUNDS; round++) {
-        for (int copy = 0; copy < COPIES; copy++) {
+      Lab.sleep(WARM_UP_MILLIS);
+      for (int round = 0; round < COPIES.length; round++) {
+        for (int copy = 0; copy < COPIES[round]; copy++) {
           String address = fleet.gateway(copy % GATEWAYS).callerAddress();
           String attempt = "c" + round + "-" + copy;
           Lab.start(() -> send(record, address, PATH, attempt, "crash"));
         }
-        Lab.sleep(ROUND_MILLIS);
+        Lab.sleep(PAUSE_MILLIS[round]);
       }
       stopped = true;
       Lab.sleep(DEADLINE_MILLIS);
