--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -5,4 +5,4 @@
 here=$(cd "$(dirname "${BASH_SOURCE[0]}")" && pwd)
 cd "$here/../.." || exit 2
 [ -f target/review-2/Cases.class ] && [ -f target/gateway/gateway.jar ] || exit 2
-exec java -Xmx256m -cp target/review-2 Cases teams "$here/record.txt"
+exec java -Xmx1g -cp target/review-2 Cases large-entries "$here/record.txt"
--- a/review/src-2/Cases.java
+++ b/review/src-2/Cases.java
@@ -32,6 +32,7 @@
         case "stop" -> StopCase::play;
         case "odd-entry" -> OddEntryCase::play;
         case "crash" -> CrashCase::play;
+        case "large-entries" -> LargeEntriesCase::play;
         case "teams" -> TeamsCase::play;
         default -> throw new NotRunException("unknown case " + arguments[0]);
       };
--- a/review/src-2/Store.java
+++ b/review/src-2/Store.java
@@ -18,13 +18,13 @@
   private static final int PAGE_ITEMS = 500;
   private static final int PAGE_BYTES = 1 << 20;
 
-  private record Item(String key, String text, long revision, long createdRevision) {
+  private record Item(String key, byte[] value, long revision, long createdRevision) {
     String json() {
-      if (text == null) {
+      if (value == null) {
         return "{\"Key\":\"" + key + "\",\"Revision\":" + revision + ",\"Deleted\":true}";
       }
-      String value = Base64.getEncoder().encodeToString(text.getBytes(StandardCharsets.UTF_8));
-      return "{\"Key\":\"" + key + "\",\"Value\":\"" + value + "\",\"Revision\":" + revision
+      String encoded = Base64.getEncoder().encodeToString(value);
+      return "{\"Key\":\"" + key + "\",\"Value\":\"" + encoded + "\",\"Revision\":" + revision
           + ",\"CreatedRev\":" + createdRevision + ",\"Lease\":0}";
     }
   }
@@ -43,10 +43,14 @@
     server.start();
   }
 
-  synchronized void put(String key, String text) {
+  void put(String key, String text) {
+    put(key, text.getBytes(StandardCharsets.UTF_8));
+  }
+
+  synchronized void put(String key, byte[] value) {
     Item before = items.get(key);
     revision++;
-    Item item = new Item(key, text, revision, before == null ? revision : before.createdRevision());
+    Item item = new Item(key, value, revision, before == null ? revision : before.createdRevision());
     items.put(key, item);
     history.add(item);
     notifyAll();
@@ -84,7 +88,7 @@
         }
         if (item.key().startsWith(query.getOrDefault("Prefix", ""))) {
           page.add(item.json());
-          bytes += item.text().length();
+          bytes += item.value().length;
         }
       }
       current = revision;
--- a/review/src-2/TeamsCase.java
+++ b/review/src-2/TeamsCase.java
@@ -19,12 +19,12 @@
 
   private static final String HOT = "hot";
   private static final int HOT_TOKENS = 20_000;
-  private static final long HOT_MILLIS = 24_000;
+  private static final long HOT_MILLIS = 6_500;
 
   /** The usual of the tenant, at each gateway: about its quota at all of them together. */
   private static final int USUAL_INTERVAL_MILLIS = 300;
 
-  /** {@code hot_tenant}, {@code x = 7.5}. */
+  /** {@code hot_tenant}, {@code x = 7.5, for_s = 6.5}. */
   private static final int HOT_INTERVAL_MILLIS = 40;
 
   /** As long as other nodes that are not heard count. */
