--- a/review/src-2/StopCase.java
+++ b/review/src-2/StopCase.java
@@ -30,7 +30,7 @@
 
   private static final int PATIENT_FACTOR = 3;
 
-  private static final long DURATION_MILLIS = 90_000;
+  private static final long DURATION_MILLIS = 80_000;
 
   /** Gateways are stopped one after the other, as in a rolling restart. */
   private static final long GAP_MILLIS = 1_000;
