Close callers' connections in the turn that decides a stop is complete (LOST)

Hypotheses: (1) requests are admitted between the decision that the node is idle and the close of its connections; (2) requests are cut when the time limit of the stop is reached; (3) closeIdle closes a connection on which a request lies unread. The new event CALLERS_CLOSED tells them apart.

Cause: the decision was made on the event loop, carried out by the main thread, and then by another task of the loop. In between, the node took requests and sent them to upstreams.

Change: once no request is in progress, the node stops listening, and each open connection is served until it ends. The stop is complete when none is left. At the time limit, final answers and the close of all connections are in one turn of the loop.

Why it works: nothing can arrive between the decision and the close, since no connection is left or can be opened, or since both are one task.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/CallerConnection.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/CallerConnection.java
@@ -524,6 +524,11 @@
     return !responding && request == null && headStartNanos == 0 && !hasUnsentResponse();
   }
 
+  /** Returns whether a request was received to which no complete response was written. */
+  boolean isInProgress() {
+    return responding;
+  }
+
   /** Returns whether a response is buffered because the caller reads slowly. */
   boolean hasUnsentResponse() {
     return lastWrite != null && !lastWrite.isDone();
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/CallerServer.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/CallerServer.java
@@ -148,14 +148,30 @@
     return connections.stream().anyMatch(CallerConnection::hasUnsentResponse);
   }
 
+  /** Closes the server socket; open connections are served on. */
+  void stopListening() {
+    listener.close();
+  }
+
+  /** Returns whether no caller is connected and none can connect. */
+  boolean isDrained() {
+    return !listener.isOpen() && connections.isEmpty();
+  }
+
+  /** Closes the server socket and all connections. */
+  void closeAll() {
+    listener.close();
+    List.copyOf(connections).forEach(CallerConnection::close);
+  }
+
   /** Closes the server socket and all connections; must not be called on the event loop. */
   void close() throws InterruptedException {
-    loop.submit(
-            () -> {
-              listener.close();
-              List.copyOf(connections).forEach(CallerConnection::close);
-            })
-        .await();
+    loop.submit(this::closeAll).await();
+  }
+
+  /** Returns the number of requests that were received and have no complete response. */
+  long inProgressCount() {
+    return connections.stream().filter(CallerConnection::isInProgress).count();
   }
 
   int connectionCount() {
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Gateway.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Gateway.java
@@ -161,7 +161,12 @@
         new StreamVersions(loop, fleet, ports.decoder(), settings.store().historyMillis(), log);
     this.shutdown =
         new GatewayShutdown(
-            loop, callers, admission, settings.limits().shutdownMillis(), reports::sendNodeReport);
+            loop,
+            callers,
+            admission,
+            settings.limits().shutdownMillis(),
+            reports::sendNodeReport,
+            log);
     admission.setContext(createContext(ports.headers(), client));
   }
 
@@ -557,8 +562,8 @@
    * Starts a graceful shutdown: callers are directed to other nodes, and responses in progress are
    * completed.
    *
-   * @return a stage that completes when no request is in progress or the time limit for the
-   *     shutdown is reached; the gateway must then be closed
+   * @return a stage that completes when no caller is connected or can connect any more, at the
+   *     latest at the time limit for the shutdown; the gateway must then be closed
    */
   public CompletionStage<Void> shutDownGracefully() {
     log.write(LogEvent.NODE_DRAINING, "waiting=" + dispatcher.waitingCount());
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/GatewayShutdown.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/GatewayShutdown.java
@@ -2,15 +2,19 @@
 
 import io.netty.channel.EventLoop;
 import java.util.concurrent.TimeUnit;
+import org.cranberrystand.daemon.internal.EventLog;
 import org.cranberrystand.dispatch.ShutdownPolicy;
+import org.cranberrystand.event.LogEvent;
 import org.cranberrystand.routing.Route;
 
 /**
  * The graceful shutdown of a gateway. Used only on the event loop, except where stated.
  *
  * <p>Callers with a cached list of addresses keep sending requests for some time. Those that end
- * before the process does are still served, the others are refused. Before the process ends, each
- * request that is left gets its final answer.
+ * before the process does are still served, the others are refused. Once no request is in progress,
+ * no connection is accepted any more, and each open one is served until it ends; the process ends
+ * after the last one. When the time limit is reached, each request that is left gets its final
+ * answer first.
  */
 final class GatewayShutdown {
   /** By this time most callers have fetched a new list of addresses. */
@@ -31,6 +35,7 @@
   private final Admission admission;
   private final long maxDurationMillis;
   private final Runnable leavingAnnouncement;
+  private final EventLog log;
   private final ShutdownPolicy policy = new ShutdownPolicy(System.nanoTime());
   private volatile boolean started;
   private long startNanos;
@@ -41,12 +46,14 @@
       CallerServer callers,
       Admission admission,
       long maxDurationMillis,
-      Runnable leavingAnnouncement) {
+      Runnable leavingAnnouncement,
+      EventLog log) {
     this.loop = loop;
     this.callers = callers;
     this.admission = admission;
     this.maxDurationMillis = maxDurationMillis;
     this.leavingAnnouncement = leavingAnnouncement;
+    this.log = log;
   }
 
   /** Returns whether the shutdown was started; may be called on any thread. */
@@ -98,7 +105,7 @@
    * Starts the shutdown.
    *
    * @param requestedNanos when it was requested
-   * @param onFinished called when the gateway may be closed
+   * @param onFinished called when no caller is connected any more and the gateway may be closed
    */
   void start(long requestedNanos, Runnable onFinished) {
     if (started) {
@@ -122,12 +129,14 @@
       admission.endAll();
       callers.refusePending();
     }
-    boolean idle =
-        elapsedMillis > MIN_DURATION_MILLIS
-            && admission.activeRequestCount() == 0
-            && !callers.hasUnsentResponses();
-    if (idle || elapsedMillis >= endMillis()) {
-      finished.run();
+    boolean idle = admission.activeRequestCount() == 0 && !callers.hasUnsentResponses();
+    if (idle && elapsedMillis > MIN_DURATION_MILLIS) {
+      // From here on, the number of connections only falls.
+      callers.stopListening();
+    }
+    boolean drained = idle && callers.isDrained();
+    if (drained || elapsedMillis >= endMillis()) {
+      finish(drained, elapsedMillis);
     } else {
       long untilMillis = elapsedMillis < finalAnswerMillis() ? finalAnswerMillis() : endMillis();
       loop.schedule(
@@ -137,4 +146,20 @@
           .isDone();
     }
   }
+
+  /** Closes what is left in the same turn of the loop, so that no request is read in between. */
+  private void finish(boolean drained, long elapsedMillis) {
+    log.write(
+        LogEvent.CALLERS_CLOSED,
+        "drained="
+            + drained
+            + " elapsed_ms="
+            + elapsedMillis
+            + " connections="
+            + callers.connectionCount()
+            + " in_progress="
+            + callers.inProgressCount());
+    callers.closeAll();
+    finished.run();
+  }
 }
--- a/org.cranberrystand/src/main/java/org/cranberrystand/event/LogEvent.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/event/LogEvent.java
@@ -14,6 +14,8 @@
   SETTINGS_INVALID(1005, Severity.ERROR, "settings are invalid"),
   /** The process was paused; the node refreshes its view before it dispatches requests again. */
   NODE_PAUSED(1006, Severity.WARNING, "node was paused"),
+  /** The connections of callers were closed, at the end of a shutdown. */
+  CALLERS_CLOSED(1007, Severity.INFO, "connections of callers closed"),
   /** An operator asked the node to drain. */
   DRAIN_REQUESTED(1011, Severity.INFO, "drain requested by an operator"),
   /** A call to the operator listener had no valid token. */
