Read answers of the store value by value, and keep what is used (CONFIG)

Hypotheses: (1) the texts that are kept fill the heap; (2) an answer with many changes takes several times its size while it is read, or exceeds the 32 MiB that are allowed, and is repeated from the same revision with more in it; (3) both. The new metrics published.values and published.characters show what is kept.

Cause: what a node keeps and what it reads at once is decided by any writer of the store.

Change: PublishedDecoder.reduce says what nodes use of a value: all of a declaration, the known fields of a registration, nothing of the rest but key, revisions and the cause. The adapter reduces each value as it is read, and reads an answer with Jackson's non-blocking parser, so that one value at most is in memory as it was sent; the limit for the answers of the store is gone. What other nodes send is reduced as well, since nodes of an earlier release send whole values. In the exchange between nodes an unusable value has an empty text, which earlier releases ignore too.

Why it works: the peak follows from the largest single value (1 MB), and what is kept from the number of values, not from their size.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/FleetState.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/FleetState.java
@@ -105,6 +105,14 @@
     return published.get();
   }
 
+  /**
+   * Returns an update from another node with its values as far as this node uses them; nodes of an
+   * earlier release send whole values.
+   */
+  PublishedUpdate reduced(PublishedUpdate update) {
+    return update.reducedBy(decoder);
+  }
+
   @Override
   public void storeRestored() {
     registry.sourceRestored(System.nanoTime());
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Gateway.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Gateway.java
@@ -141,6 +141,7 @@
     ColdUpstreams cold = new ColdUpstreams(settings.limits().coldTolerance());
     this.fleet =
         new FleetState(ports.decoder(), dispatcher, cold, client, verifier, crashes, metrics, log);
+    metrics.observePublished(fleet::published);
     this.reach =
         new ReachMonitor(dispatcher, client, fleet, metrics, log, admission::forwardWaiting);
     long callerBytes = settings.memory().callerBytes();
@@ -528,7 +529,7 @@
       return;
     }
     try {
-      follower.applyPeerUpdate(PublishedStateCodec.decode(response.body()));
+      follower.applyPeerUpdate(fleet.reduced(PublishedStateCodec.decode(response.body())));
     } catch (IOException e) {
       log.write(LogEvent.REPORT_MALFORMED, "peer=" + peer.sender().node(), e);
     }
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/GatewayMetrics.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/GatewayMetrics.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Supplier;
 import org.cranberrystand.routing.Route;
 
 /** Metrics of a gateway in the Prometheus format. Thread-safe, except where stated. */
@@ -54,6 +55,14 @@
         .register(registry);
   }
 
+  /** Has the metrics show how much is kept of what was published. */
+  void observePublished(Supplier<PublishedState> published) {
+    Gauge.builder(PREFIX + "published.values", () -> published.get().values().size())
+        .register(registry);
+    Gauge.builder(PREFIX + "published.characters", () -> published.get().characterCount())
+        .register(registry);
+  }
+
   private AtomicInteger gauge(String name) {
     AtomicInteger value = new AtomicInteger();
     Gauge.builder(PREFIX + name, value, AtomicInteger::get).register(registry);
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/HttpFetch.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/HttpFetch.java
@@ -1,6 +1,7 @@
 package org.cranberrystand.daemon.gateway;
 
 import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -12,15 +13,18 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.timeout.ReadTimeoutHandler;
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.URI;
@@ -51,6 +55,38 @@
    */
   public record Response(int status, HttpHeaders headers, String body) {}
 
+  /**
+   * Reads one response. Called by one thread.
+   *
+   * @param <T> what is read from the response
+   */
+  public interface ResponseReader<T> {
+    /**
+     * The head of the response was received.
+     *
+     * @param status the HTTP status code
+     * @param headers the response headers
+     * @throws IOException if the response cannot be used
+     */
+    void begin(int status, HttpHeaders headers) throws IOException;
+
+    /**
+     * A part of the body was received.
+     *
+     * @param bytes the part, which is not changed later
+     * @throws IOException if the response cannot be used
+     */
+    void read(byte[] bytes) throws IOException;
+
+    /**
+     * The response is complete.
+     *
+     * @return what was read
+     * @throws IOException if the response cannot be used
+     */
+    T end() throws IOException;
+  }
+
   /**
    * Creates a client.
    *
@@ -80,7 +116,21 @@
    * @return a stage with the response; completes exceptionally if there is none
    */
   public CompletionStage<Response> get(URI uri, Duration timeout, int maxBodyBytes) {
-    CompletableFuture<Response> result = new CompletableFuture<>();
+    return get(uri, timeout, new TextReader(maxBodyBytes));
+  }
+
+  /**
+   * Sends a GET request, and reads the response as it arrives.
+   *
+   * @param <T> what is read from the response
+   * @param uri the URI of the resource, with host and port
+   * @param timeout the read timeout
+   * @param reader reads the response
+   * @return a stage with the result of the reader; completes exceptionally if there is no response,
+   *     or with the exception that the reader throws
+   */
+  public <T> CompletionStage<T> get(URI uri, Duration timeout, ResponseReader<T> reader) {
+    CompletableFuture<T> result = new CompletableFuture<>();
     if (uri.getHost() == null) {
       result.completeExceptionally(new IOException("URI names no host: " + uri));
       return result;
@@ -97,8 +147,7 @@
                     .pipeline()
                     .addLast(new ReadTimeoutHandler(timeout.toMillis(), TimeUnit.MILLISECONDS))
                     .addLast(new HttpClientCodec())
-                    .addLast(new HttpObjectAggregator(maxBodyBytes))
-                    .addLast(new Receiver(uri, result));
+                    .addLast(new Receiver<>(uri, reader, result));
               }
             })
         .connect(new InetSocketAddress(uri.getHost(), uri.getPort()))
@@ -137,27 +186,41 @@
     return request;
   }
 
-  /** Completes the result with the response, or with the failure that came before it. */
-  private static final class Receiver extends SimpleChannelInboundHandler<FullHttpResponse> {
+  /** Passes the response to its reader, and completes the result. */
+  private static final class Receiver<T> extends SimpleChannelInboundHandler<HttpObject> {
     private final URI uri;
-    private final CompletableFuture<Response> result;
+    private final ResponseReader<T> reader;
+    private final CompletableFuture<T> result;
 
-    Receiver(URI uri, CompletableFuture<Response> result) {
+    Receiver(URI uri, ResponseReader<T> reader, CompletableFuture<T> result) {
       this.uri = uri;
+      this.reader = reader;
       this.result = result;
     }
 
     @Override
-    protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) {
-      if (response.decoderResult().isFailure()) {
-        result.completeExceptionally(response.decoderResult().cause());
-      } else {
-        result.complete(
-            new Response(
-                response.status().code(),
-                response.headers(),
-                response.content().toString(StandardCharsets.UTF_8)));
+    protected void channelRead0(ChannelHandlerContext ctx, HttpObject part) throws Exception {
+      if (result.isDone()) {
+        return;
+      }
+      if (part.decoderResult().isFailure()) {
+        fail(ctx, part.decoderResult().cause());
+        return;
       }
+      if (part instanceof HttpResponse head) {
+        reader.begin(head.status().code(), head.headers());
+      }
+      if (part instanceof HttpContent content && content.content().isReadable()) {
+        reader.read(ByteBufUtil.getBytes(content.content()));
+      }
+      if (part instanceof LastHttpContent) {
+        result.complete(reader.end());
+        ctx.close().isDone();
+      }
+    }
+
+    private void fail(ChannelHandlerContext ctx, Throwable cause) {
+      result.completeExceptionally(cause);
       ctx.close().isDone();
     }
 
@@ -168,8 +231,38 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-      result.completeExceptionally(cause);
-      ctx.close().isDone();
+      fail(ctx, cause);
+    }
+  }
+
+  /** Reads a response as a whole, as text. */
+  private static final class TextReader implements ResponseReader<Response> {
+    private final int maxBodyBytes;
+    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private int status;
+    private HttpHeaders headers;
+
+    TextReader(int maxBodyBytes) {
+      this.maxBodyBytes = maxBodyBytes;
+    }
+
+    @Override
+    public void begin(int responseStatus, HttpHeaders responseHeaders) {
+      status = responseStatus;
+      headers = responseHeaders;
+    }
+
+    @Override
+    public void read(byte[] bytes) throws IOException {
+      if (body.size() + bytes.length > maxBodyBytes) {
+        throw new IOException("response has more than " + maxBodyBytes + " bytes");
+      }
+      body.write(bytes);
+    }
+
+    @Override
+    public Response end() {
+      return new Response(status, headers, body.toString(StandardCharsets.UTF_8));
     }
   }
 }
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/PublishedDecoder.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/PublishedDecoder.java
@@ -53,6 +53,15 @@
    */
   Decoded decode(PublishedValue value);
 
+  /**
+   * Returns a value as far as nodes use it. Any writer may publish values of any size and number,
+   * so a node keeps no more of them than this.
+   *
+   * @param value the value as it was published
+   * @return a value that decodes to the same, without text that has no effect
+   */
+  PublishedValue reduce(PublishedValue value);
+
   /**
    * Returns the identifier of the upstream that registers under a key.
    *
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/PublishedState.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/PublishedState.java
@@ -40,6 +40,13 @@
     this(version, values, ImmutableMap.of(), version.revision());
   }
 
+  /** Returns how many characters the keys and values have. */
+  long characterCount() {
+    return values.values().stream()
+        .mapToLong(value -> value.key().length() + value.text().length())
+        .sum();
+  }
+
   /**
    * Applies changes of the same era.
    *
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/PublishedStateCodec.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/PublishedStateCodec.java
@@ -20,11 +20,15 @@
     root.put("whole", update.isSnapshot());
     ArrayNode values = root.putArray("values");
     for (PublishedValue value : update.values()) {
-      values
-          .addObject()
-          .put("key", value.key())
-          .put("revision", value.revision())
-          .put("text", value.text());
+      ObjectNode node =
+          values
+              .addObject()
+              .put("key", value.key())
+              .put("revision", value.revision())
+              .put("text", value.text());
+      if (!value.defect().isEmpty()) {
+        node.put("defect", value.defect());
+      }
     }
     return Json.toBytes(root);
   }
@@ -40,7 +44,9 @@
           new PublishedValue(
               value.path("key").asText(),
               value.path("revision").asLong(),
-              value.path("text").textValue()));
+              0,
+              value.path("text").textValue(),
+              value.path("defect").asText()));
     }
     return new PublishedUpdate(
         new PublishedVersion(root.path("era").asLong(), root.path("revision").asLong()),
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/PublishedStore.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/PublishedStore.java
@@ -9,6 +9,9 @@
 /**
  * Read-only client of the store in which operators and upstreams publish values.
  *
+ * <p>Values are returned as far as nodes use them, see {@link PublishedDecoder#reduce}. The memory
+ * for an answer does not depend on the size of the values of others.
+ *
  * <p>Stages complete on any thread; they complete exceptionally if the store times out or responds
  * with an error.
  */
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/PublishedUpdate.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/PublishedUpdate.java
@@ -14,6 +14,14 @@
 public record PublishedUpdate(
     PublishedVersion version, boolean isSnapshot, ImmutableList<PublishedValue> values) {
 
+  /** Returns this update with values as far as nodes use them. */
+  PublishedUpdate reducedBy(PublishedDecoder decoder) {
+    return new PublishedUpdate(
+        version,
+        isSnapshot,
+        values.stream().map(decoder::reduce).collect(ImmutableList.toImmutableList()));
+  }
+
   /** Returns whether this update can be applied to a state of a version, and is newer. */
   boolean isApplicableTo(PublishedVersion current) {
     return version.isNewerThan(current) && (isSnapshot || version.isSameEra(current));
--- a/org.cranberrystand.daemon/src/test/java/org/cranberrystand/daemon/gateway/RetainedChangesTest.java
+++ b/org.cranberrystand.daemon/src/test/java/org/cranberrystand/daemon/gateway/RetainedChangesTest.java
@@ -25,6 +25,11 @@
               ImmutableList.of());
     }
 
+    @Override
+    public PublishedValue reduce(PublishedValue value) {
+      return value;
+    }
+
     @Override
     public String upstreamId(String key) {
       return key;
