Refuse answers of upstreams that are no HTTP/1.1 (MIXED)

What callers saw: an answer with the status 000 as an answer; answers whose head held a name with a blank or a control byte, with that line passed on or with a body that was not the upstream's (the sizes of chunks after "Transfer Encoding: chunked", two bytes of a chunk of 4 GiB).

Cause: the library's decoder for responses is lenient: any number is a status, any version passes, a blank ends the name of a header, the size of a chunk is what begins like one, modulo 2^32.

Change: MessageSyntax reads along with the decoder byte by byte and accepts what RFC 9112 allows. ResponseDecoder (was: UpstreamResponseDecoder) drops what was decoded from other bytes and ends with a failure, as for any malformed message: the attempt is repeated where that is allowed, else 502, the connection is closed, and 3002 says what was wrong where. HttpFetch, which reads the answers of the store, of other nodes and to questions for runs, uses the same decoder instead of the library's.

Sound responses are read as before in pieces of any length. A name with blanks before its colon and a folded line are mended by the library, as the RFC asks of a proxy, and still pass.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/CallerConnection.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/CallerConnection.java
@@ -19,7 +19,6 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
@@ -151,7 +150,7 @@
     headStartNanos = 0;
     headStarted = false;
     List<String> hosts = head.headers().getAll(HttpHeaderNames.HOST);
-    if (hosts.size() != 1 || hasUnknownFraming(head)) {
+    if (hosts.size() != 1 || MessageSyntax.hasUnknownFraming(head)) {
       reject(HttpResponseStatus.BAD_REQUEST, "needs one Host header and a known body length");
       return;
     }
@@ -167,13 +166,6 @@
     }
   }
 
-  /** With a final transfer coding other than chunked, the end of the request is unknown. */
-  private static boolean hasUnknownFraming(HttpMessage head) {
-    List<String> codings = head.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
-    return !codings.isEmpty()
-        && (codings.size() > 1 || !"chunked".equalsIgnoreCase(codings.get(0).strip()));
-  }
-
   private void readBody(HttpContent content) {
     int bytes = content.content().readableBytes();
     if (bytes > 0 && !append(content.content(), bytes)) {
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/HttpFetch.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/HttpFetch.java
@@ -13,13 +13,13 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -146,7 +146,8 @@
                 channel
                     .pipeline()
                     .addLast(new ReadTimeoutHandler(timeout.toMillis(), TimeUnit.MILLISECONDS))
-                    .addLast(new HttpClientCodec())
+                    .addLast(new HttpRequestEncoder())
+                    .addLast(new ResponseDecoder())
                     .addLast(new Receiver<>(uri, reader, result));
               }
             })
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/UpstreamClient.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/UpstreamClient.java
@@ -117,7 +117,7 @@
                     channel
                         .pipeline()
                         .addLast(new HttpRequestEncoder())
-                        .addLast(new UpstreamResponseDecoder());
+                        .addLast(new ResponseDecoder());
                   }
                 });
   }
@@ -261,7 +261,7 @@
                 log.write(LogEvent.ANSWER_MISMATCH, "upstream=" + id + " " + detail);
               }
             },
-            channel.pipeline().get(UpstreamResponseDecoder.class),
+            channel.pipeline().get(ResponseDecoder.class),
             channel);
     channel.pipeline().addLast(connection);
     openConnections.put(id, connection);
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/UpstreamConnection.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/UpstreamConnection.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -62,7 +63,7 @@
 
   private final HeaderCodec headerCodec;
   private final Owner owner;
-  private final UpstreamResponseDecoder decoder;
+  private final ResponseDecoder decoder;
   private final Channel channel;
   private final CarriedRequests carried = new CarriedRequests();
   private final long openedNanos = System.nanoTime();
@@ -84,7 +85,7 @@
    * @param channel the channel
    */
   UpstreamConnection(
-      HeaderCodec headerCodec, Owner owner, UpstreamResponseDecoder decoder, Channel channel) {
+      HeaderCodec headerCodec, Owner owner, ResponseDecoder decoder, Channel channel) {
     this.headerCodec = headerCodec;
     this.owner = owner;
     this.decoder = decoder;
@@ -215,8 +216,7 @@
   private void readHead(HttpResponse response) {
     PendingRequest current = active;
     if (response.decoderResult().isFailure()) {
-      violated(
-          current, new IOException("malformed HTTP response", response.decoderResult().cause()));
+      violated(current, malformed(response));
       return;
     }
     if (response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
@@ -251,6 +251,13 @@
     }
   }
 
+  private static IOException malformed(HttpObject part) {
+    Throwable cause = part.decoderResult().cause();
+    String name = cause.getClass().getSimpleName();
+    return new IOException(
+        "response is not HTTP/1.1: " + LoggedText.of(name + ": " + cause.getMessage()), cause);
+  }
+
   private void accept(PendingRequest current, HttpResponse response, ResponseHeaders headers) {
     current.headReceived = true;
     current.lengthDeclared =
@@ -297,8 +304,7 @@
     PendingRequest current = active;
     boolean last = content instanceof LastHttpContent;
     if (content.decoderResult().isFailure()) {
-      violated(
-          current, new IOException("malformed response body", content.decoderResult().cause()));
+      violated(current, malformed(content));
     } else if (current.skippingResponse) {
       current.skippingResponse = !last;
       current.skippedBytes += content.content().readableBytes();
--- a/org.cranberrystand.daemon/src/test/java/org/cranberrystand/daemon/gateway/HttpFetchTest.java
+++ b/org.cranberrystand.daemon/src/test/java/org/cranberrystand/daemon/gateway/HttpFetchTest.java
@@ -69,6 +69,22 @@
     }
   }
 
+  @DataProvider
+  public Object[] malformedResponses() {
+    return new Object[] {
+      "HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\n{}",
+      "HTTP/1.1 200 OK\r\nContent Length: 1\r\nContent-Length: 2\r\n\r\n{}",
+      "HTTP/1.1 200 OK\r\nTransfer Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n",
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n100000002\r\n{}\r\n0\r\n\r\n",
+    };
+  }
+
+  /** Guards against bytes that are no HTTP and pass for an answer of the store or of a node. */
+  @Test(dataProvider = "malformedResponses")
+  public void malformedResponseIsNoResponse(String response) {
+    assertThrows(ExecutionException.class, () -> get(response));
+  }
+
   /** Guards against an exception in the middle of a caller that handles failed stages only. */
   @Test
   public void addressWithoutHostThrows() {
--- a/org.cranberrystand.daemon/src/test/java/org/cranberrystand/daemon/gateway/UpstreamConnectionTest.java
+++ b/org.cranberrystand.daemon/src/test/java/org/cranberrystand/daemon/gateway/UpstreamConnectionTest.java
@@ -121,7 +121,7 @@
 
   /** A connection and the bytes that its upstream sends. */
   private final class Link {
-    private final UpstreamResponseDecoder decoder = new UpstreamResponseDecoder();
+    private final ResponseDecoder decoder = new ResponseDecoder();
     private final EmbeddedChannel channel = new EmbeddedChannel(decoder);
     private final UpstreamConnection connection =
         new UpstreamConnection(new FakeHeaderCodec(), new Owner(), decoder, channel);
