--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/UpstreamConnection.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/UpstreamConnection.java
@@ -24,9 +24,9 @@
  *
  * <p>The connection is reused only if every response on it belonged to the pending request, was
  * framed by a length or by chunks, and was complete. A response that ends with the connection is
- * complete if the upstream still accepts connections. Only a response to a request that the
- * connection carried before is skipped; one whose request is unknown may be the response to the
- * pending request and fails it. Used only on the event loop.
+ * complete if the request was written and the upstream still accepts connections. Only a response
+ * to a request that the connection carried before is skipped; one whose request is unknown may be
+ * the response to the pending request and fails it. Used only on the event loop.
  */
 // A failed write or close closes the channel, and channelInactive handles that.
 @SuppressWarnings("FutureReturnValueIgnored")
@@ -328,15 +328,21 @@
   }
 
   private void finish(PendingRequest current) {
-    if (!current.lengthDeclared && connectionReset) {
-      fail(
-          current, new IOException("connection reset during a response without a declared length"));
-      return;
-    }
     if (current.lengthDeclared) {
       complete(current);
       return;
     }
+    // A write that fails takes the error which a read would have shown.
+    if (connectionReset || !current.requestWritten) {
+      fail(
+          current,
+          new IOException(
+              "connection ended during a response without a declared length, reset="
+                  + connectionReset
+                  + " request_written="
+                  + current.requestWritten));
+      return;
+    }
     // The connections of an upstream that crashes end in the same way.
     checkingEnd = true;
     owner.checkAlive(
--- a/org.cranberrystand.daemon/src/test/java/org/cranberrystand/daemon/gateway/UpstreamConnectionTest.java
+++ b/org.cranberrystand.daemon/src/test/java/org/cranberrystand/daemon/gateway/UpstreamConnectionTest.java
@@ -6,10 +6,15 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundHandlerAdapter;
+import io.netty.channel.ChannelPromise;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.ReferenceCountUtil;
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -159,6 +164,22 @@
                   memory));
     }
 
+    /** Has the body of the next request wait as it does if the upstream does not read it. */
+    ChannelPromise[] holdBody() {
+      ChannelPromise[] held = new ChannelPromise[1];
+      channel
+          .pipeline()
+          .addFirst(
+              new ChannelOutboundHandlerAdapter() {
+                @Override
+                public void write(ChannelHandlerContext ctx, Object part, ChannelPromise promise) {
+                  held[0] = promise;
+                  ReferenceCountUtil.release(part);
+                }
+              });
+      return held;
+    }
+
     void receive(String bytes) {
       if (channel.isActive()) {
         channel.writeInbound(Unpooled.copiedBuffer(bytes, StandardCharsets.US_ASCII));
@@ -466,6 +487,60 @@
         + "x".repeat(FILL_BYTES - start.length());
   }
 
+  /** How the connection of an early response without a length ends during the upload. */
+  private enum UploadEnd {
+    CLOSE_IS_SEEN_FIRST {
+      @Override
+      void end(EmbeddedChannel channel, ChannelPromise write) {
+        channel.close().syncUninterruptibly();
+        write.setFailure(reset());
+      }
+    },
+    WRITE_FAILS_FIRST {
+      @Override
+      void end(EmbeddedChannel channel, ChannelPromise write) {
+        write.setFailure(reset());
+        channel.close().syncUninterruptibly();
+      }
+    },
+    READ_FAILS {
+      @Override
+      void end(EmbeddedChannel channel, ChannelPromise write) {
+        channel.pipeline().fireExceptionCaught(reset());
+        channel.close().syncUninterruptibly();
+        write.setFailure(reset());
+      }
+    };
+
+    abstract void end(EmbeddedChannel channel, ChannelPromise write);
+
+    private static IOException reset() {
+      return new IOException("Connection reset by peer");
+    }
+  }
+
+  @DataProvider
+  public Object[] uploadEnds() {
+    return UploadEnd.values();
+  }
+
+  /**
+   * Guards against a part of a response without a length that is delivered as a whole one, since
+   * the failed upload hides that the connection was reset.
+   */
+  @Test(dataProvider = "uploadEnds")
+  public void responseThatIsResetDuringTheUploadIsNotDelivered(UploadEnd end) {
+    reset();
+    Link link = new Link();
+    ChannelPromise[] write = link.holdBody();
+    link.send("own", false);
+    link.receive("HTTP/1.1 200 Status\r\nid: own\r\nseal: s\r\n\r\npart");
+    end.end(link.channel, write[0]);
+    link.channel.runPendingTasks();
+
+    assertEquals(delivered, List.of("failed"));
+  }
+
   /** Guards against passing on the rest of a body that was found invalid. */
   @Test
   public void nothingFollowsAnInvalidPartOfALargeBody() {
