--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/CallerConnection.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/CallerConnection.java
@@ -8,6 +8,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.handler.codec.DecoderResult;
@@ -83,6 +84,9 @@
   private boolean responseBegun;
   private boolean closeAfterResponse;
 
+  /** Whether only the end of the connection tells the caller that the response is complete. */
+  private boolean endsWithConnection;
+
   /** Set from a complete request until its response is sent. */
   private boolean paused;
 
@@ -336,7 +340,7 @@
 
   @Override
   public void closeForMemory() {
-    channel.close();
+    close();
     updateUnsent();
   }
 
@@ -399,6 +403,7 @@
     HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, status, headers);
     headers.remove(HttpHeaderNames.CONTENT_LENGTH);
     if (request.protocolVersion().equals(HttpVersion.HTTP_1_0)) {
+      endsWithConnection = true;
       closeAfterResponse = true;
     } else {
       HttpUtil.setTransferEncodingChunked(response, true);
@@ -430,7 +435,7 @@
 
   @Override
   public void abort() {
-    channel.close();
+    close();
   }
 
   private void responseWritten(ChannelFuture write) {
@@ -537,7 +542,7 @@
     updateUnsent();
     if (unsentBytes > 0
         && TimeUnit.NANOSECONDS.toMillis(nowNanos - lastSentNanos) > limits.idleTimeoutMillis()) {
-      channel.close();
+      close();
       return;
     }
     long quietMillis = (nowNanos - lastActivityNanos) / 1_000_000;
@@ -572,7 +577,12 @@
     }
   }
 
+  /** Closes the connection so that a response in progress does not look complete. */
   void close() {
+    if (endsWithConnection && (responseBegun || hasUnsentResponse())) {
+      // Resets the connection; its orderly end would be the end of the response.
+      channel.config().setOption(ChannelOption.SO_LINGER, 0);
+    }
     channel.close();
   }
 }
