End the absence of the store when other nodes read it (DRAIN)

Hypotheses: (1) the grace period of 2.2 s by itself is too long; (2) its extension is: it begins when the reports of other nodes arrive again, and is then extended by the time until the node's own call of the store succeeds, up to 1.75 s. The requests came up to 3.5 s after the removal, so (1) alone does not explain them.

Cause: a grace period is extended while upstreams cannot register. A node took its own failing calls for that, though the nodes that read the store for it reported that it works.

PublishedFollowerTest#storeThatOthersReadIsNotLost failed before.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/PublishedFollower.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/PublishedFollower.java
@@ -54,10 +54,10 @@
     /** Some values changed. */
     void valuesChanged(PublishedState state, Iterable<PublishedValue> changes);
 
-    /** The store no longer responds. */
+    /** The store no longer responds, neither to this node nor to those that read it for it. */
     void storeLost();
 
-    /** The store responds again. */
+    /** The store responds again, to this node or to others. */
     void storeRegained();
 
     /**
@@ -78,6 +78,10 @@
   private int watchNumber;
   private int waitingWatchMillis;
   private boolean storeUnavailable;
+
+  /** Whether other nodes have reached the store since this one lost it. */
+  private boolean readByOthers;
+
   private int failedCallCount;
   private StoreRole role = StoreRole.LEADING;
   private StoreRole firstRole = StoreRole.LEADING;
@@ -152,11 +156,23 @@
     }
   }
 
-  /** Records that a node which reads the store in preference to this one reports that it works. */
+  /**
+   * Records whether nodes that read the store in preference to this one report that it works, as
+   * the role says. While this node does not reach a store that others read, registrations go on.
+   */
   void storeReadByOthers() {
-    if (!role.readsFirst()) {
+    boolean isRead = !role.readsFirst();
+    if (isRead) {
       recordContact();
     }
+    if (storeUnavailable && isRead != readByOthers) {
+      readByOthers = isRead;
+      if (isRead) {
+        listener.storeRegained();
+      } else {
+        listener.storeLost();
+      }
+    }
   }
 
   boolean isPassive() {
@@ -405,8 +421,12 @@
     failedCallCount = 0;
     if (storeUnavailable) {
       storeUnavailable = false;
-      log.write(LogEvent.DEPENDENCY_REGAINED, "dependency=store version=" + version());
-      listener.storeRegained();
+      log.write(
+          LogEvent.DEPENDENCY_REGAINED,
+          "dependency=store version=" + version() + " read_by_others=" + readByOthers);
+      if (!readByOthers) {
+        listener.storeRegained();
+      }
     }
     recordContact();
   }
@@ -446,6 +466,7 @@
     }
     if (!storeUnavailable) {
       storeUnavailable = true;
+      readByOthers = false;
       log.write(LogEvent.DEPENDENCY_LOST, fields);
       listener.storeLost();
     }
--- a/org.cranberrystand.daemon/src/test/java/org/cranberrystand/daemon/gateway/PublishedFollowerTest.java
+++ b/org.cranberrystand.daemon/src/test/java/org/cranberrystand/daemon/gateway/PublishedFollowerTest.java
@@ -292,6 +292,31 @@
     assertTrue(listener.calls.isEmpty(), listener.calls.toString());
   }
 
+  /**
+   * Guards against a grace period for removed upstreams that goes on after a partition, until the
+   * node's own call of the store succeeds, though others read there that the upstreams are gone.
+   */
+  @Test
+  public void storeThatOthersReadIsNotLost() throws Exception {
+    onLoop(() -> follower.setRole(StoreRole.SUPPLEMENTARY));
+    readFirstState(0, 7);
+    store.nextWatch().answer().completeExceptionally(new IOException("partition"));
+    store.nextWatch().answer().completeExceptionally(new IOException("partition"));
+    assertEquals(listener.next(), "lost");
+
+    onLoop(follower::storeReadByOthers);
+    assertEquals(listener.next(), "regained");
+    onLoop(follower::storeReadByOthers);
+
+    onLoop(() -> follower.setRole(StoreRole.LEADING));
+    onLoop(follower::storeReadByOthers);
+    assertEquals(listener.next(), "lost");
+
+    store.nextWatch().answer().complete(change(8));
+    assertEquals(listener.next(), "regained");
+    assertEquals(listener.next(), "changed 0.8");
+  }
+
   private static PublishedVersion version(long era, long revision) {
     return new PublishedVersion(era, revision);
   }
--- a/org.cranberrystand/src/test/java/org/cranberrystand/upstream/UpstreamRegistryTest.java
+++ b/org.cranberrystand/src/test/java/org/cranberrystand/upstream/UpstreamRegistryTest.java
@@ -141,6 +141,19 @@
     assertEquals(usable(), List.of("b"));
   }
 
+  /** Guards against a grace period that is extended by the time after the source was there. */
+  @Test
+  public void absenceThatOthersSawEndExtendsNothing() {
+    registry.sourceLost(5 * SECOND);
+    registry.registrationsMayHaveExpired(10 * SECOND);
+    registry.sourceRegained(10 * SECOND);
+    registry.removed("a", 11 * SECOND);
+    registry.sourceRegained(12 * SECOND);
+
+    assertTrue(registry.expire(12_200_000_000L));
+    assertEquals(usable(), List.of("b"));
+  }
+
   private static RegisteredUpstream startedAt(String id, long startedAtMillis) {
     return new RegisteredUpstream(
         id, "pool", "10.0.0.1:80", "d", "v1", 4, startedAtMillis, 0, false);
