Count each of several crashes by copies of one request (BUDGET)

Cause: crashes less than 200 ms apart count as one, since a failure domain may have been lost. Nothing asked whether it was.

Change: CommonCauses rules a common cause out by what was seen: in the failure domain of each crash another upstream answered afterwards on a connection from before, and no upstream crashed at that moment to which none of the copies was sent. Then each crash counts, for the content of a request that was never answered and is no part that others share. Without such signs the crashes count once, as before. Nodes know the failure domains from the registrations, so reports do not change.

Why it works: a lost domain leaves no survivor with a connection from before; several upstreams lost at random include some without the request.

CrashRegisterTest: copiesThatCrashUpstreamsAtOnceCountEach needs the new rule; four tests hold against blaming content for a lost domain, for upstreams that started again, for answers on their way, beside crashes without it, and although it is known to run. crashesAtTheSameMomentCountOnce is unchanged.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/CrashDetector.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/CrashDetector.java
@@ -130,6 +130,7 @@
    * since, even if no connection showed it.
    */
   void registered(RegisteredUpstream upstream) {
+    register.registered(upstream.incarnationKey(), upstream.failureDomain());
     long oldestNanos = System.nanoTime() - UNEXPLAINED_NANOS;
     unexplained.removeIf(suspect -> suspect.endedNanos() - oldestNanos < 0);
     List<Suspect> ended =
@@ -199,6 +200,12 @@
     apply(changes, THIS_NODE);
   }
 
+  /** Records an answer of an upstream on a connection that was opened at a time. */
+  void survived(RegisteredUpstream upstream, long connectedNanos) {
+    register.survived(
+        upstream.incarnationKey(), upstream.failureDomain(), connectedNanos, System.nanoTime());
+  }
+
   /** Records that an upstream survived content. */
   void answered(ImmutableList<Long> keys) {
     apply(register.answered(keys, System.nanoTime()), THIS_NODE);
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RequestContent.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RequestContent.java
@@ -61,6 +61,7 @@
 
   /** Records that an upstream sent a complete response and does not say that it ran nothing. */
   void answered(RelayAttempt answered, HttpResponseStatus status) {
+    crashes.survived(answered.upstream(), answered.connectedNanos());
     if (status.codeClass() == HttpStatusClass.SUCCESS) {
       crashes.answered(keys.all());
     } else {
--- /dev/null
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CommonCauses.java
@@ -0,0 +1,87 @@
+package org.cranberrystand.dispatch;
+
+import java.util.Collection;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
+import org.cranberrystand.util.BoundedMap;
+
+/**
+ * Tells crashes at the same moment with a common cause, such as a failure domain or a rack that was
+ * lost, from those of which each was caused by a copy of the same request. Not thread-safe.
+ *
+ * <p>A common cause is ruled out only by what was seen: in the failure domain of each crash,
+ * another upstream lived on, and no upstream crashed at that moment to which no copy was sent.
+ */
+final class CommonCauses {
+  private static final int MAX_DOMAINS = 1_024;
+  private static final int MAX_UPSTREAMS_PER_DOMAIN = 256;
+
+  /** Answers that were on their way during a crash do not show that their upstream lives on. */
+  private static final long IN_FLIGHT_NANOS = CrashRegister.MIN_SEPARATION_NANOS;
+
+  /** An older answer on a connection gives way to one on a connection that was opened later. */
+  private static final long OUTDATED_NANOS = TimeUnit.SECONDS.toNanos(2);
+
+  /** A connection on which an upstream answered: it lived for all of the time in between. */
+  private record Life(long connectedNanos, long answeredNanos) {
+    private boolean includes(long atNanos) {
+      return connectedNanos - atNanos <= 0 && answeredNanos - atNanos >= IN_FLIGHT_NANOS;
+    }
+  }
+
+  private final CrashedUpstreams crashes;
+
+  /** The failure domains of upstreams, by the identity of a crash of them. */
+  private final Map<Integer, String> domainByCrash = new BoundedMap<>(CrashedUpstreams.MAX_CRASHES);
+
+  private final Map<String, Map<String, Life>> livesByDomain = new BoundedMap<>(MAX_DOMAINS);
+
+  CommonCauses(CrashedUpstreams crashes) {
+    this.crashes = crashes;
+  }
+
+  /** Records in which failure domain an upstream is registered. */
+  void registered(String incarnation, String domain) {
+    domainByCrash.put(CrashedUpstreams.firstCrashOf(incarnation), domain);
+  }
+
+  /** Records an answer of an upstream on a connection that was opened at a time. */
+  void answered(String incarnation, String domain, long connectedNanos, long nowNanos) {
+    Life answered = new Life(connectedNanos, nowNanos);
+    livesByDomain
+        .computeIfAbsent(domain, any -> new BoundedMap<>(MAX_UPSTREAMS_PER_DOMAIN))
+        .merge(incarnation, answered, CommonCauses::longerOrNewer);
+  }
+
+  private static Life longerOrNewer(Life known, Life answered) {
+    boolean isOutdated = answered.answeredNanos() - known.answeredNanos() > OUTDATED_NANOS;
+    boolean isLonger = answered.connectedNanos() - known.connectedNanos() <= 0;
+    return isLonger || isOutdated ? answered : known;
+  }
+
+  /**
+   * Returns whether crashes at the same moment have no common cause.
+   *
+   * @param nanosByCrash the times of the crashes by their identities
+   * @param knownToKey whether a request with the key was at the upstream that crashed
+   */
+  boolean areRuledOut(Map<Integer, Long> nanosByCrash, Predicate<Integer> knownToKey) {
+    Collection<Long> times = nanosByCrash.values();
+    long firstNanos = times.stream().reduce((a, b) -> a - b <= 0 ? a : b).orElseThrow();
+    long lastNanos = times.stream().reduce((a, b) -> a - b >= 0 ? a : b).orElseThrow();
+    boolean othersCrashed =
+        crashes.anyBetween(
+            firstNanos - CrashRegister.MIN_SEPARATION_NANOS,
+            lastNanos + CrashRegister.MIN_SEPARATION_NANOS,
+            knownToKey.negate());
+    return !othersCrashed
+        && nanosByCrash.keySet().stream()
+            .allMatch(crash -> hasSurvivor(domainByCrash.get(crash), lastNanos));
+  }
+
+  private boolean hasSurvivor(String domain, long atNanos) {
+    Map<String, Life> lives = domain == null ? null : livesByDomain.get(domain);
+    return lives != null && lives.values().stream().anyMatch(life -> life.includes(atNanos));
+  }
+}
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CrashEvidence.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CrashEvidence.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -48,6 +49,7 @@
   /** So many upstreams that answer with a failure, and none that crashes, are worth a success. */
   private static final int FAILURES_TO_CLEAR = 3;
 
+  private final CommonCauses causes;
   private final Map<Integer, Long> crashNanosByUpstream = new HashMap<>();
 
   /** The crashes beyond the maximum, which still show that the key had part in them. */
@@ -71,9 +73,11 @@
    * Creates evidence without crashes.
    *
    * @param lastAnswerNanos when this node received the last answer; null if it received none
+   * @param causes tells crashes with a common cause
    * @param nowNanos the current time
    */
-  CrashEvidence(Long lastAnswerNanos, long nowNanos) {
+  CrashEvidence(Long lastAnswerNanos, CommonCauses causes, long nowNanos) {
+    this.causes = causes;
     changedNanos = nowNanos;
     if (lastAnswerNanos != null) {
       everAnswered = true;
@@ -187,16 +191,32 @@
   /** Returns the times of the crashes without a common cause. */
   private List<Long> separateCrashes() {
     List<Long> separate = new ArrayList<>();
+    Map<Integer, Long> group = new LinkedHashMap<>();
+    long groupNanos = 0;
     for (Map.Entry<Integer, Long> crash : sortedCrashes()) {
       long atNanos = crash.getValue();
-      if (separate.isEmpty()
-          || atNanos - separate.get(separate.size() - 1) >= CrashRegister.MIN_SEPARATION_NANOS) {
-        separate.add(atNanos);
+      if (!group.isEmpty() && atNanos - groupNanos >= CrashRegister.MIN_SEPARATION_NANOS) {
+        addGroup(group, separate);
+        group.clear();
       }
+      groupNanos = group.isEmpty() ? atNanos : groupNanos;
+      group.put(crash.getKey(), atNanos);
     }
+    addGroup(group, separate);
     return separate;
   }
 
+  /**
+   * Adds the times of crashes at the same moment; only the first one if they may have a common
+   * cause. Of copies of one request each may crash its upstream, while requests that merely share a
+   * part, or that are known to run, are lost together with what they were sent to.
+   */
+  private void addGroup(Map<Integer, Long> group, List<Long> separate) {
+    boolean countsEach =
+        group.size() > 1 && !shared && !everAnswered && causes.areRuledOut(group, this::knows);
+    group.values().stream().limit(countsEach ? group.size() : 1).forEach(separate::add);
+  }
+
   /** Records that other requests may have the key; returns whether that changes its rank. */
   boolean markShared() {
     EvidenceRank before = rank();
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CrashRegister.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CrashRegister.java
@@ -30,8 +30,8 @@
  */
 public final class CrashRegister {
   /**
-   * Crashes that are closer have a common cause, such as a failure domain that was lost, and count
-   * as one; in nanoseconds.
+   * Crashes that are closer may have a common cause, such as a failure domain that was lost, and
+   * then count as one; in nanoseconds.
    */
   public static final long MIN_SEPARATION_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
 
@@ -116,6 +116,7 @@
   private final EvidenceTable table = new EvidenceTable();
   private final CrashNews news = new CrashNews(table);
   private final CrashedUpstreams upstreams = new CrashedUpstreams();
+  private final CommonCauses causes = new CommonCauses(upstreams);
   private final LossRatio losses = new LossRatio();
 
   /** Kept for all keys, since another node may report a crash from before the answer. */
@@ -144,6 +145,28 @@
     return changes;
   }
 
+  /**
+   * Records in which failure domain an upstream is registered.
+   *
+   * @param incarnation the key of the incarnation of the upstream
+   * @param domain the failure domain
+   */
+  public void registered(String incarnation, String domain) {
+    causes.registered(incarnation, domain);
+  }
+
+  /**
+   * Records that an upstream answered, whatever the answer.
+   *
+   * @param incarnation the key of the incarnation of the upstream
+   * @param domain its failure domain
+   * @param connectedNanos when the connection of the answer was opened
+   * @param nowNanos the current time
+   */
+  public void survived(String incarnation, String domain, long connectedNanos, long nowNanos) {
+    causes.answered(incarnation, domain, connectedNanos, nowNanos);
+  }
+
   /**
    * Returns whether this or another node has seen the upstream of a connection crash about the time
    * at which this node closed the connection, or later.
@@ -180,7 +203,7 @@
       long key = report.key();
       CrashEvidence known = table.get(key);
       CrashEvidence evidence =
-          known == null ? new CrashEvidence(answerNanosByKey.get(key), nowNanos) : known;
+          known == null ? new CrashEvidence(answerNanosByKey.get(key), causes, nowNanos) : known;
       boolean suspectedBefore = evidence.isSuspected(nowNanos);
       int crashesBefore = evidence.crashCount();
       if (!evidence.merge(report, nowNanos)) {
@@ -280,6 +303,7 @@
    */
   public Verdict judge(Collection<Long> keys, long nowNanos) {
     markShared(keys);
+    keys.forEach(this::rankAgain);
     long refusalNanos = 0;
     long probeNanos = 0;
     ImmutableList.Builder<Long> probed = ImmutableList.builder();
@@ -298,6 +322,14 @@
     return new Verdict(Math.max(refusalNanos, probeNanos), probed.build());
   }
 
+  /** Ranks a key whose crashes are found to have no common cause after they were recorded. */
+  private void rankAgain(long key) {
+    CrashEvidence evidence = table.get(key);
+    if (evidence != null && evidence.rank() != table.rank(key)) {
+      table.put(key, evidence);
+    }
+  }
+
   private void markShared(Collection<Long> keys) {
     keys.stream()
         .skip(1)
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CrashedUpstreams.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CrashedUpstreams.java
@@ -2,6 +2,7 @@
 
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import org.cranberrystand.util.BoundedMap;
 
 /**
@@ -13,7 +14,7 @@
  * crash.
  */
 final class CrashedUpstreams {
-  private static final int MAX_CRASHES = 4_096;
+  static final int MAX_CRASHES = 4_096;
 
   /**
    * A process that ends may accept connections for a moment, and other nodes learn of the time of
@@ -55,6 +56,18 @@
     return start == 0 ? incarnation.hashCode() : (incarnation + '/' + start).hashCode();
   }
 
+  /** Returns the identity of the first crash of an incarnation. */
+  static int firstCrashOf(String incarnation) {
+    return identity(incarnation, 0);
+  }
+
+  /** Returns whether a crash is known that happened within a time and is one of those sought. */
+  boolean anyBetween(long fromNanos, long toNanos, Predicate<Integer> sought) {
+    return nanosByCrash.entrySet().stream()
+        .filter(crash -> crash.getValue() - fromNanos >= 0 && crash.getValue() - toNanos <= 0)
+        .anyMatch(crash -> sought.test(crash.getKey()));
+  }
+
   /** Records a crash that this or another node has identified. */
   void add(int crash, long atNanos) {
     nanosByCrash.putIfAbsent(crash, atNanos);
--- a/org.cranberrystand/src/test/java/org/cranberrystand/dispatch/CrashRegisterTest.java
+++ b/org.cranberrystand/src/test/java/org/cranberrystand/dispatch/CrashRegisterTest.java
@@ -90,6 +90,90 @@
     assertFalse(isRefused(register, KEY, SECOND));
   }
 
+  private static final int COPIES = 4;
+
+  /** Registers upstreams in two domains, all connected, and has copies of a request crash some. */
+  private void crashCopies() {
+    for (int i = 0; i < 2 * COPIES; i++) {
+      String domain = i % 2 == 0 ? "east" : "west";
+      for (CrashRegister each : List.of(register, peer)) {
+        each.registered("u" + i, domain);
+        each.survived("u" + i, domain, 0, SECOND);
+      }
+    }
+    for (int i = 0; i < COPIES; i++) {
+      crash(i % 2 == 0 ? register : peer, KEY, "u" + i, 2 * SECOND + i);
+    }
+  }
+
+  private void exchangeReports(long nowNanos) {
+    register.reported(peer.reports(nowNanos), nowNanos);
+    peer.reported(register.reports(nowNanos), nowNanos);
+  }
+
+  /** Has an upstream of each domain answer that was not crashed, on a connection from before. */
+  private void answerFromSurvivors(long connectedNanos, long nowNanos) {
+    for (CrashRegister each : List.of(register, peer)) {
+      each.survived("u" + COPIES, "east", connectedNanos, nowNanos);
+      each.survived("u" + (COPIES + 1), "west", connectedNanos, nowNanos);
+    }
+  }
+
+  /** Guards against copies of a request that crash several upstreams at once and count once. */
+  @Test
+  public void copiesThatCrashUpstreamsAtOnceCountEach() {
+    crashCopies();
+    exchangeReports(3 * SECOND);
+    assertFalse(isRefused(register, KEY, 3 * SECOND));
+
+    answerFromSurvivors(0, 3 * SECOND);
+
+    assertTrue(isRefused(register, KEY, 4 * SECOND));
+    assertTrue(isRefused(peer, KEY, 4 * SECOND));
+  }
+
+  /** Guards against taking upstreams that started again after a crash for survivors of it. */
+  @Test
+  public void upstreamsThatStartedAgainAreNoSurvivors() {
+    crashCopies();
+    exchangeReports(3 * SECOND);
+    answerFromSurvivors(5 * SECOND, 6 * SECOND);
+
+    assertFalse(isRefused(register, KEY, 7 * SECOND));
+  }
+
+  /** Guards against taking answers from the moment of a crash for answers after it. */
+  @Test
+  public void answersOnTheirWayShowNoSurvivors() {
+    crashCopies();
+    exchangeReports(3 * SECOND);
+    answerFromSurvivors(0, 2 * SECOND + SECOND / 10);
+
+    assertFalse(isRefused(register, KEY, 3 * SECOND));
+  }
+
+  /** Guards against blaming copies of a request that were lost with a part of a domain. */
+  @Test
+  public void crashesWithoutTheRequestAtTheSameMomentAreACommonCause() {
+    crashCopies();
+    crash(register, KEY + 1, "u" + (2 * COPIES - 1), 2 * SECOND);
+    exchangeReports(3 * SECOND);
+    answerFromSurvivors(0, 3 * SECOND);
+
+    assertFalse(isRefused(register, KEY, 4 * SECOND));
+  }
+
+  /** Guards against blaming content that is known to run for the loss of its upstreams. */
+  @Test
+  public void copiesOfAnsweredContentCountOnce() {
+    register.answered(ImmutableList.of(KEY), 0);
+    crashCopies();
+    exchangeReports(3 * SECOND);
+    answerFromSurvivors(0, 3 * SECOND);
+
+    assertFalse(isRefused(register, KEY, 4 * SECOND));
+  }
+
   /**
    * Guards against a node that accepts refused content because it was started after the crashes.
    */
