Tell other nodes for how long the store was there (DRAIN)

Hypotheses: (1) the extension of the grace period goes on in some order of events; (2) the grace period of 2.2 s itself is too long, as it begins when a node hears of the store again, up to 1 s after its links are back. The upstream left at 46.507 s, the last request came at 48.706 s: 2.2 s, so (2).

Cause: a node that was cut off cannot know that the store was there, and takes removals for registrations that expired in an outage.

Change: nodes that read the store report for how many seconds they have done so without an absence in which registrations may have expired. If that includes the absence of another node, and the time before it in which registrations may still have expired, nothing has expired: what is missing has left (5059), whether the report or the own answer of the store comes first. Not after a restore, of which upstreams are still to be kept.

SourceContactTest, PublishedFollowerTest and UpstreamRegistryTest have the cases, PeerReportCodecTest the field.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/FleetState.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/FleetState.java
@@ -297,6 +297,13 @@
     registry.registrationsMayHaveExpired(System.nanoTime());
   }
 
+  @Override
+  public void registrationsDidNotExpire() {
+    if (registry.registrationsDidNotExpire(System.nanoTime())) {
+      applyUpstreams("peer");
+    }
+  }
+
   /** An upstream announced in a response to this node that it is leaving. */
   void upstreamLeaving(RegisteredUpstream upstream) {
     if (registry.announcedLeaving(upstream)) {
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Gateway.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Gateway.java
@@ -258,7 +258,8 @@
         quotas,
         new ReportSource(),
         this::observationsReported,
-        new ReportSocket(loop, settings.listen().reportPort(), this::handleReport, log),
+        new ReportSocket(
+            loop, settings.listen().reportPort(), report -> reports.handleReport(report), log),
         log,
         incarnation);
   }
@@ -288,11 +289,13 @@
           .crashes(crashes.reports())
           .unreachablePools(reach.unreachablePools().asList())
           .streamOrigins(streams.recent())
+          .storeSteadySeconds(follower.storeSteadySeconds())
           .build();
     }
   }
 
   private void observationsReported(NodeInfo sender, SharedObservations observations) {
+    follower.storeSteadyAtOther(observations.storeSteadySeconds());
     fleet.leavingReported(sender.node(), observations.leavingUpstreams());
     limiter.statements().reported(sender.node(), observations.upstreamLimits());
     brittle.statements().reported(sender.node(), observations.refusalLimits());
@@ -301,10 +304,6 @@
     streams.reported(sender.host(), observations.streamOrigins(), observations.soughtStreams());
   }
 
-  private void handleReport(PeerReport report) {
-    reports.handleReport(report);
-  }
-
   private static ImmutableSet<String> seedHosts(GatewaySettings settings) {
     return settings.seeds().stream()
         .map(HostAndPort::getHost)
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/PublishedFollower.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/PublishedFollower.java
@@ -40,6 +40,9 @@
   /** Time allowed for this call, before the store looks absent. */
   private static final int CHECK_MILLIS = 150;
 
+  /** Longer than any absence of which it is worth to know that the store was there. */
+  private static final int MAX_STEADY_SECONDS = 120;
+
   private static final long MIN_RETRY_DELAY_MILLIS = 100;
   private static final long MAX_RETRY_DELAY_MILLIS = 1_000;
 
@@ -65,6 +68,9 @@
      * changes since then follow.
      */
     void registrationsMayHaveExpired();
+
+    /** The store was there all the time, though this node did not reach it. */
+    void registrationsDidNotExpire();
   }
 
   private final EventLoop loop;
@@ -165,13 +171,40 @@
     if (isRead) {
       recordContact();
     }
-    if (storeUnavailable && isRead != readByOthers) {
-      readByOthers = isRead;
-      if (isRead) {
-        listener.storeRegained();
-      } else {
-        listener.storeLost();
-      }
+    setReadByOthers(isRead);
+  }
+
+  private void setReadByOthers(boolean isRead) {
+    if (!storeUnavailable || isRead == readByOthers) {
+      return;
+    }
+    readByOthers = isRead;
+    if (isRead) {
+      listener.storeRegained();
+    } else {
+      listener.storeLost();
+    }
+  }
+
+  /**
+   * Returns for how long this node has read the store without an absence in which registrations may
+   * have expired, in seconds.
+   */
+  int storeSteadySeconds() {
+    long steadyNanos = readsStore() ? contact.steadyNanos(System.nanoTime()) : 0;
+    return (int) Math.min(MAX_STEADY_SECONDS, TimeUnit.NANOSECONDS.toSeconds(steadyNanos));
+  }
+
+  /**
+   * Records for how long another node has read the store without such an absence. If that includes
+   * the one of this node, the store was not away, and what is missing now has left.
+   */
+  void storeSteadyAtOther(int seconds) {
+    if (seconds > 0
+        && contact.confirmedSteady(TimeUnit.SECONDS.toNanos(seconds), System.nanoTime())) {
+      log.write(LogEvent.REGISTRATIONS_CERTAIN, "steady_s=" + seconds + " version=" + version());
+      setReadByOthers(true);
+      listener.registrationsDidNotExpire();
     }
   }
 
--- a/org.cranberrystand.daemon/src/test/java/org/cranberrystand/daemon/gateway/PublishedFollowerTest.java
+++ b/org.cranberrystand.daemon/src/test/java/org/cranberrystand/daemon/gateway/PublishedFollowerTest.java
@@ -98,6 +98,11 @@
       calls.add("uncertain");
     }
 
+    @Override
+    public void registrationsDidNotExpire() {
+      calls.add("certain");
+    }
+
     private String next() throws InterruptedException {
       return calls.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS);
     }
@@ -317,6 +322,36 @@
     assertEquals(listener.next(), "changed 0.8");
   }
 
+  /**
+   * Guards against a grace period for removed upstreams after a partition in which another node
+   * read the store all the time, whether its report or the own answer of the store comes first.
+   */
+  @Test(dataProvider = "steadyReports")
+  public void absenceThatAnotherNodeDidNotHaveIsNone(boolean ownAnswerFirst) throws Exception {
+    readFirstState(0, 7);
+    store.nextWatch();
+    ScriptedStore.Watch check = store.nextWatch();
+    TimeUnit.MILLISECONDS.sleep(HEARTBEAT_MILLIS);
+    if (ownAnswerFirst) {
+      check.answer().complete(change(8));
+      assertEquals(listener.next(), "uncertain");
+      assertEquals(listener.next(), "changed 0.8");
+    }
+
+    onLoop(() -> follower.storeSteadyAtOther(1));
+    assertEquals(listener.calls.size(), 0, listener.calls.toString());
+    onLoop(() -> follower.storeSteadyAtOther(60));
+    assertEquals(listener.next(), "certain");
+    onLoop(() -> follower.storeSteadyAtOther(60));
+    onLoop(follower::storeReadByOthers);
+    assertEquals(listener.calls.size(), 0, listener.calls.toString());
+  }
+
+  @DataProvider
+  public Object[] steadyReports() {
+    return new Object[] {false, true};
+  }
+
   private static PublishedVersion version(long era, long revision) {
     return new PublishedVersion(era, revision);
   }
--- a/org.cranberrystand.wire/src/main/java/org/cranberrystand/wire/peer/BinaryReportCodec.java
+++ b/org.cranberrystand.wire/src/main/java/org/cranberrystand/wire/peer/BinaryReportCodec.java
@@ -73,6 +73,7 @@
   private static final int CHANGED_QUOTA = 24;
   private static final int REQUESTED_SCOPE = 25;
   private static final int IS_BASE = 26;
+  private static final int STORE_STEADY = 27;
 
   /** Precedes a name in a row; a higher value stands for the name at that position in the base. */
   private static final int NEW_NAME = 0;
@@ -243,6 +244,7 @@
         });
     out.rows(
         SOUGHT_STREAM, observations.soughtStreams(), (stream, row) -> row.writeStringNoTag(stream));
+    out.number(STORE_STEADY, observations.storeSteadySeconds(), 0);
   }
 
   private static void writeLimits(
@@ -410,6 +412,7 @@
                             row.readString(), row.readString(), row.readString())));
         case SOUGHT_STREAM ->
             observations.soughtStreams(readRows(in, CodedInputStream::readString));
+        case STORE_STEADY -> observations.storeSteadySeconds(in.readUInt32());
         default -> {
           return false;
         }
--- a/org.cranberrystand.wire/src/main/java/org/cranberrystand/wire/peer/JsonReportCodec.java
+++ b/org.cranberrystand.wire/src/main/java/org/cranberrystand/wire/peer/JsonReportCodec.java
@@ -66,6 +66,7 @@
         .observations()
         .leavingUpstreams()
         .forEach(one -> leaving.put(one.upstream(), NANOSECONDS.toMillis(one.ageNanos())));
+    root.put("z", report.observations().storeSteadySeconds());
     writeLimits(root.putObject("t"), report.observations().upstreamLimits());
     writeLimits(root.putObject("y"), report.observations().refusalLimits());
     ArrayNode unreachable = root.putArray("v");
@@ -175,6 +176,7 @@
             .unreachablePools(readTexts(root.path("v")))
             .streamOrigins(readOrigins(root.path("o")))
             .soughtStreams(readTexts(root.path("a")))
+            .storeSteadySeconds(root.path("z").asInt())
             .build(),
         others.build());
   }
--- a/org.cranberrystand.wire/src/main/java/org/cranberrystand/wire/peer/ReportChanges.java
+++ b/org.cranberrystand.wire/src/main/java/org/cranberrystand/wire/peer/ReportChanges.java
@@ -119,6 +119,7 @@
                 .filter(Predicate.not(previousOrigins::contains))
                 .collect(ImmutableList.toImmutableList()))
         .soughtStreams(after.soughtStreams())
+        .storeSteadySeconds(after.storeSteadySeconds())
         .build();
   }
 
--- a/org.cranberrystand.wire/src/test/java/org/cranberrystand/wire/peer/PeerReportCodecTest.java
+++ b/org.cranberrystand.wire/src/test/java/org/cranberrystand/wire/peer/PeerReportCodecTest.java
@@ -57,7 +57,8 @@
                 new CrashRegister.Report(7, 2_000_000L, ImmutableList.of())),
             ImmutableList.of("llm"),
             ImmutableList.of(new StreamOrigins.Origin("a1", "llm", "v1.1")),
-            ImmutableList.of("a2", "a3")),
+            ImmutableList.of("a2", "a3"),
+            17),
         ImmutableList.of(new NodeInfo("n2", "10.0.0.2", "10.0.0.2:80", false, 1.5)));
   }
 
--- a/org.cranberrystand/src/main/java/org/cranberrystand/event/LogEvent.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/event/LogEvent.java
@@ -146,6 +146,8 @@
   CRASH_RULED_OUT(5057, Severity.INFO, "upstream did not crash"),
   /** More requests were refused than are logged. */
   REFUSALS_LEFT_OUT(5058, Severity.INFO, "refusals left out of the log"),
+  /** The store was there while the node did not reach it, so no registration has expired. */
+  REGISTRATIONS_CERTAIN(5059, Severity.INFO, "registrations have not expired"),
   /** A response ended because incomplete ones together take too much memory. */
   ANSWER_MEMORY_SPENT(5060, Severity.WARNING, "memory for answers is spent");
 
--- a/org.cranberrystand/src/main/java/org/cranberrystand/membership/SharedObservations.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/membership/SharedObservations.java
@@ -19,6 +19,8 @@
  * @param streamOrigins where streams began that are recent or that the receiver asked for
  * @param soughtStreams streams whose origin the sender asks for, by the identifier of the request
  *     that received the first event
+ * @param storeSteadySeconds for how long the sender has read the store without an absence in which
+ *     registrations may have expired, in seconds; 0 if it does not read it
  */
 public record SharedObservations(
     ImmutableList<DrainTracker.Report> leavingUpstreams,
@@ -27,7 +29,8 @@
     ImmutableList<CrashRegister.Report> crashes,
     ImmutableList<String> unreachablePools,
     ImmutableList<StreamOrigins.Origin> streamOrigins,
-    ImmutableList<String> soughtStreams) {
+    ImmutableList<String> soughtStreams,
+    int storeSteadySeconds) {
 
   /** No observations. */
   public static final SharedObservations NONE = builder().build();
@@ -69,7 +72,8 @@
         .crashes(crashes)
         .unreachablePools(unreachablePools)
         .streamOrigins(streamOrigins)
-        .soughtStreams(soughtStreams);
+        .soughtStreams(soughtStreams)
+        .storeSteadySeconds(storeSteadySeconds);
   }
 
   /** Builder of {@link SharedObservations}. */
@@ -81,6 +85,7 @@
     private ImmutableList<String> unreachablePools = ImmutableList.of();
     private ImmutableList<StreamOrigins.Origin> streamOrigins = ImmutableList.of();
     private ImmutableList<String> soughtStreams = ImmutableList.of();
+    private int storeSteadySeconds;
 
     private Builder() {}
 
@@ -161,6 +166,17 @@
       return this;
     }
 
+    /**
+     * Sets for how long the sender has read the store without a notable absence.
+     *
+     * @param value the time in seconds; 0 if it does not read the store
+     * @return this builder
+     */
+    public Builder storeSteadySeconds(int value) {
+      storeSteadySeconds = value;
+      return this;
+    }
+
     /**
      * Creates the observations.
      *
@@ -174,7 +190,8 @@
           crashes,
           unreachablePools,
           streamOrigins,
-          soughtStreams);
+          soughtStreams,
+          storeSteadySeconds);
     }
   }
 }
--- a/org.cranberrystand/src/main/java/org/cranberrystand/upstream/SourceContact.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/upstream/SourceContact.java
@@ -18,6 +18,12 @@
   private final long harmlessNanos;
   private long lastSignNanos;
 
+  /** The first sign after the last absence in which registrations may have expired. */
+  private long steadySinceNanos;
+
+  /** The last sign before that absence. */
+  private long absentSinceNanos;
+
   /**
    * Creates a contact that begins now.
    *
@@ -27,6 +33,8 @@
   public SourceContact(long heartbeatNanos, long nowNanos) {
     this.harmlessNanos = HARMLESS_INTERVALS * heartbeatNanos;
     this.lastSignNanos = nowNanos;
+    this.steadySinceNanos = nowNanos;
+    this.absentSinceNanos = nowNanos;
   }
 
   /**
@@ -38,10 +46,46 @@
    */
   public boolean confirmed(long nowNanos) {
     boolean expired = mayHaveExpired(nowNanos);
+    if (expired) {
+      absentSinceNanos = lastSignNanos;
+      steadySinceNanos = nowNanos;
+    }
     lastSignNanos = nowNanos;
     return expired;
   }
 
+  /**
+   * Records that another node had no absence of the source for some time up to now.
+   *
+   * @param steadyNanos for how long, in nanoseconds
+   * @param nowNanos the current time, in nanoseconds
+   * @return whether that covers the latest absence that this node had, so that no registration
+   *     expired in it
+   */
+  public boolean confirmedSteady(long steadyNanos, long nowNanos) {
+    boolean inAbsence = mayHaveExpired(nowNanos);
+    long startNanos = inAbsence ? lastSignNanos : absentSinceNanos;
+    boolean hadAbsence = inAbsence || steadySinceNanos - absentSinceNanos > 0;
+    // Registrations may expire for some time after an absence that ended before.
+    if (!hadAbsence || nowNanos - steadyNanos + harmlessNanos - startNanos > 0) {
+      return false;
+    }
+    absentSinceNanos = nowNanos;
+    steadySinceNanos = nowNanos;
+    lastSignNanos = nowNanos;
+    return true;
+  }
+
+  /**
+   * Returns for how long there was no absence in which registrations may have expired.
+   *
+   * @param nowNanos the current time, in nanoseconds
+   * @return the time up to the last sign, in nanoseconds; 0 during such an absence
+   */
+  public long steadyNanos(long nowNanos) {
+    return mayHaveExpired(nowNanos) ? 0 : lastSignNanos - steadySinceNanos;
+  }
+
   /**
    * Returns whether registrations of live upstreams may have expired since the last sign.
    *
--- a/org.cranberrystand/src/main/java/org/cranberrystand/upstream/UpstreamRegistry.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/upstream/UpstreamRegistry.java
@@ -272,6 +272,22 @@
     evacuated.restartGrace(graceUntilNanos);
   }
 
+  /**
+   * Records that the source was there all the time, though this node did not reach it. What is
+   * missing has left.
+   *
+   * @param nowNanos the current time
+   * @return true if the usable upstreams may have changed
+   */
+  public boolean registrationsDidNotExpire(long nowNanos) {
+    if (nowNanos < restoredUntilNanos) {
+      return false;
+    }
+    graceUntilNanos = Math.min(graceUntilNanos, nowNanos);
+    missingUntilNanos.replaceAll((id, until) -> nowNanos);
+    return removeMissing(nowNanos);
+  }
+
   /**
    * Records that the source was restored from a copy, before its list is applied.
    *
--- a/org.cranberrystand/src/test/java/org/cranberrystand/upstream/SourceContactTest.java
+++ b/org.cranberrystand/src/test/java/org/cranberrystand/upstream/SourceContactTest.java
@@ -33,4 +33,45 @@
     assertEquals(contact.silentNanos(3 * HEARTBEAT), HEARTBEAT);
     assertEquals(contact.harmlessNanos(3 * HEARTBEAT), HEARTBEAT);
   }
+
+  /** Guards against a grace period after a partition while another node read the source. */
+  @Test
+  public void absenceThatAnotherNodeDidNotHaveIsNone() {
+    contact.confirmed(HEARTBEAT);
+    assertTrue(contact.confirmedSteady(8 * HEARTBEAT, 6 * HEARTBEAT));
+    assertFalse(contact.mayHaveExpired(6 * HEARTBEAT));
+    assertFalse(contact.confirmedSteady(8 * HEARTBEAT, 6 * HEARTBEAT), "there is no absence left");
+  }
+
+  /** Guards against a grace period that goes on because the own call succeeded first. */
+  @Test
+  public void absenceIsNoneIfAnotherNodeSaysSoAfterItsEnd() {
+    contact.confirmed(HEARTBEAT);
+    assertTrue(contact.confirmed(6 * HEARTBEAT));
+    assertEquals(contact.steadyNanos(7 * HEARTBEAT), 0);
+    assertTrue(contact.confirmedSteady(9 * HEARTBEAT, 7 * HEARTBEAT));
+  }
+
+  /**
+   * Guards against losing live upstreams whose registrations expired in an outage that another node
+   * saw end before this one did.
+   */
+  @Test
+  public void absenceOfOtherNodesTooMayHaveExpiredRegistrations() {
+    contact.confirmed(HEARTBEAT);
+    assertFalse(contact.confirmedSteady(HEARTBEAT, 6 * HEARTBEAT));
+    assertTrue(contact.confirmed(6 * HEARTBEAT));
+    assertFalse(contact.confirmedSteady(6 * HEARTBEAT, 7 * HEARTBEAT));
+  }
+
+  /** Guards against a claim of a node that has just lost the source, or found it again. */
+  @Test
+  public void timeWithoutAnAbsenceBeginsAnewAfterOne() {
+    contact.confirmed(HEARTBEAT);
+    assertEquals(contact.steadyNanos(2 * HEARTBEAT), HEARTBEAT);
+    assertEquals(contact.steadyNanos(3 * HEARTBEAT), 0);
+    contact.confirmed(4 * HEARTBEAT);
+    contact.confirmed(5 * HEARTBEAT);
+    assertEquals(contact.steadyNanos(5 * HEARTBEAT), HEARTBEAT);
+  }
 }
--- a/org.cranberrystand/src/test/java/org/cranberrystand/upstream/UpstreamRegistryTest.java
+++ b/org.cranberrystand/src/test/java/org/cranberrystand/upstream/UpstreamRegistryTest.java
@@ -154,6 +154,30 @@
     assertEquals(usable(), List.of("b"));
   }
 
+  /** Guards against requests to an upstream that is known to have left, in a grace period. */
+  @Test
+  public void whatIsMissingHasLeftIfTheSourceWasThere() {
+    registry.sourceLost(5 * SECOND);
+    registry.registrationsMayHaveExpired(10 * SECOND);
+    registry.removed("a", 10 * SECOND);
+    registry.sourceRegained(10 * SECOND);
+
+    assertTrue(registry.registrationsDidNotExpire(11 * SECOND));
+    assertEquals(usable(), List.of("b"));
+    registry.removed("b", 11 * SECOND);
+    assertEquals(usable(), List.of());
+  }
+
+  /** Guards against losing upstreams that a restored source lacks, since it was there before. */
+  @Test
+  public void whatARestoredSourceLacksIsKept() {
+    registry.sourceRestored(10 * SECOND);
+    registry.removed("a", 10 * SECOND);
+
+    assertFalse(registry.registrationsDidNotExpire(11 * SECOND));
+    assertEquals(usable(), List.of("a", "b"));
+  }
+
   private static RegisteredUpstream startedAt(String id, long startedAtMillis) {
     return new RegisteredUpstream(
         id, "pool", "10.0.0.1:80", "d", "v1", 4, startedAtMillis, 0, false);
