--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/CrashDetector.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/CrashDetector.java
@@ -271,6 +271,7 @@
 
   /** Returns what to tell other nodes. */
   ImmutableList<CrashRegister.Report> reports() {
+    apply(register.review(System.nanoTime()), THIS_NODE);
     return register.reports(System.nanoTime());
   }
 
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CommonCauses.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CommonCauses.java
@@ -21,7 +21,13 @@
   private static final long IN_FLIGHT_NANOS = CrashRegister.MIN_SEPARATION_NANOS;
 
   /** An older answer on a connection gives way to one on a connection that was opened later. */
-  private static final long OUTDATED_NANOS = TimeUnit.SECONDS.toNanos(2);
+  private static final long OUTDATED_NANOS = TimeUnit.SECONDS.toNanos(4);
+
+  /** By then nodes have told each other of all crashes of that moment. */
+  private static final long MIN_AGE_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+  /** Later answers come on connections from after the crashes. */
+  private static final long MAX_AGE_NANOS = TimeUnit.SECONDS.toNanos(4);
 
   /** A connection on which an upstream answered: it lived for all of the time in between. */
   private record Life(long connectedNanos, long answeredNanos) {
@@ -65,8 +71,10 @@
    *
    * @param nanosByCrash the times of the crashes by their identities
    * @param knownToKey whether a request with the key was at the upstream that crashed
+   * @param nowNanos the current time
    */
-  boolean areRuledOut(Map<Integer, Long> nanosByCrash, Predicate<Integer> knownToKey) {
+  boolean areRuledOut(
+      Map<Integer, Long> nanosByCrash, Predicate<Integer> knownToKey, long nowNanos) {
     Collection<Long> times = nanosByCrash.values();
     long firstNanos = times.stream().reduce((a, b) -> a - b <= 0 ? a : b).orElseThrow();
     long lastNanos = times.stream().reduce((a, b) -> a - b >= 0 ? a : b).orElseThrow();
@@ -75,11 +83,17 @@
             firstNanos - CrashRegister.MIN_SEPARATION_NANOS,
             lastNanos + CrashRegister.MIN_SEPARATION_NANOS,
             knownToKey.negate());
-    return !othersCrashed
+    return nowNanos - lastNanos >= MIN_AGE_NANOS
+        && !othersCrashed
         && nanosByCrash.keySet().stream()
             .allMatch(crash -> hasSurvivor(domainByCrash.get(crash), lastNanos));
   }
 
+  /** Returns whether it can no longer be found out whether crashes had a common cause. */
+  boolean isTooLate(long crashNanos, long nowNanos) {
+    return nowNanos - crashNanos >= MAX_AGE_NANOS;
+  }
+
   private boolean hasSurvivor(String domain, long atNanos) {
     Map<String, Life> lives = domain == null ? null : livesByDomain.get(domain);
     return lives != null && lives.values().stream().anyMatch(life -> life.includes(atNanos));
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CrashEvidence.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CrashEvidence.java
@@ -49,12 +49,14 @@
   /** So many upstreams that answer with a failure, and none that crashes, are worth a success. */
   private static final int FAILURES_TO_CLEAR = 3;
 
-  private final CommonCauses causes;
   private final Map<Integer, Long> crashNanosByUpstream = new HashMap<>();
 
   /** The crashes beyond the maximum, which still show that the key had part in them. */
   private final Map<Integer, Long> omittedNanosByUpstream = new BoundedMap<>(MAX_OMITTED_CRASHES);
 
+  /** The crashes that have no common cause, though they happened at the same moment. */
+  private final Set<Integer> separateCrashes = new HashSet<>();
+
   /** The incarnations of the upstreams that answered with a failure since the last crash. */
   private final Set<String> failingUpstreams = new HashSet<>();
 
@@ -73,11 +75,9 @@
    * Creates evidence without crashes.
    *
    * @param lastAnswerNanos when this node received the last answer; null if it received none
-   * @param causes tells crashes with a common cause
    * @param nowNanos the current time
    */
-  CrashEvidence(Long lastAnswerNanos, CommonCauses causes, long nowNanos) {
-    this.causes = causes;
+  CrashEvidence(Long lastAnswerNanos, long nowNanos) {
     changedNanos = nowNanos;
     if (lastAnswerNanos != null) {
       everAnswered = true;
@@ -208,15 +208,38 @@
 
   /**
    * Adds the times of crashes at the same moment; only the first one if they may have a common
-   * cause. Of copies of one request each may crash its upstream, while requests that merely share a
-   * part, or that are known to run, are lost together with what they were sent to.
+   * cause.
    */
   private void addGroup(Map<Integer, Long> group, List<Long> separate) {
-    boolean countsEach =
-        group.size() > 1 && !shared && !everAnswered && causes.areRuledOut(group, this::knows);
+    boolean countsEach = !everAnswered && separateCrashes.containsAll(group.keySet());
     group.values().stream().limit(countsEach ? group.size() : 1).forEach(separate::add);
   }
 
+  /**
+   * Finds out whether the latest crashes at the same moment have a common cause. Of copies of one
+   * request each may crash its upstream, while requests that merely share a part, or that are known
+   * to run, are lost together with what they were sent to.
+   *
+   * @return whether that is decided for good
+   */
+  boolean decideCause(CommonCauses causes, long nowNanos) {
+    List<Map.Entry<Integer, Long>> sorted = sortedCrashes();
+    if (sorted.isEmpty() || shared || everAnswered) {
+      return true;
+    }
+    long lastNanos = sorted.get(sorted.size() - 1).getValue();
+    Map<Integer, Long> latest = new LinkedHashMap<>();
+    sorted.stream()
+        .filter(crash -> lastNanos - crash.getValue() < CrashRegister.MIN_SEPARATION_NANOS)
+        .forEach(crash -> latest.put(crash.getKey(), crash.getValue()));
+    if (latest.size() > 1 && causes.areRuledOut(latest, this::knows, nowNanos)) {
+      separateCrashes.addAll(latest.keySet());
+      changedNanos = nowNanos;
+      return true;
+    }
+    return latest.size() == 1 || causes.isTooLate(lastNanos, nowNanos);
+  }
+
   /** Records that other requests may have the key; returns whether that changes its rank. */
   boolean markShared() {
     EvidenceRank before = rank();
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CrashRegister.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CrashRegister.java
@@ -39,6 +39,7 @@
   private static final long PROBE_NANOS = TimeUnit.SECONDS.toNanos(1);
 
   private static final int MAX_PROBES = 1_024;
+  private static final int MAX_UNDECIDED = 1_024;
   private static final int MAX_ANSWERS = 8_192;
 
   /** Most keys are cleared of one crash sooner or later, which tells nothing. */
@@ -122,6 +123,9 @@
   /** Kept for all keys, since another node may report a crash from before the answer. */
   private final Map<Long, Long> answerNanosByKey = new BoundedMap<>(MAX_ANSWERS);
 
+  /** The keys with crashes of which it is open whether they have a common cause. */
+  private final Map<Long, Long> undecidedKeys = new BoundedMap<>(MAX_UNDECIDED);
+
   private final Map<Long, Long> probeUntilNanosByKey = new BoundedMap<>(MAX_PROBES);
 
   /**
@@ -203,13 +207,14 @@
       long key = report.key();
       CrashEvidence known = table.get(key);
       CrashEvidence evidence =
-          known == null ? new CrashEvidence(answerNanosByKey.get(key), causes, nowNanos) : known;
+          known == null ? new CrashEvidence(answerNanosByKey.get(key), nowNanos) : known;
       boolean suspectedBefore = evidence.isSuspected(nowNanos);
       int crashesBefore = evidence.crashCount();
       if (!evidence.merge(report, nowNanos)) {
         continue;
       }
       evidence.recordLosses(losses, nowNanos);
+      undecidedKeys.put(key, key);
       store(key, evidence, seenHere, nowNanos).ifPresent(changes::add);
       if (!suspectedBefore && evidence.isSuspected(nowNanos)) {
         changes.add(new Change(key, ChangeKind.SUSPECTED, evidence.crashCount()));
@@ -303,7 +308,6 @@
    */
   public Verdict judge(Collection<Long> keys, long nowNanos) {
     markShared(keys);
-    keys.forEach(this::rankAgain);
     long refusalNanos = 0;
     long probeNanos = 0;
     ImmutableList.Builder<Long> probed = ImmutableList.builder();
@@ -322,14 +326,6 @@
     return new Verdict(Math.max(refusalNanos, probeNanos), probed.build());
   }
 
-  /** Ranks a key whose crashes are found to have no common cause after they were recorded. */
-  private void rankAgain(long key) {
-    CrashEvidence evidence = table.get(key);
-    if (evidence != null && evidence.rank() != table.rank(key)) {
-      table.put(key, evidence);
-    }
-  }
-
   private void markShared(Collection<Long> keys) {
     keys.stream()
         .skip(1)
@@ -389,6 +385,29 @@
     return table.suspected().filter(entry -> entry.getValue().isSuspected(nowNanos));
   }
 
+  /**
+   * Finds out which crashes at the same moment have no common cause; to be called several times a
+   * second.
+   *
+   * @param nowNanos the current time
+   * @return what has changed
+   */
+  public ImmutableList<Change> review(long nowNanos) {
+    ImmutableList.Builder<Change> changes = ImmutableList.builder();
+    for (long key : ImmutableList.copyOf(undecidedKeys.keySet())) {
+      CrashEvidence evidence = table.get(key);
+      boolean suspectedBefore = evidence != null && evidence.isSuspected(nowNanos);
+      if (evidence == null || evidence.decideCause(causes, nowNanos)) {
+        undecidedKeys.remove(key);
+      }
+      if (evidence != null && !suspectedBefore && evidence.isSuspected(nowNanos)) {
+        table.put(key, evidence);
+        changes.add(new Change(key, ChangeKind.SUSPECTED, evidence.crashCount()));
+      }
+    }
+    return changes.build();
+  }
+
   /**
    * Returns the number of keys because of which requests are refused.
    *
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/EvidenceTable.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/EvidenceTable.java
@@ -40,11 +40,6 @@
     return row == null ? null : row.evidence();
   }
 
-  /** Returns the rank at which a key that has evidence is kept. */
-  EvidenceRank rank(long key) {
-    return rows.get(key).rank();
-  }
-
   /**
    * Adds the evidence of a key, or ranks it anew after a change.
    *
--- a/org.cranberrystand/src/test/java/org/cranberrystand/dispatch/CrashRegisterTest.java
+++ b/org.cranberrystand/src/test/java/org/cranberrystand/dispatch/CrashRegisterTest.java
@@ -124,12 +124,22 @@
   public void copiesThatCrashUpstreamsAtOnceCountEach() {
     crashCopies();
     exchangeReports(3 * SECOND);
+    review(3 * SECOND);
     assertFalse(isRefused(register, KEY, 3 * SECOND));
 
     answerFromSurvivors(0, 3 * SECOND);
+    review(4 * SECOND);
+    // Later answers come on new connections, which shows nothing any more.
+    answerFromSurvivors(20 * SECOND, 21 * SECOND);
+    review(22 * SECOND);
 
-    assertTrue(isRefused(register, KEY, 4 * SECOND));
-    assertTrue(isRefused(peer, KEY, 4 * SECOND));
+    assertTrue(isRefused(register, KEY, 22 * SECOND));
+    assertTrue(isRefused(peer, KEY, 22 * SECOND));
+  }
+
+  private void review(long nowNanos) {
+    register.review(nowNanos);
+    peer.review(nowNanos);
   }
 
   /** Guards against taking upstreams that started again after a crash for survivors of it. */
@@ -137,7 +147,8 @@
   public void upstreamsThatStartedAgainAreNoSurvivors() {
     crashCopies();
     exchangeReports(3 * SECOND);
-    answerFromSurvivors(5 * SECOND, 6 * SECOND);
+    answerFromSurvivors(3 * SECOND, 3 * SECOND + SECOND / 2);
+    review(4 * SECOND);
 
     assertFalse(isRefused(register, KEY, 7 * SECOND));
   }
@@ -148,8 +159,9 @@
     crashCopies();
     exchangeReports(3 * SECOND);
     answerFromSurvivors(0, 2 * SECOND + SECOND / 10);
+    review(4 * SECOND);
 
-    assertFalse(isRefused(register, KEY, 3 * SECOND));
+    assertFalse(isRefused(register, KEY, 4 * SECOND));
   }
 
   /** Guards against blaming copies of a request that were lost with a part of a domain. */
@@ -159,6 +171,7 @@
     crash(register, KEY + 1, "u" + (2 * COPIES - 1), 2 * SECOND);
     exchangeReports(3 * SECOND);
     answerFromSurvivors(0, 3 * SECOND);
+    review(4 * SECOND);
 
     assertFalse(isRefused(register, KEY, 4 * SECOND));
   }
@@ -170,6 +183,7 @@
     crashCopies();
     exchangeReports(3 * SECOND);
     answerFromSurvivors(0, 3 * SECOND);
+    review(4 * SECOND);
 
     assertFalse(isRefused(register, KEY, 4 * SECOND));
   }
