--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CommonCauses.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CommonCauses.java
@@ -15,33 +15,30 @@
  */
 final class CommonCauses {
   private static final int MAX_DOMAINS = 1_024;
-  private static final int MAX_UPSTREAMS_PER_DOMAIN = 256;
+
+  /** Those longest without an answer give way first. */
+  private static final int MAX_CONNECTIONS_PER_DOMAIN = 512;
 
   /** Answers that were on their way during a crash do not show that their upstream lives on. */
   private static final long IN_FLIGHT_NANOS = CrashRegister.MIN_SEPARATION_NANOS;
 
-  /** An older answer on a connection gives way to one on a connection that was opened later. */
-  private static final long OUTDATED_NANOS = TimeUnit.SECONDS.toNanos(4);
-
   /** By then nodes have told each other of all crashes of that moment. */
   private static final long MIN_AGE_NANOS = TimeUnit.SECONDS.toNanos(1);
 
   /** Later answers come on connections from after the crashes. */
   private static final long MAX_AGE_NANOS = TimeUnit.SECONDS.toNanos(4);
 
-  /** A connection on which an upstream answered: it lived for all of the time in between. */
-  private record Life(long connectedNanos, long answeredNanos) {
-    private boolean includes(long atNanos) {
-      return connectedNanos - atNanos <= 0 && answeredNanos - atNanos >= IN_FLIGHT_NANOS;
-    }
-  }
+  /** A connection to one run of a process. */
+  private record Connection(String incarnation, long openedNanos) {}
 
   private final CrashedUpstreams crashes;
 
   /** The failure domains of upstreams, by the identity of a crash of them. */
   private final Map<Integer, String> domainByCrash = new BoundedMap<>(CrashedUpstreams.MAX_CRASHES);
 
-  private final Map<String, Map<String, Life>> livesByDomain = new BoundedMap<>(MAX_DOMAINS);
+  /** When upstreams last answered on their connections, by failure domain. */
+  private final Map<String, Map<Connection, Long>> answerNanosByDomain =
+      new BoundedMap<>(MAX_DOMAINS);
 
   CommonCauses(CrashedUpstreams crashes) {
     this.crashes = crashes;
@@ -54,16 +51,12 @@
 
   /** Records an answer of an upstream on a connection that was opened at a time. */
   void answered(String incarnation, String domain, long connectedNanos, long nowNanos) {
-    Life answered = new Life(connectedNanos, nowNanos);
-    livesByDomain
-        .computeIfAbsent(domain, any -> new BoundedMap<>(MAX_UPSTREAMS_PER_DOMAIN))
-        .merge(incarnation, answered, CommonCauses::longerOrNewer);
-  }
-
-  private static Life longerOrNewer(Life known, Life answered) {
-    boolean isOutdated = answered.answeredNanos() - known.answeredNanos() > OUTDATED_NANOS;
-    boolean isLonger = answered.connectedNanos() - known.connectedNanos() <= 0;
-    return isLonger || isOutdated ? answered : known;
+    Map<Connection, Long> answers =
+        answerNanosByDomain.computeIfAbsent(
+            domain, any -> new BoundedMap<>(MAX_CONNECTIONS_PER_DOMAIN));
+    Connection connection = new Connection(incarnation, connectedNanos);
+    answers.remove(connection);
+    answers.put(connection, nowNanos);
   }
 
   /**
@@ -94,8 +87,13 @@
     return nowNanos - crashNanos >= MAX_AGE_NANOS;
   }
 
+  /** Returns whether a process in a failure domain answered before and after a time. */
   private boolean hasSurvivor(String domain, long atNanos) {
-    Map<String, Life> lives = domain == null ? null : livesByDomain.get(domain);
-    return lives != null && lives.values().stream().anyMatch(life -> life.includes(atNanos));
+    return domain != null
+        && answerNanosByDomain.getOrDefault(domain, Map.of()).entrySet().stream()
+            .anyMatch(
+                answer ->
+                    answer.getKey().openedNanos() - atNanos <= 0
+                        && answer.getValue() - atNanos >= IN_FLIGHT_NANOS);
   }
 }
--- a/org.cranberrystand/src/test/java/org/cranberrystand/dispatch/CrashRegisterTest.java
+++ b/org.cranberrystand/src/test/java/org/cranberrystand/dispatch/CrashRegisterTest.java
@@ -142,6 +142,17 @@
     peer.review(nowNanos);
   }
 
+  /** Guards against an unused connection that hides the answers on another one. */
+  @Test
+  public void answersOnAnyConnectionFromBeforeShowSurvivors() {
+    crashCopies();
+    exchangeReports(3 * SECOND);
+    answerFromSurvivors(SECOND, 3 * SECOND);
+    review(4 * SECOND);
+
+    assertTrue(isRefused(register, KEY, 4 * SECOND));
+  }
+
   /** Guards against taking upstreams that started again after a crash for survivors of it. */
   @Test
   public void upstreamsThatStartedAgainAreNoSurvivors() {
