--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/MessageSyntax.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/MessageSyntax.java
@@ -107,21 +107,15 @@
     LINE_END {
       @Override
       Part next(char c, MessageSyntax syntax) throws MalformedMessageException {
-        if (c != LF) {
-          throw malformed("end of a line", c);
-        }
-        return LINE_START;
+        return afterLineFeed(c, LINE_START);
       }
     },
 
     SECTION_END {
       @Override
       Part next(char c, MessageSyntax syntax) throws MalformedMessageException {
-        if (c != LF) {
-          throw malformed("end of a line", c);
-        }
         syntax.hasFields = false;
-        return COMPLETE;
+        return afterLineFeed(c, COMPLETE);
       }
     },
 
@@ -181,10 +175,7 @@
     CHUNK_SIZE_END {
       @Override
       Part next(char c, MessageSyntax syntax) throws MalformedMessageException {
-        if (c != LF) {
-          throw malformed("end of a line", c);
-        }
-        return syntax.chunkBytes == 0 ? LINE_START : CHUNK;
+        return afterLineFeed(c, syntax.chunkBytes == 0 ? LINE_START : CHUNK);
       }
     },
 
@@ -209,11 +200,8 @@
     CHUNK_END_LINE {
       @Override
       Part next(char c, MessageSyntax syntax) throws MalformedMessageException {
-        if (c != LF) {
-          throw malformed("end of a chunk", c);
-        }
         syntax.position = 0;
-        return CHUNK_SIZE;
+        return afterLineFeed(c, CHUNK_SIZE);
       }
     },
 
@@ -251,6 +239,13 @@
           "malformed %s: unexpected byte 0x%02x".formatted(where, (int) c));
     }
 
+    private static Part afterLineFeed(char c, Part next) throws MalformedMessageException {
+      if (c != LF) {
+        throw malformed("end of a line", c);
+      }
+      return next;
+    }
+
     private static Part nextOfText(char c, String what, Part current)
         throws MalformedMessageException {
       if (c == CR) {
