Suspect content only for upstreams that received it

What callers saw: after a quarter of the upstreams of a pool crashed at once, sound requests were refused for up to 118 s as content that crashes upstreams.

Cause: an attempt whose connection was refused is ended like one that was given up, and that makes its content a suspect. 500 ms later, or when the upstream registers again, the crash of the upstream counts against each request that was refused a connection to it. Since crashes at the same moment count each, three such attempts of one request are enough.

Change: an attempt that is given up is a suspect only if it was written to a connection. That covers refused connects as well as requests that were cancelled, or whose deadline passed, while a connection was being opened.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RelayAttempt.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RelayAttempt.java
@@ -92,6 +92,11 @@
     }
   }
 
+  /** Returns whether the upstream may have received the request. */
+  boolean isSent() {
+    return exchange.isSent();
+  }
+
   /** Returns the name of the connection in the log; {@code none} before one is open. */
   String connectionName() {
     return exchange == null ? "none" : exchange.connectionName();
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RequestContent.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RequestContent.java
@@ -79,10 +79,12 @@
     crashes.connectionBroken(suspect(broken), repeat);
   }
 
-  /** Records that an attempt is given up, and may still crash its upstream. */
+  /** Records that an attempt is given up, and may still crash its upstream if it was sent. */
   void recordGivenUp(RelayAttempt givenUp, CallEnding ending) {
-    // A connection to an upstream that may be down would be used by the next request.
-    crashes.attemptGivenUp(suspect(givenUp), ending.isUpstreamReachable());
+    if (givenUp.isSent()) {
+      // A connection to an upstream that may be down would be used by the next request.
+      crashes.attemptGivenUp(suspect(givenUp), ending.isUpstreamReachable());
+    }
   }
 
   private CrashDetector.Suspect suspect(RelayAttempt attempt) {
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/UpstreamClient.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/UpstreamClient.java
@@ -388,6 +388,11 @@
       }
     }
 
+    @Override
+    public boolean isSent() {
+      return connection != null;
+    }
+
     @Override
     public String connectionName() {
       return connection == null ? "none" : connection.name();
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/UpstreamExchange.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/UpstreamExchange.java
@@ -11,6 +11,9 @@
   /** Sets whether the response is read; false applies backpressure to the upstream. */
   void setReading(boolean reading);
 
+  /** Returns whether the request was written to a connection, so that the upstream may run it. */
+  boolean isSent();
+
   /** Returns the name of the connection in the log; {@code none} before one is open. */
   String connectionName();
 
