--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/ProbeSelection.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/ProbeSelection.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Random;
 import java.util.SplittableRandom;
+import java.util.stream.Collectors;
 import org.cranberrystand.upstream.RegisteredUpstream;
 
 /** Selects the upstreams by which a node finds out whether it reaches their pool. Stateless. */
@@ -28,7 +29,9 @@
         new ArrayList<>(upstreams.stream().map(UpstreamState::upstream).toList());
     Collections.shuffle(candidates, new Random(random.nextLong()));
     candidates.sort(Comparator.comparing(candidate -> reach.hasFailed(candidate.id())));
-    return candidates.subList(0, Math.min(count, candidates.size()));
+    List<RegisteredUpstream> probed = candidates.subList(0, Math.min(count, candidates.size()));
+    reach.probing(probed.stream().map(RegisteredUpstream::id).collect(Collectors.toSet()));
+    return probed;
   }
 
   /** Returns how long nothing has come from any upstream while requests were in progress. */
