--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RelayAttempts.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RelayAttempts.java
@@ -1,6 +1,7 @@
 package org.cranberrystand.daemon.gateway;
 
 import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
@@ -91,6 +92,14 @@
     atNode = false;
   }
 
+  /**
+   * Returns whether a refusal before the request ran tells that the caller has to change it. An
+   * upstream that cannot read a request with an identifier did not receive it as it was sent.
+   */
+  boolean isFaultOfCaller(HttpResponseStatus refusal) {
+    return requestId == null && refusal.equals(HttpResponseStatus.BAD_REQUEST);
+  }
+
   Set<String> triedUpstreams() {
     return triedUpstreams;
   }
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RequestRelay.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/RequestRelay.java
@@ -516,7 +516,7 @@
         refusedByNode(received.status());
         return;
       }
-      if (!response.isStarted() && received.status().equals(HttpResponseStatus.BAD_REQUEST)) {
+      if (!response.isStarted() && attempts.isFaultOfCaller(received.status())) {
         forwardWhole(received, body);
         return;
       }
