Log each answer that tells a caller its request is wrong (DENIED)

On-call engineers who were told that proper requests get 4xx had no line to start from: what a connection rejects before a request is complete (400, 408, 413, 414, 431) was neither logged nor counted, and 5005 named neither host, path nor key, so that a node which is behind, a key that was taken away and a request that was read wrongly looked the same.

5005 is now written for both, with host, path, a digest of the key, the version of the declaration and its number of teams, and with the cause that the decoder found. The lines are limited in rate as before, and the metric counts both. CallerConnectionTest#ownerLearnsWhyARequestIsRejected needs the new call, so there is no run of it on the code before.

--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Admission.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Admission.java
@@ -28,7 +28,7 @@
  * Decides by the current declaration whether a caller's request may run, and starts its relay. Used
  * only on the event loop.
  */
-final class Admission implements DispatchOutput {
+final class Admission implements DispatchOutput, CallerServer.RequestHandler {
   private static final long NOT_READY_RETRY_MILLIS = 500;
 
   /**
@@ -100,7 +100,8 @@
   }
 
   /** Admits or rejects a completely received request of a caller. */
-  void handleRequest(CallerExchange exchange) {
+  @Override
+  public void handleRequest(CallerExchange exchange) {
     long now = System.nanoTime();
     long lagNanos = context.lag().lagNanos(now);
     if (lagNanos > 0) {
@@ -379,19 +380,44 @@
       HttpResponseStatus status,
       String detail,
       RoutingTable table) {
+    recordDenied(exchange.request(), caller, status, detail, table);
+    ErrorResponses.write(exchange, status, detail, 0);
+  }
+
+  @Override
+  public void requestRejected(HttpRequest request, HttpResponseStatus status, String cause) {
+    CallerHeaders caller =
+        request == null ? null : context.headerCodec().readRequest(request.headers());
+    recordDenied(request, caller, status, cause, context.routing().get());
+  }
+
+  /** Records that a caller is told that its request is wrong, with what that was decided by. */
+  private void recordDenied(
+      HttpRequest request,
+      CallerHeaders caller,
+      HttpResponseStatus status,
+      String cause,
+      RoutingTable table) {
     refusals.write(
         LogEvent.REQUEST_DENIED,
         String.valueOf(status.code()),
         "request="
-            + LoggedText.of(caller.requestId())
+            + LoggedText.of(caller == null ? null : caller.requestId())
             + " status="
             + status.code()
             + " cause="
-            + detail
+            + LoggedText.of(cause)
+            + " host="
+            + LoggedText.of(request == null ? null : host(request))
+            + " path="
+            + LoggedText.of(request == null ? null : path(request))
+            + " key="
+            + LoggedText.digestOf(caller == null ? null : caller.apiKey())
             + " version="
-            + table.version());
+            + (table == null ? "none" : table.version())
+            + " teams="
+            + (table == null ? 0 : table.teams().size()));
     context.metrics().recordRejected(status.code());
-    ErrorResponses.write(exchange, status, detail, 0);
   }
 
   private void rejectNotRun(
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/CallerConnection.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/CallerConnection.java
@@ -63,6 +63,13 @@
     /** Handles a completely received request. */
     void requestReceived(CallerExchange exchange);
 
+    /**
+     * A request is rejected before it is complete.
+     *
+     * @param request the head of the request; null if it was not received
+     */
+    void requestRejected(HttpRequest request, HttpResponseStatus status, String cause);
+
     /** Returns whether connections are closed after their current response. */
     boolean isClosingConnections();
 
@@ -228,11 +235,16 @@
     } else if (result.cause() instanceof TooLongHttpLineException) {
       reject(HttpResponseStatus.REQUEST_URI_TOO_LONG, "the request line is too long");
     } else {
-      reject(HttpResponseStatus.BAD_REQUEST, "the request is malformed");
+      reject(HttpResponseStatus.BAD_REQUEST, "the request is malformed", result.cause());
     }
   }
 
   private void reject(HttpResponseStatus status, String text) {
+    reject(status, text, null);
+  }
+
+  private void reject(HttpResponseStatus status, String text, Throwable cause) {
+    owner.requestRejected(request, status, cause == null ? text : text + ", " + cause);
     beginRejection();
     ErrorResponses.write(this, status, text, 0);
   }
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/CallerServer.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/CallerServer.java
@@ -11,13 +11,14 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseEncoder;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import java.net.InetSocketAddress;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.cranberrystand.routing.CallerLimits;
 
@@ -46,9 +47,22 @@
   private static final WriteBufferWaterMark WRITE_WATER_MARK =
       new WriteBufferWaterMark(32_768, 131_072);
 
+  /** Handles the requests of callers. */
+  interface RequestHandler {
+    /** Handles a completely received request. */
+    void handleRequest(CallerExchange exchange);
+
+    /**
+     * A request was rejected before it was complete.
+     *
+     * @param request the head of the request; null if it was not received
+     */
+    void requestRejected(HttpRequest request, HttpResponseStatus status, String cause);
+  }
+
   private final EventLoop loop;
   private final Supplier<CallerLimits> limits;
-  private final Consumer<CallerExchange> requestHandler;
+  private final RequestHandler requestHandler;
   private final Set<CallerConnection> connections = new HashSet<>();
   private final CallerMemory memory;
   private boolean closingConnections;
@@ -60,13 +74,13 @@
    * @param loop the event loop
    * @param limits supplies the current limits for callers
    * @param memoryBytes limit for the memory that all callers together use, in bytes
-   * @param requestHandler handles completely received requests
+   * @param requestHandler handles the requests
    */
   CallerServer(
       EventLoop loop,
       Supplier<CallerLimits> limits,
       long memoryBytes,
-      Consumer<CallerExchange> requestHandler) {
+      RequestHandler requestHandler) {
     this.loop = loop;
     this.limits = limits;
     this.requestHandler = requestHandler;
@@ -189,7 +203,12 @@
 
   @Override
   public void requestReceived(CallerExchange exchange) {
-    requestHandler.accept(exchange);
+    requestHandler.handleRequest(exchange);
+  }
+
+  @Override
+  public void requestRejected(HttpRequest request, HttpResponseStatus status, String cause) {
+    requestHandler.requestRejected(request, status, cause);
   }
 
   @Override
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Gateway.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Gateway.java
@@ -145,8 +145,7 @@
     this.reach =
         new ReachMonitor(dispatcher, client, fleet, metrics, log, admission::forwardWaiting);
     long callerBytes = settings.memory().callerBytes();
-    this.callers =
-        new CallerServer(loop, this::callerLimits, callerBytes, admission::handleRequest);
+    this.callers = new CallerServer(loop, this::callerLimits, callerBytes, admission);
     this.peers = new PeerTable(self(settings.listen().callers()));
     if (hasOtherSeeds()) {
       peers.expectPeers();
--- a/org.cranberrystand.daemon/src/test/java/org/cranberrystand/daemon/gateway/CallerConnectionTest.java
+++ b/org.cranberrystand.daemon/src/test/java/org/cranberrystand/daemon/gateway/CallerConnectionTest.java
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
@@ -53,6 +54,7 @@
   /** Responds to each request at once. */
   private static final class RespondingOwner implements CallerConnection.Owner {
     private final CallerMemory memory;
+    private final List<String> rejections = new ArrayList<>();
     private int received;
 
     RespondingOwner() {
@@ -75,6 +77,12 @@
           HttpResponseStatus.OK, new DefaultHttpHeaders(), Unpooled.copiedBuffer(new byte[100]));
     }
 
+    @Override
+    public void requestRejected(HttpRequest request, HttpResponseStatus status, String cause) {
+      rejections.add(
+          status.code() + " " + (request == null ? "none" : request.uri()) + " " + cause);
+    }
+
     @Override
     public boolean isClosingConnections() {
       return false;
@@ -96,6 +104,28 @@
     }
   }
 
+  /** Guards against callers that are told their request is wrong without a word in the log. */
+  @Test
+  public void ownerLearnsWhyARequestIsRejected() {
+    assertEquals(
+        rejectionOf("POST /order/1 HTTP/1.1\r\nContent-Length: 1\r\n\r\nx"),
+        "400 /order/1 needs one Host header and a known body length");
+    assertEquals(
+        rejectionOf("POST /order/1 HTTP/1.1\r\nHost: h\r\nContent-Length: 99999999\r\n\r\n"),
+        "413 /order/1 the body is too large");
+    String malformed = rejectionOf("POST /order/1 HTTP/1.1\r\nHost: h\r\nOdd\u0001: 1\r\n\r\n");
+    assertTrue(malformed.startsWith("400 none the request is malformed, java.lang."), malformed);
+  }
+
+  private static String rejectionOf(String text) {
+    RespondingOwner owner = new RespondingOwner();
+    CallerConnection connection = new CallerConnection(owner);
+    EmbeddedChannel channel = new EmbeddedChannel(connection.decoder(), connection);
+    channel.writeInbound(Unpooled.copiedBuffer(text, StandardCharsets.US_ASCII));
+    channel.finishAndReleaseAll();
+    return String.join(",", owner.rejections);
+  }
+
   /** Guards against a response that a planned stop cuts off because its caller reads slowly. */
   @Test
   public void connectionWithAnUnsentResponseIsNotIdle() {
