--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/CrashDetector.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/CrashDetector.java
@@ -217,7 +217,9 @@
   }
 
   /** Applies what another node knows. */
-  void reported(String peer, ImmutableList<CrashRegister.Report> reports) {
+  void reported(
+      String peer, ImmutableList<CrashRegister.Report> reports, ImmutableList<Integer> survived) {
+    register.survivedElsewhere(survived);
     apply(register.reported(reports, System.nanoTime()), peer);
   }
 
@@ -275,6 +277,13 @@
     return register.reports(System.nanoTime());
   }
 
+  /**
+   * Returns which crashes to tell other nodes of that others in the failure domain lived through.
+   */
+  ImmutableList<Integer> survivedCrashes() {
+    return register.survivedCrashes(System.nanoTime());
+  }
+
   /** Returns the number of keys because of which requests are refused. */
   int refusedCount() {
     return register.refusedCount(System.nanoTime());
--- a/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Gateway.java
+++ b/org.cranberrystand.daemon/src/main/java/org/cranberrystand/daemon/gateway/Gateway.java
@@ -286,6 +286,7 @@
           .upstreamLimits(limiter.statements().reports())
           .refusalLimits(brittle.statements().reports())
           .crashes(crashes.reports())
+          .survivedCrashes(crashes.survivedCrashes())
           .unreachablePools(reach.unreachablePools().asList())
           .streamOrigins(streams.recent())
           .storeSteadySeconds(follower.storeSteadySeconds())
@@ -298,7 +299,7 @@
     fleet.leavingReported(sender.node(), observations.leavingUpstreams());
     limiter.statements().reported(sender.node(), observations.upstreamLimits());
     brittle.statements().reported(sender.node(), observations.refusalLimits());
-    crashes.reported(sender.node(), observations.crashes());
+    crashes.reported(sender.node(), observations.crashes(), observations.survivedCrashes());
     forwarding.reported(sender.node(), observations.unreachablePools());
     streams.reported(sender.host(), observations.streamOrigins(), observations.soughtStreams());
   }
--- a/org.cranberrystand.wire/src/main/java/org/cranberrystand/wire/peer/BinaryReportCodec.java
+++ b/org.cranberrystand.wire/src/main/java/org/cranberrystand/wire/peer/BinaryReportCodec.java
@@ -74,6 +74,7 @@
   private static final int REQUESTED_SCOPE = 25;
   private static final int IS_BASE = 26;
   private static final int STORE_STEADY = 27;
+  private static final int SURVIVED_CRASH = 28;
 
   /** Precedes a name in a row; a higher value stands for the name at that position in the base. */
   private static final int NEW_NAME = 0;
@@ -245,6 +246,10 @@
     out.rows(
         SOUGHT_STREAM, observations.soughtStreams(), (stream, row) -> row.writeStringNoTag(stream));
     out.number(STORE_STEADY, observations.storeSteadySeconds(), 0);
+    out.rows(
+        SURVIVED_CRASH,
+        observations.survivedCrashes(),
+        (crash, row) -> row.writeFixed32NoTag(crash));
   }
 
   private static void writeLimits(
@@ -413,6 +418,8 @@
         case SOUGHT_STREAM ->
             observations.soughtStreams(readRows(in, CodedInputStream::readString));
         case STORE_STEADY -> observations.storeSteadySeconds(in.readUInt32());
+        case SURVIVED_CRASH ->
+            observations.survivedCrashes(readRows(in, CodedInputStream::readFixed32));
         default -> {
           return false;
         }
--- a/org.cranberrystand.wire/src/main/java/org/cranberrystand/wire/peer/JsonReportCodec.java
+++ b/org.cranberrystand.wire/src/main/java/org/cranberrystand/wire/peer/JsonReportCodec.java
@@ -61,6 +61,8 @@
     load.quotaBalanceUnits().forEach(balances::put);
     ObjectNode crashes = root.putObject("c");
     report.observations().crashes().forEach(one -> writeCrashes(crashes, one));
+    ArrayNode survived = root.putArray("g");
+    report.observations().survivedCrashes().forEach(survived::add);
     ObjectNode leaving = root.putObject("d");
     report
         .observations()
@@ -173,6 +175,7 @@
             .upstreamLimits(readLimits(root.path("t")))
             .refusalLimits(readLimits(root.path("y")))
             .crashes(readCrashes(root.path("c")))
+            .survivedCrashes(readNumbers(root.path("g")))
             .unreachablePools(readTexts(root.path("v")))
             .streamOrigins(readOrigins(root.path("o")))
             .soughtStreams(readTexts(root.path("a")))
@@ -181,6 +184,10 @@
         others.build());
   }
 
+  private static ImmutableList<Integer> readNumbers(JsonNode array) {
+    return Streams.stream(array).map(JsonNode::asInt).collect(ImmutableList.toImmutableList());
+  }
+
   private static ImmutableList<String> readTexts(JsonNode array) {
     return Streams.stream(array).map(JsonNode::asText).collect(ImmutableList.toImmutableList());
   }
--- a/org.cranberrystand.wire/src/main/java/org/cranberrystand/wire/peer/ReportChanges.java
+++ b/org.cranberrystand.wire/src/main/java/org/cranberrystand/wire/peer/ReportChanges.java
@@ -118,6 +118,7 @@
             after.streamOrigins().stream()
                 .filter(Predicate.not(previousOrigins::contains))
                 .collect(ImmutableList.toImmutableList()))
+        .survivedCrashes(after.survivedCrashes())
         .soughtStreams(after.soughtStreams())
         .storeSteadySeconds(after.storeSteadySeconds())
         .build();
--- a/org.cranberrystand.wire/src/test/java/org/cranberrystand/wire/peer/PeerReportCodecTest.java
+++ b/org.cranberrystand.wire/src/test/java/org/cranberrystand/wire/peer/PeerReportCodecTest.java
@@ -55,6 +55,7 @@
                 new CrashRegister.Report(
                     -1L, -1, ImmutableList.of(new CrashRegister.Crash(-5, 1_000_000_000L))),
                 new CrashRegister.Report(7, 2_000_000L, ImmutableList.of())),
+            ImmutableList.of(-5, 9),
             ImmutableList.of("llm"),
             ImmutableList.of(new StreamOrigins.Origin("a1", "llm", "v1.1")),
             ImmutableList.of("a2", "a3"),
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CommonCauses.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CommonCauses.java
@@ -1,5 +1,6 @@
 package org.cranberrystand.dispatch;
 
+import com.google.common.collect.ImmutableList;
 import java.util.Collection;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
@@ -11,7 +12,9 @@
  * lost, from those of which each was caused by a copy of the same request. Not thread-safe.
  *
  * <p>A common cause is ruled out only by what was seen: in the failure domain of each crash,
- * another upstream lived on, and no upstream crashed at that moment to which no copy was sent.
+ * another upstream lived on, and no upstream crashed at that moment to which no copy was sent. A
+ * node hears from few upstreams while it has little traffic, so nodes tell each other which crashes
+ * others lived through.
  */
 final class CommonCauses {
   private static final int MAX_DOMAINS = 1_024;
@@ -28,6 +31,9 @@
   /** Later answers come on connections from after the crashes. */
   private static final long MAX_AGE_NANOS = TimeUnit.SECONDS.toNanos(4);
 
+  /** As many as a report has room for beside everything else. */
+  private static final int MAX_REPORTED = 32;
+
   /** A connection to one run of a process. */
   private record Connection(String incarnation, long openedNanos) {}
 
@@ -40,6 +46,10 @@
   private final Map<String, Map<Connection, Long>> answerNanosByDomain =
       new BoundedMap<>(MAX_DOMAINS);
 
+  /** The crashes of which another node saw that their failure domain was not lost. */
+  private final Map<Integer, Boolean> survivedElsewhere =
+      new BoundedMap<>(CrashedUpstreams.MAX_CRASHES);
+
   CommonCauses(CrashedUpstreams crashes) {
     this.crashes = crashes;
   }
@@ -59,6 +69,21 @@
     answers.put(connection, nowNanos);
   }
 
+  /** Records crashes of which another node saw that their failure domain was not lost. */
+  void survivedElsewhere(Collection<Integer> survived) {
+    survived.forEach(crash -> survivedElsewhere.put(crash, true));
+  }
+
+  /**
+   * Returns recent crashes whose failure domain was not lost, as far as this or another node saw.
+   */
+  ImmutableList<Integer> survivedCrashes(long nowNanos) {
+    return crashes.since(nowNanos - MAX_AGE_NANOS).stream()
+        .filter(this::isSurvived)
+        .limit(MAX_REPORTED)
+        .collect(ImmutableList.toImmutableList());
+  }
+
   /**
    * Returns whether crashes at the same moment have no common cause.
    *
@@ -78,8 +103,7 @@
             knownToKey.negate());
     return nowNanos - lastNanos >= MIN_AGE_NANOS
         && !othersCrashed
-        && nanosByCrash.keySet().stream()
-            .allMatch(crash -> hasSurvivor(domainByCrash.get(crash), lastNanos));
+        && nanosByCrash.keySet().stream().allMatch(this::isSurvived);
   }
 
   /** Returns whether it can no longer be found out whether crashes had a common cause. */
@@ -87,6 +111,13 @@
     return nowNanos - crashNanos >= MAX_AGE_NANOS;
   }
 
+  /** Returns whether a process in the failure domain of a crash lived through it. */
+  private boolean isSurvived(int crash) {
+    Long atNanos = crashes.nanosOf(crash);
+    return survivedElsewhere.containsKey(crash)
+        || (atNanos != null && hasSurvivor(domainByCrash.get(crash), atNanos));
+  }
+
   /** Returns whether a process in a failure domain answered before and after a time. */
   private boolean hasSurvivor(String domain, long atNanos) {
     return domain != null
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CrashRegister.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CrashRegister.java
@@ -171,6 +171,27 @@
     causes.answered(incarnation, domain, connectedNanos, nowNanos);
   }
 
+  /**
+   * Records crashes of which another node saw that other upstreams in the same failure domain lived
+   * through them.
+   *
+   * @param crashes the identities of the crashes
+   */
+  public void survivedElsewhere(Collection<Integer> crashes) {
+    causes.survivedElsewhere(crashes);
+  }
+
+  /**
+   * Returns the recent crashes of which this or another node saw that other upstreams in the same
+   * failure domain lived through them.
+   *
+   * @param nowNanos the current time
+   * @return the identities of the crashes
+   */
+  public ImmutableList<Integer> survivedCrashes(long nowNanos) {
+    return causes.survivedCrashes(nowNanos);
+  }
+
   /**
    * Returns whether this or another node has seen the upstream of a connection crash about the time
    * at which this node closed the connection, or later.
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CrashedUpstreams.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CrashedUpstreams.java
@@ -1,8 +1,12 @@
 package org.cranberrystand.dispatch;
 
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
+import java.util.stream.Collectors;
 import org.cranberrystand.util.BoundedMap;
 
 /**
@@ -68,6 +72,22 @@
         .anyMatch(crash -> sought.test(crash.getKey()));
   }
 
+  /** Returns the crashes that are known since a time, the ones recorded last first. */
+  List<Integer> since(long fromNanos) {
+    List<Integer> recent =
+        nanosByCrash.entrySet().stream()
+            .filter(crash -> crash.getValue() - fromNanos >= 0)
+            .map(Map.Entry::getKey)
+            .collect(Collectors.toCollection(ArrayList::new));
+    Collections.reverse(recent);
+    return recent;
+  }
+
+  /** Returns when a crash happened; null if it is not known. */
+  Long nanosOf(int crash) {
+    return nanosByCrash.get(crash);
+  }
+
   /** Records a crash that this or another node has identified. */
   void add(int crash, long atNanos) {
     nanosByCrash.putIfAbsent(crash, atNanos);
--- a/org.cranberrystand/src/main/java/org/cranberrystand/membership/SharedObservations.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/membership/SharedObservations.java
@@ -15,6 +15,8 @@
  * @param upstreamLimits the rate limits that upstreams stated
  * @param refusalLimits the rates of refusals beyond which upstreams say that they fail
  * @param crashes what is known of content that may crash upstreams
+ * @param survivedCrashes the recent crashes of upstreams that others in the same failure domain
+ *     lived through, by {@linkplain CrashRegister.Crash#upstream identity}
  * @param unreachablePools the pools none of whose upstreams the sender reaches
  * @param streamOrigins where streams began that are recent or that the receiver asked for
  * @param soughtStreams streams whose origin the sender asks for, by the identifier of the request
@@ -27,6 +29,7 @@
     ImmutableList<UpstreamLimits.Report> upstreamLimits,
     ImmutableList<UpstreamLimits.Report> refusalLimits,
     ImmutableList<CrashRegister.Report> crashes,
+    ImmutableList<Integer> survivedCrashes,
     ImmutableList<String> unreachablePools,
     ImmutableList<StreamOrigins.Origin> streamOrigins,
     ImmutableList<String> soughtStreams,
@@ -70,6 +73,7 @@
         .upstreamLimits(upstreamLimits)
         .refusalLimits(refusalLimits)
         .crashes(crashes)
+        .survivedCrashes(survivedCrashes)
         .unreachablePools(unreachablePools)
         .streamOrigins(streamOrigins)
         .soughtStreams(soughtStreams)
@@ -82,6 +86,7 @@
     private ImmutableList<UpstreamLimits.Report> upstreamLimits = ImmutableList.of();
     private ImmutableList<UpstreamLimits.Report> refusalLimits = ImmutableList.of();
     private ImmutableList<CrashRegister.Report> crashes = ImmutableList.of();
+    private ImmutableList<Integer> survivedCrashes = ImmutableList.of();
     private ImmutableList<String> unreachablePools = ImmutableList.of();
     private ImmutableList<StreamOrigins.Origin> streamOrigins = ImmutableList.of();
     private ImmutableList<String> soughtStreams = ImmutableList.of();
@@ -133,6 +138,17 @@
       return this;
     }
 
+    /**
+     * Sets the recent crashes that others in the same failure domain lived through.
+     *
+     * @param value the identities of the crashes
+     * @return this builder
+     */
+    public Builder survivedCrashes(ImmutableList<Integer> value) {
+      survivedCrashes = value;
+      return this;
+    }
+
     /**
      * Sets the pools that the sender does not reach.
      *
@@ -188,6 +204,7 @@
           upstreamLimits,
           refusalLimits,
           crashes,
+          survivedCrashes,
           unreachablePools,
           streamOrigins,
           soughtStreams,
--- a/org.cranberrystand/src/test/java/org/cranberrystand/dispatch/CrashRegisterTest.java
+++ b/org.cranberrystand/src/test/java/org/cranberrystand/dispatch/CrashRegisterTest.java
@@ -5,6 +5,7 @@
 import static org.testng.Assert.assertTrue;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.testng.annotations.BeforeMethod;
@@ -109,6 +110,8 @@
   private void exchangeReports(long nowNanos) {
     register.reported(peer.reports(nowNanos), nowNanos);
     peer.reported(register.reports(nowNanos), nowNanos);
+    register.survivedElsewhere(peer.survivedCrashes(nowNanos));
+    peer.survivedElsewhere(register.survivedCrashes(nowNanos));
   }
 
   /** Has an upstream of each domain answer that was not crashed, on a connection from before. */
@@ -142,6 +145,63 @@
     peer.review(nowNanos);
   }
 
+  /** Guards against counting copies once since no node heard from each failure domain itself. */
+  @Test
+  public void survivorsThatDifferentNodesSawCount() {
+    crashCopies();
+    exchangeReports(3 * SECOND);
+    register.survived("u" + COPIES, "east", 0, 3 * SECOND);
+    peer.survived("u" + (COPIES + 1), "west", 0, 3 * SECOND);
+    review(4 * SECOND);
+    assertFalse(isRefused(register, KEY, 4 * SECOND));
+
+    exchangeReports(4 * SECOND);
+    review(4 * SECOND);
+
+    assertTrue(isRefused(register, KEY, 4 * SECOND));
+    assertTrue(isRefused(peer, KEY, 4 * SECOND));
+  }
+
+  /** Guards against what one node saw getting lost because its neighbour passes nothing on. */
+  @Test
+  public void survivorsArePassedOn() {
+    crashCopies();
+    exchangeReports(3 * SECOND);
+    answerFromSurvivors(0, 3 * SECOND);
+    CrashRegister third = new CrashRegister();
+    third.reported(register.reports(3 * SECOND), 3 * SECOND);
+    third.survivedElsewhere(register.survivedCrashes(3 * SECOND));
+
+    assertEquals(
+        ImmutableSet.copyOf(third.survivedCrashes(3 * SECOND)),
+        ImmutableSet.copyOf(register.survivedCrashes(3 * SECOND)));
+    assertEquals(third.survivedCrashes(3 * SECOND).size(), COPIES);
+  }
+
+  /** Guards against blaming copies of a request for the loss of one of the two domains. */
+  @Test
+  public void survivorsOfOneDomainSayNothingOfTheOther() {
+    crashCopies();
+    exchangeReports(3 * SECOND);
+    register.survived("u" + COPIES, "east", 0, 3 * SECOND);
+    peer.survived("u" + COPIES, "east", 0, 3 * SECOND);
+    exchangeReports(4 * SECOND);
+    review(4 * SECOND);
+
+    assertFalse(isRefused(register, KEY, 4 * SECOND));
+    assertFalse(isRefused(peer, KEY, 4 * SECOND));
+  }
+
+  /** Guards against reports that grow with each crash of a long day. */
+  @Test
+  public void survivorsOfOldCrashesAreNotToldAgain() {
+    crashCopies();
+    answerFromSurvivors(0, 3 * SECOND);
+
+    assertEquals(register.survivedCrashes(3 * SECOND).size(), COPIES / 2);
+    assertEquals(register.survivedCrashes(7 * SECOND), ImmutableList.of());
+  }
+
   /** Guards against an unused connection that hides the answers on another one. */
   @Test
   public void answersOnAnyConnectionFromBeforeShowSurvivors() {
