Decide for each moment whether crashes had a common cause (BUDGET)

Only the latest crashes at the same moment were looked at, so a later crash by itself ended the question for the three before it. Class: one question asked with two ways to divide its input.

Change: both counting and deciding use the same moments, and each moment with several crashes is decided.

--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CrashEvidence.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CrashEvidence.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableList;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -188,56 +189,63 @@
     return sorted;
   }
 
-  /** Returns the times of the crashes without a common cause. */
-  private List<Long> separateCrashes() {
-    List<Long> separate = new ArrayList<>();
-    Map<Integer, Long> group = new LinkedHashMap<>();
-    long groupNanos = 0;
+  /** Returns the times of the crashes by their identities, those at the same moment together. */
+  private List<Map<Integer, Long>> crashesByMoment() {
+    List<Map<Integer, Long>> moments = new ArrayList<>();
+    Map<Integer, Long> moment = new LinkedHashMap<>();
+    long startNanos = 0;
     for (Map.Entry<Integer, Long> crash : sortedCrashes()) {
       long atNanos = crash.getValue();
-      if (!group.isEmpty() && atNanos - groupNanos >= CrashRegister.MIN_SEPARATION_NANOS) {
-        addGroup(group, separate);
-        group.clear();
+      if (moments.isEmpty() || atNanos - startNanos >= CrashRegister.MIN_SEPARATION_NANOS) {
+        moment = new LinkedHashMap<>();
+        moments.add(moment);
+        startNanos = atNanos;
       }
-      groupNanos = group.isEmpty() ? atNanos : groupNanos;
-      group.put(crash.getKey(), atNanos);
+      moment.put(crash.getKey(), atNanos);
     }
-    addGroup(group, separate);
-    return separate;
+    return moments;
   }
 
   /**
-   * Adds the times of crashes at the same moment; only the first one if they may have a common
-   * cause.
+   * Returns the times of the crashes that count; of those at the same moment only the first one if
+   * they may have a common cause.
    */
-  private void addGroup(Map<Integer, Long> group, List<Long> separate) {
-    boolean countsEach = !everAnswered && separateCrashes.containsAll(group.keySet());
-    group.values().stream().limit(countsEach ? group.size() : 1).forEach(separate::add);
+  private List<Long> separateCrashes() {
+    List<Long> separate = new ArrayList<>();
+    for (Map<Integer, Long> moment : crashesByMoment()) {
+      boolean countsEach = !everAnswered && separateCrashes.containsAll(moment.keySet());
+      moment.values().stream().limit(countsEach ? moment.size() : 1).forEach(separate::add);
+    }
+    return separate;
   }
 
   /**
-   * Finds out whether the latest crashes at the same moment have a common cause. Of copies of one
-   * request each may crash its upstream, while requests that merely share a part, or that are known
-   * to run, are lost together with what they were sent to.
+   * Finds out whether crashes at the same moment have a common cause. Of copies of one request each
+   * may crash its upstream, while requests that merely share a part, or that are known to run, are
+   * lost together with what they were sent to.
    *
-   * @return whether that is decided for good
+   * @return whether that is decided for good, for each moment
    */
-  boolean decideCause(CommonCauses causes, long nowNanos) {
-    List<Map.Entry<Integer, Long>> sorted = sortedCrashes();
-    if (sorted.isEmpty() || shared || everAnswered) {
+  boolean decideCauses(CommonCauses causes, long nowNanos) {
+    boolean decided = true;
+    if (!shared && !everAnswered) {
+      for (Map<Integer, Long> moment : crashesByMoment()) {
+        decided &= decideCause(moment, causes, nowNanos);
+      }
+    }
+    return decided;
+  }
+
+  private boolean decideCause(Map<Integer, Long> moment, CommonCauses causes, long nowNanos) {
+    if (moment.size() == 1 || separateCrashes.containsAll(moment.keySet())) {
       return true;
     }
-    long lastNanos = sorted.get(sorted.size() - 1).getValue();
-    Map<Integer, Long> latest = new LinkedHashMap<>();
-    sorted.stream()
-        .filter(crash -> lastNanos - crash.getValue() < CrashRegister.MIN_SEPARATION_NANOS)
-        .forEach(crash -> latest.put(crash.getKey(), crash.getValue()));
-    if (latest.size() > 1 && causes.areRuledOut(latest, this::knows, nowNanos)) {
-      separateCrashes.addAll(latest.keySet());
+    if (causes.areRuledOut(moment, this::knows, nowNanos)) {
+      separateCrashes.addAll(moment.keySet());
       changedNanos = nowNanos;
       return true;
     }
-    return latest.size() == 1 || causes.isTooLate(lastNanos, nowNanos);
+    return causes.isTooLate(Collections.max(moment.values()), nowNanos);
   }
 
   /** Records that other requests may have the key; returns whether that changes its rank. */
--- a/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CrashRegister.java
+++ b/org.cranberrystand/src/main/java/org/cranberrystand/dispatch/CrashRegister.java
@@ -418,7 +418,7 @@
     for (long key : ImmutableList.copyOf(undecidedKeys.keySet())) {
       CrashEvidence evidence = table.get(key);
       boolean suspectedBefore = evidence != null && evidence.isSuspected(nowNanos);
-      if (evidence == null || evidence.decideCause(causes, nowNanos)) {
+      if (evidence == null || evidence.decideCauses(causes, nowNanos)) {
         undecidedKeys.remove(key);
       }
       if (evidence != null && !suspectedBefore && evidence.isSuspected(nowNanos)) {
