--- a/review/src-3/RaisedLimitCase.java
+++ b/review/src-3/RaisedLimitCase.java
@@ -4,13 +4,17 @@
 import java.util.Locale;
 import java.util.concurrent.atomic.AtomicInteger;
 
-/** A new configuration allows longer heads of requests; clients use it on kept connections. */
+/** A new configuration raises a limit for requests; clients on kept connections go on sending. */
 final class RaisedLimitCase implements Case {
-  private static final int LIMIT_BYTES = 16_384;
-  private static final int RAISED_LIMIT_BYTES = 32_768;
+  private static final Limits EARLIER = new Limits(16_384, 4_194_304);
 
-  /** Above the earlier limit and below the raised one. */
-  private static final int LONG_VALUE_CHARS = 20_000;
+  /**
+   * The limits of a configuration.
+   *
+   * @param maxHeaderBytes limit for the head of a request
+   * @param maxBodyBytes limit for the body of a request
+   */
+  private record Limits(int maxHeaderBytes, long maxBodyBytes) {}
 
   private static final int CALLERS = 40;
   private static final long PAUSE_MILLIS = 250;
@@ -26,21 +30,44 @@
 
   private static final int REQUESTS_PER_DENIED = 500;
 
+  private final Limits raised;
+  private final Limits undisturbed;
+  private final int longValueChars;
+  private final byte[] body;
   private final AtomicInteger sent = new AtomicInteger();
   private final AtomicInteger denied = new AtomicInteger();
   private final AtomicInteger ran = new AtomicInteger();
   private volatile boolean longHeads;
   private volatile boolean stopped;
 
+  private RaisedLimitCase(Limits raised, Limits undisturbed, int longValueChars, int bodyBytes) {
+    this.raised = raised;
+    this.undisturbed = undisturbed;
+    this.longValueChars = longValueChars;
+    this.body = new byte[bodyBytes];
+  }
+
+  /** The limit for heads is doubled, and clients then send heads of some 20 kB. */
+  static RaisedLimitCase ofHeads() {
+    Limits raised = new Limits(32_768, EARLIER.maxBodyBytes());
+    return new RaisedLimitCase(raised, raised, 20_000, 0);
+  }
+
+  /** The limit for bodies becomes 2 GiB; the requests of the clients stay as they are. */
+  static RaisedLimitCase ofBodies() {
+    Limits raised = new Limits(EARLIER.maxHeaderBytes(), 1L << 31);
+    return new RaisedLimitCase(raised, EARLIER, 0, 600);
+  }
+
   @Override
   public boolean holds(Lab lab) throws IOException {
-    lab.store().put("op/config", config(1, Lab.isUndisturbed() ? RAISED_LIMIT_BYTES : LIMIT_BYTES));
+    lab.store().put("op/config", config(1, Lab.isUndisturbed() ? undisturbed : EARLIER));
     for (int i = 1; i <= 3; i++) {
       lab.runner(
           "i-" + i,
           "svc",
           6,
-          (runner, request, body, connection) -> {
+          (runner, request, received, connection) -> {
             ran.incrementAndGet();
             RunnerStandIn.respond(connection, 200, runner.answerHeaders(request), new byte[800]);
             return true;
@@ -53,10 +80,11 @@
       Threads.start("caller", () -> call(lab, gateway));
     }
     Threads.sleep(BEFORE_MILLIS);
-    lab.store().put("op/config", config(2, RAISED_LIMIT_BYTES));
+    Limits changed = Lab.isUndisturbed() ? undisturbed : raised;
+    lab.store().put("op/config", config(2, changed));
     lab.log(
-        "version 2 acknowledged, MaxHeaderBytes="
-            + RAISED_LIMIT_BYTES
+        "version 2 acknowledged, "
+            + changed
             + "; sent="
             + sent
             + " ran="
@@ -64,8 +92,9 @@
             + " denied="
             + denied);
     Threads.sleep(IN_FORCE_MILLIS);
-    longHeads = true;
-    lab.log("clients send heads of " + LONG_VALUE_CHARS + " bytes and more");
+    longHeads = longValueChars > 0;
+    lab.log(
+        "clients send heads of " + longValueChars + " bytes and more, bodies of " + body.length);
     Threads.sleep(AFTER_MILLIS);
     stopped = true;
     Threads.sleep(1_000);
@@ -90,14 +119,16 @@
 
   private boolean send(Lab lab, CallerStandIn caller, int earlier) throws IOException {
     String id = String.format(Locale.ROOT, "%016x", sent.incrementAndGet());
-    String note = longHeads ? "X-Order-Lines: " + "a".repeat(LONG_VALUE_CHARS) + "\r\n" : "";
+    String note = longHeads ? "X-Order-Lines: " + "a".repeat(longValueChars) + "\r\n" : "";
     caller.send(
         "POST /orders/a HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: "
             + id
             + "\r\nDeadline-Ms: 3000\r\nKey: k1\r\n"
             + note
-            + "Content-Length: 0\r\n\r\n",
-        new byte[0]);
+            + "Content-Length: "
+            + body.length
+            + "\r\n\r\n",
+        body);
     CallerStandIn.Answer answer = caller.receive();
     int status = answer.status();
     if (status != 200) {
@@ -109,7 +140,7 @@
     return status != 0 && !answer.closes();
   }
 
-  private static String config(int version, int maxHeaderBytes) {
+  private static String config(int version, Limits limits) {
     return "{\"Version\":"
         + version
         + ",\"Routes\":[{\"Name\":\"r-1\",\"Host\":\"a.example\",\"Prefix\":\"/orders/\","
@@ -118,8 +149,10 @@
         + "\"StreamResume\":false}],\"Services\":["
         + Configs.service("svc")
         + "],\"Limits\":{\"MaxHeaderBytes\":"
-        + maxHeaderBytes
-        + ",\"MaxBodyBytes\":4194304,"
+        + limits.maxHeaderBytes()
+        + ",\"MaxBodyBytes\":"
+        + limits.maxBodyBytes()
+        + ","
         + "\"HeaderTimeoutMs\":3000,\"IdleTimeoutMs\":15000},\"Tenants\":["
         + Configs.tenant("t1", "\"k1\"")
         + "]}";
