--- a/review/src-3/Cases.java
+++ b/review/src-3/Cases.java
@@ -11,9 +11,14 @@
 public final class Cases {
   private static final Map<String, Supplier<Case>> CASES =
       Map.of(
-          "many-versions", ManyVersionsCase::new,
-          "raised-head-limit", RaisedLimitCase::ofHeads,
-          "raised-body-limit", RaisedLimitCase::ofBodies);
+          "restarted-runner",
+          RestartedRunnerCase::new,
+          "many-versions",
+          ManyVersionsCase::new,
+          "raised-head-limit",
+          RaisedLimitCase::ofHeads,
+          "raised-body-limit",
+          RaisedLimitCase::ofBodies);
 
   private Cases() {}
 
--- a/review/src-3/Lab.java
+++ b/review/src-3/Lab.java
@@ -70,12 +70,16 @@
     runners.remove(runner);
   }
 
+  /** Has each runner write its entry once in an interval, one after the other. */
   private void beat() {
     while (!closed) {
-      Threads.sleep(HEARTBEAT_MILLIS);
       for (RunnerStandIn runner : runners) {
-        store.put("servers/" + runner.id(), runner.entry());
+        Threads.sleep(HEARTBEAT_MILLIS / Math.max(1, runners.size()));
+        if (runners.contains(runner)) {
+          store.put("servers/" + runner.id(), runner.entry());
+        }
       }
+      Threads.sleep(1);
     }
   }
 
--- a/review/src-3/RunnerStandIn.java
+++ b/review/src-3/RunnerStandIn.java
@@ -22,11 +22,12 @@
   private final String id;
   private final String service;
   private final int slots;
-  private final ServerSocket listener;
+  private volatile ServerSocket listener;
   private final Handler handler;
-  private final long bornMillis = System.currentTimeMillis();
+  private volatile long bornMillis = System.currentTimeMillis();
   private final Set<Socket> connections = ConcurrentHashMap.newKeySet();
   private volatile String state = "ready";
+  private volatile String version = "v1";
   private int sequence;
 
   RunnerStandIn(String id, String service, int slots, InetAddress address, Handler handler)
@@ -36,7 +37,7 @@
     this.slots = slots;
     this.handler = handler;
     this.listener = new ServerSocket(0, 500, address);
-    Threads.start("runner", this::accept);
+    acceptFrom(listener);
   }
 
   String id() {
@@ -47,6 +48,32 @@
     return service;
   }
 
+  /** Returns the version of the software, as the process has it that serves a connection. */
+  String version() {
+    return version;
+  }
+
+  /** Ends the process, with its connections. */
+  void crash() throws IOException {
+    listener.close();
+    for (Socket socket : connections) {
+      socket.setSoLinger(true, 0);
+      socket.close();
+    }
+  }
+
+  /** Starts the process again, at the same address, with another version of its software. */
+  void startAgain(String newVersion) throws IOException {
+    ServerSocket next = new ServerSocket();
+    next.setReuseAddress(true);
+    next.bind(listener.getLocalSocketAddress(), 500);
+    version = newVersion;
+    bornMillis = System.currentTimeMillis();
+    sequence = 0;
+    listener = next;
+    acceptFrom(next);
+  }
+
   void setState(String value) {
     state = value;
   }
@@ -59,7 +86,9 @@
         + listener.getInetAddress().getHostAddress()
         + ":"
         + listener.getLocalPort()
-        + "\",\"Zone\":\"zone-a\",\"Version\":\"v1\",\"Slots\":"
+        + "\",\"Zone\":\"zone-a\",\"Version\":\""
+        + version
+        + "\",\"Slots\":"
         + slots
         + ",\"State\":\""
         + state
@@ -70,9 +99,13 @@
         + "}";
   }
 
-  private void accept() throws IOException {
-    while (!listener.isClosed()) {
-      Socket socket = listener.accept();
+  private void acceptFrom(ServerSocket open) {
+    Threads.start("runner", () -> accept(open));
+  }
+
+  private void accept(ServerSocket open) throws IOException {
+    while (!open.isClosed()) {
+      Socket socket = open.accept();
       socket.setTcpNoDelay(true);
       connections.add(socket);
       Threads.start("runner-connection", () -> serve(socket));
