--- a/review/src-3/Lab.java
+++ b/review/src-3/Lab.java
@@ -22,7 +22,7 @@
   private final long startNanos = System.nanoTime();
   private final StoreStandIn store = new StoreStandIn();
   private final List<RunnerStandIn> runners = new CopyOnWriteArrayList<>();
-  private final List<GatewayProcess> gateways = new ArrayList<>();
+  private final List<GatewayProcess> gateways = new CopyOnWriteArrayList<>();
   private final List<StoreStandIn.Door> doors = new ArrayList<>();
   private final GatewayProcess.Ports ports = GatewayProcess.Ports.free();
   private final int subnet = 16 + (int) (ProcessHandle.current().pid() % 200);
@@ -32,6 +32,8 @@
     folder = Files.createTempDirectory("review-3-");
     record = new PrintWriter(Files.newBufferedWriter(recordFile), true);
     Threads.start("heartbeats", this::beat);
+    // The processes must not outlive a run that is ended by a signal.
+    Runtime.getRuntime().addShutdownHook(new Thread(() -> gateways.forEach(GatewayProcess::close)));
   }
 
   /** Returns whether the disruption is left out. */
